--- /dev/null
+++ b/cmd/usher-api/main.go
@@ -0,0 +1,4 @@
+// Command usher-api is part of agateusher.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/usher-load/main.go
@@ -0,0 +1,4 @@
+// Command usher-load is part of agateusher.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/usher-standin/main.go
@@ -0,0 +1,4 @@
+// Command usher-standin is part of agateusher.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/usherctl/main.go
@@ -0,0 +1,4 @@
+// Command usherctl is part of agateusher.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/usherd/main.go
@@ -0,0 +1,4 @@
+// Command usherd is part of agateusher.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/deps/deps.go
@@ -0,0 +1,42 @@
+//go:build tools
+
+// Package deps keeps modules in go.mod until the packages that use them land.
+package deps
+
+import (
+	_ "connectrpc.com/connect"
+	_ "github.com/HdrHistogram/hdrhistogram-go"
+	_ "github.com/ThreeDotsLabs/watermill/message"
+	_ "github.com/ThreeDotsLabs/watermill/pubsub/gochannel"
+	_ "github.com/anishathalye/porcupine"
+	_ "github.com/cespare/xxhash/v2"
+	_ "github.com/go-chi/chi/v5"
+	_ "github.com/go-chi/chi/v5/middleware"
+	_ "github.com/go-playground/validator/v10"
+	_ "github.com/jessevdk/go-flags"
+	_ "github.com/onsi/ginkgo/v2"
+	_ "github.com/onsi/gomega"
+	_ "github.com/sirupsen/logrus"
+	_ "github.com/sourcegraph/jsonrpc2"
+	_ "github.com/tailscale/hujson"
+	_ "github.com/uber-go/tally/v4"
+	_ "github.com/uber-go/tally/v4/prometheus"
+	_ "go.opentelemetry.io/otel"
+	_ "go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
+	_ "go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
+	_ "go.opentelemetry.io/otel/propagation"
+	_ "go.opentelemetry.io/otel/sdk/trace"
+	_ "go.opentelemetry.io/otel/semconv/v1.26.0"
+	_ "go.uber.org/goleak"
+	_ "golang.org/x/net/http2"
+	_ "golang.org/x/net/http2/h2c"
+	_ "golang.org/x/sync/errgroup"
+	_ "golang.org/x/sync/singleflight"
+	_ "golang.org/x/time/rate"
+	_ "gonum.org/v1/plot"
+	_ "gonum.org/v1/plot/plotter"
+	_ "gonum.org/v1/plot/plotutil"
+	_ "gonum.org/v1/plot/vg"
+	_ "google.golang.org/protobuf/proto"
+	_ "pgregory.net/rapid"
+)
--- /dev/null
+++ b/objectapi/objectapi.go
@@ -0,0 +1,90 @@
+// Package objectapi is the client side of the platform's object API: versioned
+// values with conditional updates and watches, and the list of hosts.
+package objectapi
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/agateusher/agateusher/core/model"
+)
+
+// MaxValueBytes is the largest value that the object API holds.
+const MaxValueBytes = 1 << 20
+
+// Version is the version of one object. It grows with every update; zero means
+// that the object does not exist.
+type Version uint64
+
+// Object is a value and its version.
+type Object struct {
+	Key     string
+	Version Version
+	Value   []byte
+}
+
+var (
+	// ErrNotFound: the object does not exist.
+	ErrNotFound = errors.New("object not found")
+	// ErrUnavailable: the object API did not answer; a write may or may not
+	// have taken effect.
+	ErrUnavailable = errors.New("object API unavailable")
+	// ErrTooLarge: the value is over MaxValueBytes.
+	ErrTooLarge = errors.New("value too large")
+)
+
+// ConflictError reports a conditional update whose expected version was not
+// the current one. The update certainly did not take effect.
+type ConflictError struct {
+	Key      string
+	Expected Version
+	Current  Version
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("object %s: expected version %d, current version is %d", e.Key, e.Expected, e.Current)
+}
+
+// HostState is what the platform says about a host. It lags.
+type HostState string
+
+const (
+	// HostLive: the host is expected to work.
+	HostLive HostState = "live"
+	// HostLeaving: the host is about to be taken away.
+	HostLeaving HostState = "leaving"
+)
+
+// Host is one entry of the host list. Addresses are "ip:port".
+type Host struct {
+	ID            model.HostID     `json:"id"`
+	DataCentre    model.DataCentre `json:"dataCentre"`
+	Region        model.Region     `json:"region"`
+	CallerAddress string           `json:"callerAddress"`
+	FleetAddress  string           `json:"fleetAddress"`
+	PeerAddress   string           `json:"peerAddress"`
+	State         HostState        `json:"state"`
+}
+
+// Store is the object API. All methods may return errors that wrap
+// ErrUnavailable or the context's error.
+type Store interface {
+	// Get returns the object, or an error that wraps ErrNotFound.
+	Get(ctx context.Context, key string) (Object, error)
+	// Put updates the object if its current version is expected; zero creates
+	// it. It returns the new version, or a *ConflictError.
+	Put(ctx context.Context, key string, value []byte, expected Version) (Version, error)
+	// Delete removes the object if its current version is expected.
+	Delete(ctx context.Context, key string, expected Version) error
+	// List returns the keys that start with prefix, in order.
+	List(ctx context.Context, prefix string) ([]string, error)
+	// Watch waits until the version of key exceeds after and returns the
+	// object. It returns an error that wraps ErrNotFound if the object does not
+	// exist when the wait ends, and the unchanged object after the platform's
+	// own time limit.
+	Watch(ctx context.Context, key string, after Version) (Object, error)
+	// Hosts returns the host list.
+	Hosts(ctx context.Context) ([]Host, error)
+}
