--- a/kernel/bus.go
+++ b/kernel/bus.go
@@ -72,7 +72,7 @@
 
 // Handle registers fn for a topic under a name that is unique on the bus.
 func Handle[T any](b *Bus, name string, topic Topic, fn func(T) error) {
-	b.router.AddNoPublisherHandler(name, string(topic), b.pubsub, func(msg *message.Message) error {
+	b.router.AddConsumerHandler(name, string(topic), b.pubsub, func(msg *message.Message) error {
 		var event T
 		if err := json.Unmarshal(msg.Payload, &event); err != nil {
 			return &EventError{Topic: topic, Err: err}
