--- /dev/null
+++ b/core/idempotency/ledger.go
@@ -0,0 +1,225 @@
+package idempotency
+
+import (
+	"errors"
+	"time"
+
+	"github.com/agateusher/agateusher/core/invariant"
+	"github.com/agateusher/agateusher/core/model"
+)
+
+var (
+	// ErrLedgerFull: no more keys until issued ones expire.
+	ErrLedgerFull = errors.New("idempotency key ledger is full")
+	// ErrSealed: the ledger is being handed over; ask its successor.
+	ErrSealed = errors.New("idempotency key ledger is sealed")
+	// ErrExpired: the key's lifetime is over.
+	ErrExpired = errors.New("idempotency key has expired")
+	// ErrMismatch: the key was first used with a different request.
+	ErrMismatch = errors.New("idempotency key was used with a different request")
+	// ErrWrongIssuer: another incarnation issued the key.
+	ErrWrongIssuer = errors.New("idempotency key belongs to another incarnation")
+	// ErrBusy: a ledger with requests in progress cannot be exported.
+	ErrBusy = errors.New("idempotency key ledger has requests in progress")
+)
+
+// Limits bounds a ledger.
+type Limits struct {
+	// Lifetime of a key from its issue. The default is 15 minutes.
+	Lifetime time.Duration
+	// MaxKeys is the largest number of unexpired keys, spent or not.
+	MaxKeys int
+	// MaxBytes bounds the recorded responses together.
+	MaxBytes int
+	// MaxRecordBytes bounds one recorded response body.
+	MaxRecordBytes int
+}
+
+// DefaultLimits holds the defaults: at 170 spent keys a second and 15 minutes,
+// 153,000 keys are unexpired.
+var DefaultLimits = Limits{
+	Lifetime:       15 * time.Minute,
+	MaxKeys:        200_000,
+	MaxBytes:       64 << 20,
+	MaxRecordBytes: 64 << 10,
+}
+
+// Fingerprint identifies the content of a request: method, path and body.
+type Fingerprint [16]byte
+
+// Record is the response that a duplicate is given.
+type Record struct {
+	Outcome model.Outcome       `json:"outcome"`
+	Reason  model.Reason        `json:"reason,omitempty"`
+	Status  int                 `json:"status"`
+	Header  map[string][]string `json:"header,omitempty"`
+	Body    []byte              `json:"body,omitempty"`
+}
+
+// Verdict says what to do with a request that carries a valid key.
+type Verdict uint8
+
+const (
+	// Run: the key is now marked as spent; dispatch the request and call
+	// Complete or Release.
+	Run Verdict = iota + 1
+	// Wait: the first request with this key is in progress.
+	Wait
+	// Replay: give the recorded response.
+	Replay
+)
+
+type entryState uint8
+
+const (
+	inProgress entryState = iota
+	done
+	released
+)
+
+type entry struct {
+	fingerprint Fingerprint
+	state       entryState
+	record      Record
+}
+
+// Ledger holds the spent keys of one incarnation. Unspent keys need no state.
+// It is not safe for concurrent use.
+type Ledger struct {
+	host     model.HostID
+	issuer   model.Incarnation
+	secrets  Secrets
+	limits   Limits
+	origin   time.Time // the issuer's start on this process's clock
+	sequence uint64
+	sealed   bool
+
+	entries map[uint64]*entry
+	bytes   int
+	issued  window
+	spent   spentQueue
+}
+
+// NewLedger returns the empty ledger of an incarnation that starts now.
+func NewLedger(host model.HostID, issuer model.Incarnation, secrets Secrets, limits Limits, now time.Time) *Ledger {
+	return &Ledger{host: host, issuer: issuer, secrets: secrets, limits: limits, origin: now, entries: map[uint64]*entry{}}
+}
+
+// Issuer returns the incarnation whose keys the ledger holds.
+func (l *Ledger) Issuer() model.Incarnation { return l.issuer }
+
+// Len returns the number of spent, unexpired keys.
+func (l *Ledger) Len() int { return len(l.entries) }
+
+// Issue returns n new keys for scope, or ErrLedgerFull or ErrSealed.
+func (l *Ledger) Issue(now time.Time, scope Scope, n int) ([]string, error) {
+	l.expire(now)
+	if l.sealed {
+		return nil, ErrSealed
+	}
+	if l.issued.count()+n > l.limits.MaxKeys || l.bytes >= l.limits.MaxBytes {
+		return nil, ErrLedgerFull
+	}
+	keys := make([]string, n)
+	for i := range keys {
+		l.sequence++
+		k := Key{Host: l.host, Issuer: l.issuer, Sequence: l.sequence, IssuedAt: now.Sub(l.origin)}
+		text, err := l.secrets.Encode(k, scope)
+		if err != nil {
+			return nil, err
+		}
+		keys[i] = text
+	}
+	l.issued.add(now.Sub(l.origin), n)
+	return keys, nil
+}
+
+// Begin checks a key and, on Run, marks it as spent. With Replay the record is
+// returned. Errors are ErrWrongIssuer, ErrForged, ErrExpired, ErrSealed and
+// ErrMismatch; a key that fails is not marked.
+func (l *Ledger) Begin(now time.Time, k Key, scope Scope, fp Fingerprint) (Verdict, Record, error) {
+	l.expire(now)
+	if k.Issuer != l.issuer {
+		return 0, Record{}, ErrWrongIssuer
+	}
+	if err := l.secrets.Verify(k, scope); err != nil {
+		return 0, Record{}, err
+	}
+	e, known := l.entries[k.Sequence]
+	if known && e.state != released {
+		return l.duplicate(e, fp)
+	}
+	if now.Sub(l.origin) >= k.IssuedAt+l.limits.Lifetime {
+		return 0, Record{}, ErrExpired
+	}
+	if l.sealed {
+		return 0, Record{}, ErrSealed
+	}
+	l.entries[k.Sequence] = &entry{fingerprint: fp}
+	if !known {
+		l.spent.push(k.IssuedAt+l.limits.Lifetime, k.Sequence)
+	}
+	return Run, Record{}, nil
+}
+
+func (l *Ledger) duplicate(e *entry, fp Fingerprint) (Verdict, Record, error) {
+	switch {
+	case e.fingerprint != fp:
+		return 0, Record{}, ErrMismatch
+	case e.state == inProgress:
+		return Wait, Record{}, nil
+	}
+	return Replay, e.record, nil
+}
+
+// Complete records the response of a request that Begin let run. A body over
+// the limit is not kept: a duplicate then gets the outcome unknown.
+func (l *Ledger) Complete(sequence uint64, r Record) {
+	e, ok := l.takeInProgress(sequence)
+	if !ok {
+		return
+	}
+	if len(r.Body) > l.limits.MaxRecordBytes || l.bytes+len(r.Body) > l.limits.MaxBytes {
+		r = Record{Outcome: model.Unknown, Reason: model.ReasonAnswerNotKept}
+	}
+	e.state, e.record = done, r
+	l.bytes += len(r.Body)
+}
+
+// Release takes back the spent mark of a request that certainly did not run,
+// so that the caller may use the key again.
+func (l *Ledger) Release(sequence uint64) {
+	if e, ok := l.takeInProgress(sequence); ok {
+		e.state = released
+	}
+}
+
+func (l *Ledger) takeInProgress(sequence uint64) (*entry, bool) {
+	e, ok := l.entries[sequence]
+	ok = ok && e.state == inProgress
+	invariant.Check(ok, invariant.KeyLedger, "end of key %d that is not in progress", sequence)
+	return e, ok
+}
+
+// expire drops what is past its lifetime. A request in progress keeps its mark
+// until it ends, since a late duplicate must not run.
+func (l *Ledger) expire(now time.Time) {
+	age := now.Sub(l.origin)
+	l.issued.expire(age - l.limits.Lifetime)
+	for {
+		sequence, ok := l.spent.popExpired(age)
+		if !ok {
+			return
+		}
+		e, ok := l.entries[sequence]
+		if !ok {
+			continue
+		}
+		if e.state == inProgress {
+			l.spent.push(age+l.limits.Lifetime, sequence)
+			continue
+		}
+		l.bytes -= len(e.record.Body)
+		delete(l.entries, sequence)
+	}
+}
--- a/core/model/outcome.go
+++ b/core/model/outcome.go
@@ -75,6 +75,9 @@
 	ReasonKeyMismatch Reason = "key-mismatch"
 	// ReasonKeysExhausted: the issuer's ledger is full.
 	ReasonKeysExhausted Reason = "keys-exhausted"
+	// ReasonAnswerNotKept: the first request with this key ran, but its response
+	// was too large to keep.
+	ReasonAnswerNotKept Reason = "answer-not-kept"
 	// ReasonIssuerGone: the process that issued the key cannot be reached.
 	ReasonIssuerGone Reason = "issuer-gone"
 	// ReasonServerFailed: the backend server failed after it may have started.
--- /dev/null
+++ b/core/routing/table.go
@@ -0,0 +1,168 @@
+// Package routing finds the route of a request in a compiled, immutable table.
+//
+// The table is a hash index over (host, path prefix) into the snapshot's own
+// route slice, so that it costs a few tens of bytes for each route; a lookup
+// tries the request's path from its longest prefix to the shortest.
+package routing
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/agateusher/agateusher/core/model"
+	"github.com/agateusher/agateusher/core/snapshot"
+)
+
+// none ends a chain of routes with the same host and prefix.
+const none = int32(-1)
+
+// Table is a compiled route table. It is safe for concurrent use.
+type Table struct {
+	routes []snapshot.Route
+	// first is the first route of each (host, prefix); next chains the others.
+	first  map[uint64]int32
+	next   []int32
+	byName map[model.RouteName]int32
+}
+
+// DuplicateRouteError reports two routes that match the same requests, or that
+// have the same name.
+type DuplicateRouteError struct {
+	First, Second model.RouteName
+}
+
+// Error implements error.
+func (e *DuplicateRouteError) Error() string {
+	return fmt.Sprintf("routes %s and %s match the same requests", e.First, e.Second)
+}
+
+// Compile builds a table over routes, which must not change afterwards. It
+// returns a *DuplicateRouteError if two routes are ambiguous.
+func Compile(routes []snapshot.Route) (*Table, error) {
+	t := &Table{
+		routes: routes,
+		first:  make(map[uint64]int32, len(routes)),
+		next:   make([]int32, len(routes)),
+		byName: make(map[model.RouteName]int32, len(routes)),
+	}
+	for i := range routes {
+		if err := t.add(int32(i)); err != nil {
+			return nil, err
+		}
+	}
+	return t, nil
+}
+
+func (t *Table) add(i int32) error {
+	r := &t.routes[i]
+	if j, dup := t.byName[r.Name]; dup {
+		return &DuplicateRouteError{First: t.routes[j].Name, Second: r.Name}
+	}
+	key := hash(r.Host, trimPrefix(r.PathPrefix))
+	head, ok := t.first[key]
+	if !ok {
+		head = none
+	}
+	for j := head; j != none; j = t.next[j] {
+		if t.ambiguous(&t.routes[j], r) {
+			return &DuplicateRouteError{First: t.routes[j].Name, Second: r.Name}
+		}
+	}
+	t.next[i] = head
+	t.first[key] = i
+	t.byName[r.Name] = i
+	return nil
+}
+
+func (t *Table) ambiguous(a, b *snapshot.Route) bool {
+	if a.Host != b.Host || trimPrefix(a.PathPrefix) != trimPrefix(b.PathPrefix) {
+		return false
+	}
+	if len(a.Methods) == 0 || len(b.Methods) == 0 {
+		return len(a.Methods) == len(b.Methods)
+	}
+	return slices.ContainsFunc(a.Methods, func(m string) bool { return slices.Contains(b.Methods, m) })
+}
+
+// Match returns the route with the longest matching path prefix, preferring a
+// route for the host over one for any host, and a route for the method over
+// one for any method. The host may carry a port.
+func (t *Table) Match(host, method, path string) (*snapshot.Route, bool) {
+	host = stripPort(host)
+	for prefix := trimPrefix(path); ; prefix = parent(prefix) {
+		if r := t.lookup(host, prefix, method); r != nil {
+			return r, true
+		}
+		if host != "" {
+			if r := t.lookup("", prefix, method); r != nil {
+				return r, true
+			}
+		}
+		if prefix == "" {
+			return nil, false
+		}
+	}
+}
+
+// ByName returns the named route.
+func (t *Table) ByName(name model.RouteName) (*snapshot.Route, bool) {
+	i, ok := t.byName[name]
+	if !ok {
+		return nil, false
+	}
+	return &t.routes[i], true
+}
+
+// Len returns the number of routes.
+func (t *Table) Len() int { return len(t.routes) }
+
+func (t *Table) lookup(host, prefix, method string) *snapshot.Route {
+	i, ok := t.first[hash(host, prefix)]
+	if !ok {
+		return nil
+	}
+	var anyMethod *snapshot.Route
+	for ; i != none; i = t.next[i] {
+		r := &t.routes[i]
+		if r.Host != host || trimPrefix(r.PathPrefix) != prefix {
+			continue
+		}
+		if slices.Contains(r.Methods, method) {
+			return r
+		}
+		if len(r.Methods) == 0 {
+			anyMethod = r
+		}
+	}
+	return anyMethod
+}
+
+func hash(host, prefix string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(host)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(prefix)
+	return d.Sum64()
+}
+
+// trimPrefix removes trailing slashes; the root prefix is the empty string.
+func trimPrefix(p string) string { return strings.TrimRight(p, "/") }
+
+func parent(prefix string) string {
+	i := strings.LastIndexByte(prefix, '/')
+	if i < 0 {
+		return ""
+	}
+	return trimPrefix(prefix[:i])
+}
+
+func stripPort(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		return host[:i]
+	}
+	return host
+}
