--- /dev/null
+++ b/fleet/codec.go
@@ -0,0 +1,168 @@
+package fleet
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/agateusher/agateusher/core/model"
+)
+
+var (
+	// ErrTooLarge: a body exceeds its limit.
+	ErrTooLarge = errors.New("body too large")
+	// ErrMalformed: a fleet message lacks or garbles a field.
+	ErrMalformed = errors.New("malformed fleet message")
+)
+
+// callerHeaderPrefix keeps the caller's headers apart from the fleet's own.
+const callerHeaderPrefix = "Agc-"
+
+// encodeRequest sets the headers of a forwarded request.
+func encodeRequest(h http.Header, q *Request) {
+	copyPrefixed(h, q.Header)
+	h.Set(HeaderRequestID, string(q.ID))
+	h.Set(HeaderService, string(q.Pool.Service))
+	h.Set(headerDataCentre, string(q.Pool.DataCentre))
+	h.Set(headerShard, strconv.Itoa(q.Pool.Shard))
+	h.Set(HeaderRoute, string(q.Route))
+	h.Set(HeaderWorkspace, string(q.Workspace))
+	h.Set(headerRepeatable, strconv.FormatBool(q.Repeatable))
+	h.Set(HeaderBudget, strconv.FormatInt(q.Budget.Microseconds(), 10))
+	h.Set(HeaderEpoch, q.Epoch.String())
+	h.Set(headerMethod, q.Method)
+	h.Set(headerTarget, q.Target)
+	h.Set(headerAuthority, q.Authority)
+	if q.Key != "" {
+		h.Set(HeaderKey, q.Key)
+	}
+}
+
+// DecodeRequest reads a forwarded request with its body, which may be at most
+// maxBody bytes. Errors wrap ErrMalformed or ErrTooLarge, or are read errors.
+func DecodeRequest(r *http.Request, maxBody int64) (*Request, error) {
+	h := r.Header
+	shard, err1 := strconv.Atoi(h.Get(headerShard))
+	budget, err2 := strconv.ParseInt(h.Get(HeaderBudget), 10, 64)
+	epoch, err3 := strconv.ParseUint(h.Get(HeaderEpoch), 10, 64)
+	repeatable, err4 := strconv.ParseBool(h.Get(headerRepeatable))
+	if err := errors.Join(err1, err2, err3, err4); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	body, err := ReadBody(r.Body, r.ContentLength, maxBody)
+	if err != nil {
+		return nil, err
+	}
+	return &Request{
+		ID:         model.RequestID(h.Get(HeaderRequestID)),
+		Pool:       model.PoolID{Service: model.ServiceName(h.Get(HeaderService)), DataCentre: model.DataCentre(h.Get(headerDataCentre)), Shard: shard},
+		Route:      model.RouteName(h.Get(HeaderRoute)),
+		Workspace:  model.WorkspaceID(h.Get(HeaderWorkspace)),
+		Repeatable: repeatable,
+		Key:        h.Get(HeaderKey),
+		Budget:     time.Duration(budget) * time.Microsecond,
+		Epoch:      model.Epoch(epoch),
+		Method:     h.Get(headerMethod),
+		Target:     h.Get(headerTarget),
+		Authority:  h.Get(headerAuthority),
+		Header:     takePrefixed(h),
+		Body:       body,
+	}, nil
+}
+
+// WriteResponse writes the owner's answer as a 200 of the fleet protocol; the
+// backend server's status travels in a header.
+func WriteResponse(w http.ResponseWriter, p *Response) {
+	h := w.Header()
+	copyPrefixed(h, p.Header)
+	h.Set(HeaderOutcome, p.Outcome.String())
+	h.Set(HeaderQueueDelay, strconv.FormatInt(p.Load.QueueDelay.Microseconds(), 10))
+	h.Set(HeaderFreeSlots, strconv.Itoa(p.Load.FreeSlots))
+	h.Set(headerStatus, strconv.Itoa(p.Status))
+	if p.Reason != model.ReasonNone {
+		h.Set(HeaderReason, string(p.Reason))
+	}
+	if p.RetryAfter > 0 {
+		h.Set(headerRetryMs, strconv.FormatInt(p.RetryAfter.Milliseconds(), 10))
+	}
+	h.Set("Content-Type", "application/octet-stream")
+	h.Set("Content-Length", strconv.Itoa(len(p.Body)))
+	// A failed write means that the entry went away; it cannot be told more.
+	_, _ = w.Write(p.Body)
+}
+
+// decodeResponse reads the owner's answer with its body.
+func decodeResponse(r *http.Response, maxBody int64) (Response, error) {
+	h := r.Header
+	outcome, ok := model.ParseOutcome(h.Get(HeaderOutcome))
+	status, err := strconv.Atoi(h.Get(headerStatus))
+	if !ok || err != nil {
+		return Response{}, fmt.Errorf("%w: status %d", ErrMalformed, r.StatusCode)
+	}
+	body, err := ReadBody(r.Body, r.ContentLength, maxBody)
+	if err != nil {
+		return Response{}, err
+	}
+	delay, _ := strconv.ParseInt(h.Get(HeaderQueueDelay), 10, 64)
+	free, _ := strconv.Atoi(h.Get(HeaderFreeSlots))
+	retry, _ := strconv.ParseInt(h.Get(headerRetryMs), 10, 64)
+	return Response{
+		Outcome:    outcome,
+		Reason:     model.Reason(h.Get(HeaderReason)),
+		RetryAfter: time.Duration(retry) * time.Millisecond,
+		Status:     status,
+		Header:     takePrefixed(h),
+		Body:       body,
+		Load:       Load{QueueDelay: time.Duration(delay) * time.Microsecond, FreeSlots: free},
+	}, nil
+}
+
+// ReadBody reads a whole body. It returns ErrTooLarge over the limit and
+// io.ErrUnexpectedEOF if the body is shorter than its declared length; a
+// negative length means that none was declared.
+func ReadBody(body io.Reader, length, limit int64) ([]byte, error) {
+	if length > limit {
+		return nil, ErrTooLarge
+	}
+	if length == 0 || body == nil {
+		return nil, nil
+	}
+	if length > 0 {
+		buf := make([]byte, length)
+		if _, err := io.ReadFull(body, buf); err != nil {
+			if errors.Is(err, io.EOF) {
+				err = io.ErrUnexpectedEOF
+			}
+			return nil, fmt.Errorf("read body: %w", err)
+		}
+		return buf, nil
+	}
+	buf, err := io.ReadAll(io.LimitReader(body, limit+1))
+	if err != nil {
+		return nil, fmt.Errorf("read body: %w", err)
+	}
+	if int64(len(buf)) > limit {
+		return nil, ErrTooLarge
+	}
+	return buf, nil
+}
+
+func copyPrefixed(dst, src http.Header) {
+	for name, values := range src {
+		dst[callerHeaderPrefix+name] = values
+	}
+}
+
+func takePrefixed(h http.Header) http.Header {
+	out := make(http.Header, len(h))
+	for name, values := range h {
+		if rest, ok := strings.CutPrefix(name, callerHeaderPrefix); ok {
+			out[rest] = values
+		}
+	}
+	return out
+}
--- a/objectapi/objectapi.go
+++ b/objectapi/objectapi.go
@@ -65,6 +65,7 @@
 	CallerAddress string           `json:"callerAddress"`
 	FleetAddress  string           `json:"fleetAddress"`
 	PeerAddress   string           `json:"peerAddress"`
+	AdminAddress  string           `json:"adminAddress"`
 	State         HostState        `json:"state"`
 }
 
