--- a/objectapi/objectapi.go
+++ b/objectapi/objectapi.go
@@ -1,5 +1,3 @@
-// Package objectapi is the client side of the platform's object API: versioned
-// values with conditional updates and watches, and the list of hosts.
 package objectapi
 
 import (
@@ -76,14 +74,16 @@
 	// Put updates the object if its current version is expected; zero creates
 	// it. It returns the new version, or a *ConflictError.
 	Put(ctx context.Context, key string, value []byte, expected Version) (Version, error)
-	// Delete removes the object if its current version is expected.
+	// Delete removes the object if its current version is expected. It returns
+	// a *ConflictError, or an error that wraps ErrNotFound.
 	Delete(ctx context.Context, key string, expected Version) error
 	// List returns the keys that start with prefix, in order.
 	List(ctx context.Context, prefix string) ([]string, error)
 	// Watch waits until the version of key exceeds after and returns the
 	// object. It returns an error that wraps ErrNotFound if the object does not
-	// exist when the wait ends, and the unchanged object after the platform's
-	// own time limit.
+	// exist when the wait ends. After the platform's own time limit it returns
+	// the version after with a nil value, so that an idle watch carries no
+	// value.
 	Watch(ctx context.Context, key string, after Version) (Object, error)
 	// Hosts returns the host list.
 	Hosts(ctx context.Context) ([]Host, error)
