--- /dev/null
+++ b/core/pool/view.go
@@ -0,0 +1,27 @@
+package pool
+
+import "time"
+
+// View returns the load report, server states and evidence.
+func (p *Pool) View(now time.Time) View {
+	v := View{
+		Servers:     make([]ServerView, 0, len(p.servers)),
+		Queued:      len(p.waiting),
+		Running:     len(p.requests) - len(p.waiting),
+		ServiceTime: p.meanService,
+	}
+	for _, s := range p.servers {
+		allowed := s.allowed(now, p.cfg.Readmission.RampTime)
+		v.Servers = append(v.Servers, ServerView{
+			ID: s.id, Status: s.status, Slots: s.slots, Allowed: allowed, InUse: s.inUse, Held: s.held,
+			HeldUntil: s.heldUntil, Evidence: p.detector.Evidence(now, s.id),
+		})
+		if s.status == Serving {
+			v.FreeSlots += max(0, allowed-s.inUse)
+		}
+	}
+	if capacity := p.capacity(now, true); capacity > 0 && v.FreeSlots == 0 {
+		v.QueueDelay = time.Duration(int64(p.meanService) * int64(v.Queued+1) / int64(capacity))
+	}
+	return v
+}
