--- /dev/null
+++ b/core/detector/signal.go
@@ -0,0 +1,23 @@
+package detector
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Values of Evidence.Signal.
+const (
+	SignalFailures    = "failures"
+	SignalLatency     = "latency"
+	SignalStall       = "stall"
+	SignalConnect     = "connect"
+	SignalConsecutive = "consecutive"
+)
+
+// sortWorstFirst orders by score, highest first, and by server ID for equal
+// scores, so that results do not depend on the order of a map.
+func sortWorstFirst(list []Suspicion) {
+	slices.SortFunc(list, func(a, b Suspicion) int {
+		return cmp.Or(cmp.Compare(b.Score, a.Score), cmp.Compare(a.Server, b.Server))
+	})
+}
