standin/backend: add a stand-in backend server

Tests and experiments need backend servers that fail quietly and that can prove afterwards what ran.

--- /dev/null
+++ b/standin/backend/answer.go
@@ -0,0 +1,111 @@
+package backend
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/agateusher/agateusher/core/model"
+)
+
+// Query parameters that a client puts on a request. They travel in the URL so
+// that they reach the server whatever headers an intermediary adds or removes.
+const (
+	// QueryClientID is the client's own identifier of the request.
+	QueryClientID = "cid"
+	// QueryBytes is the wanted payload size in bytes.
+	QueryBytes = "bytes"
+)
+
+// Headers that the server reads.
+const (
+	HeaderRequestID      = "Agateusher-Request-Id"
+	HeaderBudget         = "Agateusher-Budget-Us"
+	HeaderIdempotencyKey = "Idempotency-Key"
+)
+
+// Answer is the JSON body of a successful answer.
+type Answer struct {
+	// RequestID is the fleet's identifier, or the client's if there is none.
+	RequestID model.RequestID `json:"requestId"`
+	// ClientID is the client's identifier, from QueryClientID.
+	ClientID string         `json:"clientId"`
+	Server   model.ServerID `json:"server"`
+	Method   string         `json:"method"`
+	Path     string         `json:"path"`
+	Payload  string         `json:"payload"`
+	// Checksum covers all other fields, 16 hexadecimal digits.
+	Checksum string `json:"checksum"`
+}
+
+// AnswerProblem names what is wrong with an answer.
+type AnswerProblem string
+
+const (
+	// AnswerShort: the body is cut short or not an answer.
+	AnswerShort AnswerProblem = "short"
+	// AnswerMixed: the answer belongs to another request.
+	AnswerMixed AnswerProblem = "mixed"
+	// AnswerCorrupt: the checksum does not match.
+	AnswerCorrupt AnswerProblem = "corrupt"
+)
+
+// AnswerError reports an answer that is not the whole answer to the request.
+type AnswerError struct {
+	Problem AnswerProblem
+	// ClientID is the request's identifier, Got the one in the answer.
+	ClientID string
+	Got      string
+	Err      error
+}
+
+// Error implements error.
+func (e *AnswerError) Error() string {
+	return fmt.Sprintf("answer to request %s is %s (answer names request %q): %v", e.ClientID, e.Problem, e.Got, e.Err)
+}
+
+// Unwrap returns the cause, if any.
+func (e *AnswerError) Unwrap() error { return e.Err }
+
+// newAnswer builds an answer whose payload has size bytes and repeats the
+// client's identifier, so that pieces of two answers never look alike.
+func newAnswer(id model.RequestID, clientID string, server model.ServerID, method, path string, size int) Answer {
+	unit := clientID + "/" + string(id) + ";"
+	payload := strings.Repeat(unit, size/len(unit)+1)[:size]
+	a := Answer{RequestID: id, ClientID: clientID, Server: server, Method: method, Path: path, Payload: payload}
+	a.Checksum = a.checksum()
+	return a
+}
+
+func (a Answer) checksum() string {
+	var d xxhash.Digest
+	d.Reset()
+	for _, part := range []string{string(a.RequestID), a.ClientID, string(a.Server), a.Method, a.Path, a.Payload} {
+		_, _ = d.WriteString(strconv.Itoa(len(part)))
+		_, _ = d.Write([]byte{':'})
+		_, _ = d.WriteString(part)
+	}
+	return fmt.Sprintf("%016x", d.Sum64())
+}
+
+// CheckAnswer decodes body and verifies that it is the whole answer to the
+// request that the client named clientID, with a payload of size bytes (a
+// negative size is not checked). Errors are *AnswerError.
+func CheckAnswer(body []byte, clientID string, size int) (Answer, error) {
+	var a Answer
+	if err := json.Unmarshal(body, &a); err != nil {
+		return Answer{}, &AnswerError{Problem: AnswerShort, ClientID: clientID, Err: err}
+	}
+	switch {
+	case a.ClientID != clientID:
+		return a, &AnswerError{Problem: AnswerMixed, ClientID: clientID, Got: a.ClientID}
+	case a.Checksum != a.checksum():
+		return a, &AnswerError{Problem: AnswerCorrupt, ClientID: clientID, Got: a.ClientID}
+	case size >= 0 && len(a.Payload) != size:
+		return a, &AnswerError{Problem: AnswerShort, ClientID: clientID, Got: a.ClientID}
+	}
+	return a, nil
+}
