--- /dev/null
+++ b/standin/line.go
@@ -0,0 +1,70 @@
+// Package standin holds what the programs around the stand-ins share: the lines
+// by which usher-standin announces the addresses it listens on.
+package standin
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"github.com/agateusher/agateusher/core/model"
+)
+
+// LineKind says what a Line announces.
+type LineKind string
+
+// Kinds of lines.
+const (
+	LineBackend  LineKind = "backend"
+	LinePlatform LineKind = "platform"
+	// LineAdmin announces the administration of all backend servers.
+	LineAdmin LineKind = "admin"
+	// LineReady is the last line; all listeners are open.
+	LineReady LineKind = "ready"
+)
+
+// Line is one JSON line on the standard output of usher-standin.
+type Line struct {
+	Kind       LineKind          `json:"kind"`
+	ID         model.ServerID    `json:"id,omitempty"`
+	Service    model.ServiceName `json:"service,omitempty"`
+	DataCentre model.DataCentre  `json:"dataCentre,omitempty"`
+	// Address is "ip:port".
+	Address string `json:"address,omitempty"`
+}
+
+// LineError reports output that is not a sequence of lines that ends with one
+// of kind "ready".
+type LineError struct {
+	Line string
+	Err  error
+}
+
+// Error implements error.
+func (e *LineError) Error() string { return fmt.Sprintf("stand-in output %q: %v", e.Line, e.Err) }
+
+// Unwrap returns the cause.
+func (e *LineError) Unwrap() error { return e.Err }
+
+// ReadLines reads lines up to the one of kind "ready", which is not returned.
+// Errors are *LineError; the cause is io.ErrUnexpectedEOF if the output ends
+// before the stand-in is ready.
+func ReadLines(r io.Reader) ([]Line, error) {
+	var lines []Line
+	scanner := bufio.NewScanner(r)
+	for scanner.Scan() {
+		var l Line
+		if err := json.Unmarshal(scanner.Bytes(), &l); err != nil {
+			return lines, &LineError{Line: scanner.Text(), Err: err}
+		}
+		if l.Kind == LineReady {
+			return lines, nil
+		}
+		lines = append(lines, l)
+	}
+	if err := scanner.Err(); err != nil {
+		return lines, &LineError{Err: err}
+	}
+	return lines, &LineError{Err: io.ErrUnexpectedEOF}
+}
