standin/backend: report busy time and accept direct calls

The load generator compares requests through the fleet with direct calls to the same servers. A direct call must not take a slot, because the pool owner would see it as load shedding. The answer carries the time spent at the server, so that the rest of the latency is known for each request.

--- a/standin/backend/answer.go
+++ b/standin/backend/answer.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -18,6 +19,9 @@
 	QueryClientID = "cid"
 	// QueryBytes is the wanted payload size in bytes.
 	QueryBytes = "bytes"
+	// QueryDirect marks a measuring call that bypasses the fleet. It occupies no
+	// slot, so that it does not disturb the fleet's own accounting of slots.
+	QueryDirect = "direct"
 )
 
 // Headers that the server reads.
@@ -36,7 +40,10 @@
 	Server   model.ServerID `json:"server"`
 	Method   string         `json:"method"`
 	Path     string         `json:"path"`
-	Payload  string         `json:"payload"`
+	// BusyUs is the time from the request's arrival at the server to its answer,
+	// in microseconds. A client subtracts it to get the time spent elsewhere.
+	BusyUs  int64  `json:"busyUs"`
+	Payload string `json:"payload"`
 	// Checksum covers all other fields, 16 hexadecimal digits.
 	Checksum string `json:"checksum"`
 }
@@ -72,10 +79,13 @@
 
 // newAnswer builds an answer whose payload has size bytes and repeats the
 // client's identifier, so that pieces of two answers never look alike.
-func newAnswer(id model.RequestID, clientID string, server model.ServerID, method, path string, size int) Answer {
-	unit := clientID + "/" + string(id) + ";"
-	payload := strings.Repeat(unit, size/len(unit)+1)[:size]
-	a := Answer{RequestID: id, ClientID: clientID, Server: server, Method: method, Path: path, Payload: payload}
+func newAnswer(c call, server model.ServerID, busy time.Duration) Answer {
+	unit := c.clientID + "/" + string(c.id) + ";"
+	payload := strings.Repeat(unit, c.size/len(unit)+1)[:c.size]
+	a := Answer{
+		RequestID: c.id, ClientID: c.clientID, Server: server, Method: c.method, Path: c.path,
+		BusyUs: busy.Microseconds(), Payload: payload,
+	}
 	a.Checksum = a.checksum()
 	return a
 }
@@ -83,7 +93,7 @@
 func (a Answer) checksum() string {
 	var d xxhash.Digest
 	d.Reset()
-	for _, part := range []string{string(a.RequestID), a.ClientID, string(a.Server), a.Method, a.Path, a.Payload} {
+	for _, part := range []string{string(a.RequestID), a.ClientID, string(a.Server), a.Method, a.Path, strconv.FormatInt(a.BusyUs, 10), a.Payload} {
 		_, _ = d.WriteString(strconv.Itoa(len(part)))
 		_, _ = d.Write([]byte{':'})
 		_, _ = d.WriteString(part)
--- a/standin/backend/behaviour_test.go
+++ b/standin/backend/behaviour_test.go
@@ -114,6 +114,25 @@
 	})
 }
 
+// Guards against measuring calls that take slots from the requests of the fleet.
+func TestDirectCallsOccupyNoSlot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := New(Options{ID: "s", Slots: 1, ServiceTime: fixed(100 * time.Millisecond)})
+		var wg sync.WaitGroup
+		for range 3 {
+			wg.Go(func() { do(t.Context(), s, "GET", "/x?direct=1") })
+		}
+		synctest.Wait()
+		w := do(t.Context(), s, "GET", "/x?cid=a")
+		g.Expect(w.Code).To(Equal(http.StatusOK))
+		a, err := CheckAnswer(w.Body.Bytes(), "a", DefaultPayloadBytes)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(a.BusyUs).To(BeEquivalentTo(100_000))
+		wg.Wait()
+	})
+}
+
 // Guards against a deadline that is ignored, and against a request that waited
 // past its deadline being reported as run.
 func TestDeadline(t *testing.T) {
@@ -233,7 +252,7 @@
 
 // Guards against an answer check that accepts a wrong answer.
 func TestCheckAnswer(t *testing.T) {
-	whole, _ := json.Marshal(newAnswer("r", "c1", "s", "GET", "/x", 100))
+	whole, _ := json.Marshal(newAnswer(call{id: "r", clientID: "c1", method: "GET", path: "/x", size: 100}, "s", time.Millisecond))
 	tests := []struct {
 		name, body, id string
 		size           int
--- a/standin/backend/log.go
+++ b/standin/backend/log.go
@@ -37,10 +37,12 @@
 	IdempotencyKey string          `json:"idempotencyKey,omitempty"`
 	Method         string          `json:"method"`
 	Path           string          `json:"path"`
-	Arrived        time.Time       `json:"arrived"`
-	Started        time.Time       `json:"started,omitzero"`
-	Finished       time.Time       `json:"finished,omitzero"`
-	End            End             `json:"end"`
+	// Direct marks a measuring call that bypassed the fleet.
+	Direct   bool      `json:"direct,omitempty"`
+	Arrived  time.Time `json:"arrived"`
+	Started  time.Time `json:"started,omitzero"`
+	Finished time.Time `json:"finished,omitzero"`
+	End      End       `json:"end"`
 }
 
 // Ran reports whether the request started to run.
--- a/standin/backend/request.go
+++ b/standin/backend/request.go
@@ -30,6 +30,8 @@
 	method   string
 	path     string
 	size     int
+	direct   bool
+	arrived  time.Time
 	entry    entry
 }
 
@@ -86,7 +88,7 @@
 		s.shed(w, c)
 		return
 	}
-	end := s.execute(r, c, arrived, faults)
+	end := s.execute(r, c, faults)
 	s.respond(w, r, c, end, faults)
 }
 
@@ -98,6 +100,8 @@
 		method:   r.Method,
 		path:     r.URL.Path,
 		size:     s.options.PayloadBytes,
+		direct:   query.Get(QueryDirect) != "",
+		arrived:  now,
 	}
 	if c.id == "" {
 		c.id = model.RequestID(c.clientID)
@@ -108,15 +112,18 @@
 	c.entry = s.log.arrive(Execution{
 		Server: s.options.ID, RequestID: c.id, ClientID: c.clientID,
 		IdempotencyKey: r.Header.Get(HeaderIdempotencyKey),
-		Method:         c.method, Path: c.path, Arrived: now,
+		Method:         c.method, Path: c.path, Direct: c.direct, Arrived: now,
 	})
 	return c
 }
 
-// execute waits for a slot, runs the request and records its end.
-func (s *Server) execute(r *http.Request, c call, arrived time.Time, faults Faults) End {
-	ctx, stop := s.requestContext(r, arrived)
+// execute waits for a slot and runs the request.
+func (s *Server) execute(r *http.Request, c call, faults Faults) End {
+	ctx, stop := s.requestContext(r, c.arrived)
 	defer stop(nil)
+	if c.direct {
+		return s.occupy(ctx, c, faults)
+	}
 	self := &running{cancel: stop, done: make(chan struct{})}
 	s.running.add(c.id, self)
 	defer func() {
@@ -132,6 +139,11 @@
 		return end
 	}
 	defer s.slots.release()
+	return s.occupy(ctx, c, faults)
+}
+
+// occupy runs the request and records its start and end.
+func (s *Server) occupy(ctx context.Context, c call, faults Faults) End {
 	s.log.start(c.entry, time.Now())
 	end := s.run(ctx, faults)
 	s.log.finish(c.entry, time.Now(), end)
--- a/standin/backend/respond.go
+++ b/standin/backend/respond.go
@@ -49,7 +49,7 @@
 		body, _ := json.Marshal(errorBody{Error: "injected fault", Server: s.options.ID})
 		return status, body
 	}
-	body, _ := json.Marshal(newAnswer(c.id, c.clientID, s.options.ID, c.method, c.path, c.size))
+	body, _ := json.Marshal(newAnswer(c, s.options.ID, time.Since(c.arrived)))
 	return http.StatusOK, body
 }
 
