operator: add the RPC service and the admin endpoint's types

ConfigService, FleetService and ReportService over connect on chi, with bearer tokens compared in constant time, an access log line per call, bounded requests and timeouts, and typed error details. A manual ejection is checked against the pool's floor at the epoch that the change is accepted at, also when it comes in an applied file; two racing ejections are checked again after the conflict.

Object counts are int64 on the wire: int32 would have wrapped large values of an applied file without an error.

The floor is checked per service and data centre, not per shard, because shard members are chosen by the daemons.

--- /dev/null
+++ b/operator/auth.go
@@ -0,0 +1,75 @@
+package operator
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"net/http"
+	"strings"
+
+	"connectrpc.com/connect"
+)
+
+// Token is one operator's bearer token.
+type Token struct {
+	// Name becomes the author of the operator's changes.
+	Name string `json:"name" validate:"required"`
+	// Secret is sent in the Authorization header.
+	Secret string `json:"secret" validate:"min=16"`
+}
+
+// authenticator compares digests, which have one length, so that the time of a
+// comparison depends neither on the length nor on the content of a token.
+type authenticator struct {
+	digests [][sha256.Size]byte
+	names   []string
+}
+
+func newAuthenticator(tokens []Token) *authenticator {
+	a := &authenticator{}
+	for _, t := range tokens {
+		a.digests = append(a.digests, sha256.Sum256([]byte(t.Secret)))
+		a.names = append(a.names, t.Name)
+	}
+	return a
+}
+
+// name returns the name of the token in the header, or false. It compares with
+// every token.
+func (a *authenticator) name(header string) (string, bool) {
+	scheme, secret, _ := strings.Cut(header, " ")
+	digest := sha256.Sum256([]byte(secret))
+	found := -1
+	for i := range a.digests {
+		equal := subtle.ConstantTimeCompare(a.digests[i][:], digest[:])
+		found = subtle.ConstantTimeSelect(equal, i, found)
+	}
+	if found < 0 || !strings.EqualFold(scheme, "Bearer") {
+		return "", false
+	}
+	return a.names[found], true
+}
+
+type operatorKey struct{}
+
+// operatorName returns the name of the token that the call was made with.
+func operatorName(ctx context.Context) string {
+	name, _ := ctx.Value(operatorKey{}).(string)
+	return name
+}
+
+// middleware refuses calls without a valid token before their body is read.
+func (a *authenticator) middleware(next http.Handler) http.Handler {
+	errorWriter := connect.NewErrorWriter()
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		name, ok := a.name(r.Header.Get("Authorization"))
+		if !ok {
+			recordOf(r.Context()).setCode(connect.CodeUnauthenticated)
+			// A failed write means that the caller went away.
+			_ = errorWriter.Write(w, r, toConnect(ErrUnauthenticated))
+			return
+		}
+		recordOf(r.Context()).operator = name
+		next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), operatorKey{}, name)))
+	})
+}
--- /dev/null
+++ b/operator/fakes_test.go
@@ -0,0 +1,161 @@
+package operator
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+
+	"connectrpc.com/connect"
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
+
+	"github.com/agateusher/agateusher/adminapi"
+	"github.com/agateusher/agateusher/core/model"
+	"github.com/agateusher/agateusher/core/snapshot"
+	"github.com/agateusher/agateusher/gen/agateusher/v1/agateusherv1connect"
+)
+
+// memoryStore is a ConfigStore that keeps servers and services only.
+type memoryStore struct {
+	mu       sync.Mutex
+	current  snapshot.Snapshot
+	accepted []ChangeSummary
+	// beforeApply runs once before the next Apply, outside the lock.
+	beforeApply func()
+	err         error
+}
+
+func (m *memoryStore) Load(context.Context) (snapshot.Snapshot, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.current, m.err
+}
+
+func (m *memoryStore) Apply(_ context.Context, c snapshot.Change, expected model.Epoch) (model.Epoch, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if hook := m.beforeApply; hook != nil {
+		m.beforeApply = nil
+		m.mu.Unlock()
+		hook()
+		m.mu.Lock()
+	}
+	if m.err != nil {
+		return 0, m.err
+	}
+	if expected != m.current.Epoch {
+		return 0, &ConflictError{Expected: expected, Current: m.current.Epoch, Changes: m.accepted[expected:]}
+	}
+	layouts := m.current.Objects.ReportLayouts
+	m.current.Objects = mergeChange(m.current.Objects, c.Put, c.Delete)
+	m.current.Objects.ReportLayouts = append(layouts, c.Put.ReportLayouts...)
+	m.current.Epoch++
+	summary := ChangeSummary{Epoch: m.current.Epoch, ChangeID: c.ID, Author: c.Author, Objects: c.Delete}
+	for ref := range indexObjects(c.Put) {
+		summary.Objects = append(summary.Objects, ref)
+	}
+	m.accepted = append(m.accepted, summary)
+	return m.current.Epoch, nil
+}
+
+// fixedFleet answers with what the test put in.
+type fixedFleet struct {
+	status []HostStatus
+	pools  []HostPools
+}
+
+func (f *fixedFleet) Status(context.Context) ([]HostStatus, error) { return f.status, nil }
+func (f *fixedFleet) Pools(context.Context) ([]HostPools, error)   { return f.pools, nil }
+
+func poolOf(states map[model.ServerID]adminapi.ServerState) HostPools {
+	p := adminapi.Pool{Service: "booking", DataCentre: "lagos-1"}
+	for id, state := range states {
+		p.Servers = append(p.Servers, adminapi.Server{ID: id, State: state})
+	}
+	return HostPools{Host: Host{ID: "h1"}, Pools: []adminapi.Pool{p}}
+}
+
+const (
+	aliceToken = "alice-secret-0123456789"
+	bobToken   = "bob-secret-0123456789"
+)
+
+// rig is the service on loopback with fakes behind it.
+type rig struct {
+	store *memoryStore
+	fleet *fixedFleet
+	url   string
+	logs  *logtest.Hook
+}
+
+func newRig(t *testing.T, change func(*Options)) *rig {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	r := &rig{store: &memoryStore{}, fleet: &fixedFleet{}, logs: logtest.NewLocal(log)}
+	o := Options{
+		Store: r.store, Fleet: r.fleet, Log: log,
+		Tokens: []Token{{Name: "alice", Secret: aliceToken}, {Name: "bob", Secret: bobToken}},
+	}
+	if change != nil {
+		change(&o)
+	}
+	server := httptest.NewServer(NewHandler(o))
+	t.Cleanup(server.Close)
+	r.url = server.URL
+	return r
+}
+
+type bearer string
+
+func (b bearer) RoundTrip(r *http.Request) (*http.Response, error) {
+	r = r.Clone(r.Context())
+	r.Header.Set("Authorization", "Bearer "+string(b))
+	return http.DefaultTransport.RoundTrip(r)
+}
+
+func (r *rig) config(token string) agateusherv1connect.ConfigServiceClient {
+	return agateusherv1connect.NewConfigServiceClient(&http.Client{Transport: bearer(token)}, r.url)
+}
+
+func (r *rig) fleetClient(token string) agateusherv1connect.FleetServiceClient {
+	return agateusherv1connect.NewFleetServiceClient(&http.Client{Transport: bearer(token)}, r.url)
+}
+
+// put makes objects the current configuration.
+func (r *rig) put(g Gomega, o snapshot.Objects) {
+	_, err := r.store.Apply(context.Background(), snapshot.Change{ID: "setup", Author: "setup", Put: o}, r.store.current.Epoch)
+	g.Expect(err).NotTo(HaveOccurred())
+}
+
+// booking returns a service with a floor and n servers of two slots each.
+func booking(floor snapshot.Floor, n int) snapshot.Objects {
+	o := snapshot.Objects{Services: []snapshot.Service{{Name: "booking", Floor: floor}}}
+	for i := range n {
+		o.Servers = append(o.Servers, snapshot.Server{
+			ID: model.ServerID("b" + string(rune('1'+i))), Service: "booking", DataCentre: "lagos-1",
+			Slots: 2, State: snapshot.ServerActive,
+		})
+	}
+	return o
+}
+
+// detail returns the first detail message of type T of a connect error.
+func detail[T any](g Gomega, err error) T {
+	var none T
+	ce := new(connect.Error)
+	g.Expect(err).To(BeAssignableToTypeOf(ce))
+	for _, d := range err.(*connect.Error).Details() {
+		m, valueErr := d.Value()
+		g.Expect(valueErr).NotTo(HaveOccurred())
+		if v, ok := m.(T); ok {
+			return v
+		}
+	}
+	g.Expect(err).To(BeNil(), "no detail of the wanted type")
+	return none
+}
--- /dev/null
+++ b/operator/report_service.go
@@ -0,0 +1,85 @@
+package operator
+
+import (
+	"bufio"
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/agateusher/agateusher/core/snapshot"
+	pb "github.com/agateusher/agateusher/gen/agateusher/v1"
+)
+
+// reportPieceBytes is the size of the pieces that a report is sent in.
+const reportPieceBytes = 256 << 10
+
+// reportService implements ReportService.
+type reportService struct {
+	store   ConfigStore
+	reports Reports
+}
+
+// GetDailyReport implements ReportService.
+func (s *reportService) GetDailyReport(ctx context.Context, req *connect.Request[pb.GetDailyReportRequest], stream *connect.ServerStream[pb.GetDailyReportResponse]) error {
+	if err := s.send(ctx, req.Msg, stream); err != nil {
+		return toConnect(err)
+	}
+	return nil
+}
+
+func (s *reportService) send(ctx context.Context, m *pb.GetDailyReportRequest, stream *connect.ServerStream[pb.GetDailyReportResponse]) error {
+	if s.reports == nil {
+		return ErrNoReports
+	}
+	if _, err := time.Parse(time.DateOnly, m.GetDay()); err != nil {
+		return &RequestError{Field: "day", Expected: "a day such as 2006-01-02"}
+	}
+	layout, err := s.layout(ctx, m.GetLayout())
+	if err != nil {
+		return err
+	}
+	missing, write, err := s.reports.Daily(ctx, m.GetDay(), layout)
+	if err != nil {
+		return err
+	}
+	if err := stream.Send(&pb.GetDailyReportResponse{Missing: mapSlice(missing, missingToProto)}); err != nil {
+		return err
+	}
+	w := bufio.NewWriterSize(pieceWriter{stream}, reportPieceBytes)
+	if err := write(w); err != nil {
+		return err
+	}
+	return w.Flush()
+}
+
+func (s *reportService) layout(ctx context.Context, name string) (snapshot.ReportLayout, error) {
+	current, err := s.store.Load(ctx)
+	if err != nil {
+		return snapshot.ReportLayout{}, err
+	}
+	found, err := selectObject(current.Objects, snapshot.Ref{Kind: snapshot.KindReportLayout, Name: name})
+	if err != nil {
+		return snapshot.ReportLayout{}, err
+	}
+	return found.ReportLayouts[0], nil
+}
+
+// pieceWriter sends each write as one response.
+type pieceWriter struct {
+	stream *connect.ServerStream[pb.GetDailyReportResponse]
+}
+
+func (w pieceWriter) Write(p []byte) (int, error) {
+	if err := w.stream.Send(&pb.GetDailyReportResponse{Csv: p}); err != nil {
+		return 0, err
+	}
+	return len(p), nil
+}
+
+func missingToProto(m MissingHost) *pb.MissingHost {
+	return &pb.MissingHost{
+		Host: string(m.Host), Incarnation: string(m.Incarnation),
+		CoveredUntil: timestamp(m.CoveredUntil), Problem: m.Problem,
+	}
+}
