--- /dev/null
+++ b/modules/detector/consecutive.go
@@ -0,0 +1,48 @@
+package detector
+
+import (
+	"errors"
+
+	core "github.com/agateusher/agateusher/core/detector"
+	"github.com/agateusher/agateusher/core/snapshot"
+	"github.com/agateusher/agateusher/kernel"
+)
+
+// ConsecutiveID is the ID of the plug-in Consecutive.
+const ConsecutiveID kernel.ModuleID = "detector.consecutive"
+
+// ErrTooFewFailures is wrapped by SettingError for a limit below 1.
+var ErrTooFewFailures = errors.New("expected at least 1")
+
+// Consecutive is the plug-in for core/detector.Consecutive.
+type Consecutive struct {
+	// Failures is the number of failures in a row that suspects a server.
+	Failures int `json:"failures"`
+}
+
+var (
+	_ Factory          = (*Consecutive)(nil)
+	_ kernel.Validator = (*Consecutive)(nil)
+)
+
+func init() { kernel.Register(&Consecutive{}) }
+
+// ModuleInfo implements kernel.Module.
+func (*Consecutive) ModuleInfo() kernel.ModuleInfo {
+	return kernel.ModuleInfo{ID: ConsecutiveID, New: func() kernel.Module {
+		return &Consecutive{Failures: core.DefaultConsecutive}
+	}}
+}
+
+// Validate implements kernel.Validator.
+func (m *Consecutive) Validate() error {
+	if m.Failures < 1 {
+		return &SettingError{Setting: "failures", Err: ErrTooFewFailures}
+	}
+	return nil
+}
+
+// NewDetector implements Factory. The policy does not matter.
+func (m *Consecutive) NewDetector(snapshot.Policy) (core.Detector, error) {
+	return core.NewConsecutive(m.Failures), nil
+}
