--- a/core/detector/reference.go
+++ b/core/detector/reference.go
@@ -73,6 +73,7 @@
 	shortWeight float64
 	window      float64
 	tailIndex   float64
+	events      uint64
 }
 
 func newReference(p Profile) reference {
@@ -105,6 +106,7 @@
 		}
 		t.samples += r.weight
 	}
+	r.events++
 }
 
 // addOutcome records whether an attempt failed and moves the windows forward.
@@ -130,39 +132,55 @@
 	return min(max(p, q), 0.9)
 }
 
-// hazard returns the peers' cumulative hazard at a latency, -ln of the share
-// of attempts that take longer: the life-table estimate, which counts cancelled
+// refreshEvery is the number of attempts of the pool after which a server's
+// hazard table is computed again; sooner while the reference is small. The
+// reference changes by less than a hundredth in that time.
+const refreshEvery = 64
+
+// hazardTable holds the peers' cumulative hazard at the upper edge of each
+// bucket.
+type hazardTable struct {
+	edges [buckets]float32
+	due   uint64 // reference event at which the table is stale
+}
+
+// at returns the cumulative hazard at a latency, between two edges in
+// proportion to the logarithm of the latency.
+func (t *hazardTable) at(d time.Duration) float64 {
+	i, frac := position(d)
+	low := float32(0)
+	if i > 0 {
+		low = t.edges[i-1]
+	}
+	return float64(low) + frac*float64(t.edges[i]-low)
+}
+
+// fill computes the cumulative hazard of the peers, -ln of the share of
+// attempts that take longer: the life-table estimate, which counts cancelled
 // attempts as at risk up to their cancellation, and in each bucket takes half
 // of the attempts that end there as at risk. Beyond the samples it is
-// extrapolated with the tail index.
-func (r *reference) hazard(own *tally, d time.Duration) float64 {
+// extrapolated with the tail index. With hardly any sample it is zero.
+func (r *reference) fill(t *hazardTable, own *tally) {
 	samples := (r.pool.samples - own.samples) / r.weight
+	t.due = r.events + uint64(min(samples/16+1, refreshEvery))
 	if samples < minAtRisk {
-		return 0
+		t.edges = [buckets]float32{}
+		return
 	}
-	var (
-		last, frac = position(d)
-		scale      = 1 / float32(r.weight)
-		atRisk     = float32(samples)
-		index      = r.tailIndex * min(samples/fullReference, 1)
-		perBucket  = index * math.Ln2 / bucketsPerOctave
-		total      float64
-	)
-	for i := 0; i <= last; i++ {
-		part := 1.0
-		if i == last {
-			part = frac
-		}
+	index := r.tailIndex * min(samples/fullReference, 1)
+	perBucket := float32(index * math.Ln2 / bucketsPerOctave)
+	scale, atRisk, total := 1/float32(r.weight), float32(samples), float32(0)
+	for i := range t.edges {
 		if atRisk < minAtRisk {
-			rest := float64(last-i) + frac
-			return total + rest*perBucket
+			total += perBucket
+		} else {
+			ended := max(r.pool.answered[i]-own.answered[i], 0) * scale
+			left := ended + max(r.pool.censored[i]-own.censored[i], 0)*scale
+			total += ended / (atRisk - left/2 + 1)
+			atRisk -= left
 		}
-		ended := max(r.pool.answered[i]-own.answered[i], 0) * scale
-		left := ended + max(r.pool.censored[i]-own.censored[i], 0)*scale
-		total += part * float64(ended/(atRisk-left/2+1))
-		atRisk -= left
+		t.edges[i] = total
 	}
-	return total
 }
 
 // logMedian returns the natural logarithm of the pool's median answered
--- a/core/detector/sequential.go
+++ b/core/detector/sequential.go
@@ -27,6 +27,7 @@
 type Sequential struct {
 	profile Profile
 	servers map[model.ServerID]*serverState
+	list    []*serverState // the same servers
 	ref     reference
 	base    time.Time
 	clock   time.Duration // observed time since base, without pauses
@@ -34,6 +35,7 @@
 	resumed time.Duration // observed time of the end of the last pause
 	open    int
 	shift   float64 // ln of the pool's recent slowdown, 0 or more
+	speed   float64 // exp(-shift)
 	unshift int     // answers until shift is computed again
 	scratch []float64
 }
@@ -68,6 +70,7 @@
 	if s == nil {
 		s = &serverState{id: id, lastEnd: -activeWindow}
 		q.servers[id] = s
+		q.list = append(q.list, s)
 	}
 	return s
 }
@@ -130,7 +133,7 @@
 	q.ref.addOutcome(&s.own, failed, len(q.servers))
 	if long, short, needed := q.ref.rescaleFactors(); needed {
 		q.ref.pool.scale(long, short)
-		for _, s := range q.servers {
+		for _, s := range q.list {
 			s.own.scale(long, short)
 		}
 	}
@@ -140,9 +143,12 @@
 // for a recent slowdown of the whole pool.
 func (q *Sequential) hazard(s *serverState, d time.Duration) float64 {
 	if q.shift > 0 {
-		d = time.Duration(float64(d) * math.Exp(-q.shift))
+		d = time.Duration(float64(d) * q.speed)
 	}
-	return q.ref.hazard(&s.own, d)
+	if s.peers.due <= q.ref.events {
+		q.ref.fill(&s.peers, &s.own)
+	}
+	return s.peers.at(d)
 }
 
 // countAnswer recomputes the pool's recent slowdown once for as many answers as
@@ -155,7 +161,7 @@
 	q.shift = 0
 	median, ok := q.ref.logMedian()
 	recent := q.scratch[:0]
-	for _, s := range q.servers {
+	for _, s := range q.list {
 		if s.sampled && q.active(s) {
 			recent = append(recent, s.fast)
 		}
@@ -164,6 +170,7 @@
 	if ok && len(recent) > 0 {
 		slices.Sort(recent)
 		q.shift = max(recent[(len(recent)-1)/2]-median, 0)
+		q.speed = math.Exp(-q.shift)
 	}
 }
 
@@ -184,6 +191,7 @@
 		open[i].from = q.clock
 	}
 	*s = serverState{id: id, open: open, lastEnd: -activeWindow}
+	q.ref.events += refreshEvery // all tables are stale
 }
 
 // Forget implements Detector.
@@ -191,7 +199,9 @@
 	if s := q.servers[id]; s != nil {
 		q.open -= len(s.open)
 		q.ref.remove(&s.own)
+		q.ref.events += refreshEvery // all tables are stale
 		delete(q.servers, id)
+		q.list = slices.DeleteFunc(q.list, func(o *serverState) bool { return o == s })
 	}
 }
 
@@ -201,7 +211,10 @@
 // has a hazard of about ln n.
 func (q *Sequential) stallAt(s *serverState, at time.Duration) float64 {
 	score := s.stall
-	crowd := math.Log(float64(max(len(s.open), 1)))
+	if len(s.open) == 0 {
+		return score
+	}
+	crowd := math.Log(float64(len(s.open)))
 	limit := q.profile.capFor(q.profile.MinStalled)
 	for _, o := range s.open {
 		gain := (1 - q.profile.StallHazard) * (q.hazard(s, at-o.from) - crowd)
--- a/core/detector/server.go
+++ b/core/detector/server.go
@@ -27,7 +27,7 @@
 	from time.Duration
 }
 
-// serverState is the evidence about one server, about 700 bytes without its
+// serverState is the evidence about one server, about 800 bytes without its
 // unanswered attempts.
 type serverState struct {
 	id       model.ServerID
@@ -42,6 +42,7 @@
 	sampled  bool    // fast holds at least one sample
 	lastEnd  time.Duration
 	own      tally
+	peers    hazardTable
 }
 
 func (s *serverState) remove(a model.AttemptID) (openAttempt, bool) {
--- a/core/detector/verdict.go
+++ b/core/detector/verdict.go
@@ -22,7 +22,7 @@
 	q.advance(now)
 	var list []Suspicion
 	var peers *peerScores
-	for _, s := range q.servers {
+	for _, s := range q.list {
 		own := q.scoresOf(s)
 		if own.max() < q.profile.Threshold {
 			continue
@@ -73,7 +73,7 @@
 
 func (q *Sequential) peerScores() *peerScores {
 	p := &peerScores{}
-	for _, s := range q.servers {
+	for _, s := range q.list {
 		if !q.active(s) {
 			continue
 		}
@@ -116,7 +116,7 @@
 		return time.Time{}
 	}
 	wait := q.profile.MaxGap / 2
-	for _, s := range q.servers {
+	for _, s := range q.list {
 		if len(s.open) > 0 && q.stallAt(s, q.clock) < q.profile.Threshold {
 			wait = q.crossing(s, wait)
 		}
