--- /dev/null
+++ b/core/fairqueue/flow.go
@@ -0,0 +1,92 @@
+package fairqueue
+
+import (
+	"github.com/agateusher/agateusher/core/internal/indexheap"
+	"github.com/agateusher/agateusher/core/model"
+)
+
+// Class separates requests for which the caller reserves slots.
+type Class uint8
+
+// Classes is the number of classes; a Class is less than it.
+const Classes = 2
+
+// Set is a set of classes.
+type Set [Classes]bool
+
+// Entry is one waiting request. Embed it in the request; the zero value is
+// ready for Push. An entry is in at most one queue.
+type Entry[T any] struct {
+	Value      T
+	flow       *flow[T]
+	class      Class
+	seq        uint64
+	prev, next *Entry[T]
+}
+
+// Queued reports whether the entry is in a queue.
+func (e *Entry[T]) Queued() bool { return e.flow != nil }
+
+// list is a first-in first-out list of the entries of one class.
+type list[T any] struct{ first, last *Entry[T] }
+
+func (l *list[T]) push(e *Entry[T]) {
+	e.prev, e.next = l.last, nil
+	if l.last == nil {
+		l.first = e
+	} else {
+		l.last.next = e
+	}
+	l.last = e
+}
+
+func (l *list[T]) remove(e *Entry[T]) {
+	if e.prev == nil {
+		l.first = e.next
+	} else {
+		e.prev.next = e.next
+	}
+	if e.next == nil {
+		l.last = e.prev
+	} else {
+		e.next.prev = e.prev
+	}
+	e.prev, e.next = nil, nil
+}
+
+// flow is the state of one active workspace.
+type flow[T any] struct {
+	workspace model.WorkspaceID
+	weight    float64
+	// tag is the virtual time at which its next request starts, in seconds of
+	// slot time per unit of weight.
+	tag   float64
+	lists [Classes]list[T]
+	// queued and running count its requests.
+	queued, running int
+	// Positions in the heaps of the queue.
+	readyPos            [Classes]int
+	backlogPos, idlePos int
+}
+
+func newFlow[T any](w model.WorkspaceID) *flow[T] {
+	return &flow[T]{
+		workspace: w, weight: 1,
+		readyPos:   [Classes]int{indexheap.Absent, indexheap.Absent},
+		backlogPos: indexheap.Absent, idlePos: indexheap.Absent,
+	}
+}
+
+// newest returns the entry that was pushed last.
+func (f *flow[T]) newest() *Entry[T] {
+	var newest *Entry[T]
+	for c := range f.lists {
+		if e := f.lists[c].last; e != nil && (newest == nil || e.seq > newest.seq) {
+			newest = e
+		}
+	}
+	return newest
+}
+
+// backlog is the number of waiting requests relative to the weight.
+func (f *flow[T]) backlog() float64 { return float64(f.queued) / f.weight }
--- a/core/internal/indexheap/indexheap.go
+++ b/core/internal/indexheap/indexheap.go
@@ -63,6 +63,15 @@
 	}
 }
 
+// Clear takes all items out.
+func (h *Heap[T]) Clear() {
+	for _, item := range h.items {
+		*h.position(item) = Absent
+	}
+	clear(h.items)
+	h.items = h.items[:0]
+}
+
 func (h *Heap[T]) swap(i, j int) {
 	h.items[i], h.items[j] = h.items[j], h.items[i]
 	*h.position(h.items[i]) = i
