--- /dev/null
+++ b/daemon/catalog.go
@@ -0,0 +1,152 @@
+package daemon
+
+import (
+	"cmp"
+	"slices"
+	"sync/atomic"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/agateusher/agateusher/core/model"
+	"github.com/agateusher/agateusher/core/routing"
+	"github.com/agateusher/agateusher/core/snapshot"
+	"github.com/agateusher/agateusher/entry"
+)
+
+// Locator knows in which region a data centre is.
+type Locator interface {
+	Region(dc model.DataCentre) model.Region
+}
+
+// catalog is the compiled form of one snapshot, as one host sees it.
+type catalog struct {
+	epoch    model.Epoch
+	routes   *routing.Table
+	services map[model.ServiceName]*snapshot.Service
+	servers  map[model.PoolID][]snapshot.Server
+	pools    map[model.ServiceName][]entry.PoolChoice
+	weights  map[model.WorkspaceID]float64
+}
+
+// compile builds the catalogue of a snapshot for a host.
+func compile(s *snapshot.Snapshot, host HostSettings, where Locator) (*catalog, error) {
+	routes, err := routing.Compile(s.Objects.Routes)
+	if err != nil {
+		return nil, err
+	}
+	c := &catalog{
+		epoch: s.Epoch, routes: routes,
+		services: make(map[model.ServiceName]*snapshot.Service, len(s.Objects.Services)),
+		servers:  map[model.PoolID][]snapshot.Server{},
+		pools:    map[model.ServiceName][]entry.PoolChoice{},
+		weights:  map[model.WorkspaceID]float64{},
+	}
+	for i := range s.Objects.Services {
+		c.services[s.Objects.Services[i].Name] = &s.Objects.Services[i]
+	}
+	for _, x := range s.Objects.Servers {
+		if service, ok := c.services[x.Service]; ok {
+			id := poolOf(service, x)
+			c.servers[id] = append(c.servers[id], x)
+		}
+	}
+	for id := range c.servers {
+		c.pools[id.Service] = append(c.pools[id.Service], entry.PoolChoice{Pool: id, Distance: distance(id.DataCentre, host, where)})
+	}
+	for _, list := range c.pools {
+		slices.SortFunc(list, func(a, b entry.PoolChoice) int {
+			return cmp.Or(cmp.Compare(a.Distance, b.Distance), cmp.Compare(a.Pool.String(), b.Pool.String()))
+		})
+	}
+	for _, w := range s.Objects.Workspaces {
+		if w.Weight != 1 && w.Weight > 0 {
+			c.weights[w.ID] = w.Weight
+		}
+	}
+	return c, nil
+}
+
+// poolOf returns the pool of a server. Shards are filled by hash, so that a
+// changed server list moves no other server.
+func poolOf(s *snapshot.Service, x snapshot.Server) model.PoolID {
+	id := model.PoolID{Service: s.Name, DataCentre: x.DataCentre}
+	if s.Shards > 1 {
+		id.Shard = int(xxhash.Sum64String(string(x.ID)) % uint64(s.Shards))
+	}
+	return id
+}
+
+func distance(dc model.DataCentre, host HostSettings, where Locator) int {
+	switch {
+	case dc == host.DataCentre:
+		return 0
+	case where.Region(dc) == host.Region:
+		return 1
+	}
+	return 2
+}
+
+// Epoch implements entry.Catalog.
+func (c *catalog) Epoch() model.Epoch { return c.epoch }
+
+// Match implements entry.Catalog.
+func (c *catalog) Match(host, method, path string) (*snapshot.Route, bool) {
+	return c.routes.Match(host, method, path)
+}
+
+// Route implements entry.Catalog.
+func (c *catalog) Route(name model.RouteName) (*snapshot.Route, bool) { return c.routes.ByName(name) }
+
+// Service implements entry.Catalog.
+func (c *catalog) Service(name model.ServiceName) (*snapshot.Service, bool) {
+	s, ok := c.services[name]
+	return s, ok
+}
+
+// Pools implements entry.Catalog.
+func (c *catalog) Pools(name model.ServiceName) []entry.PoolChoice { return c.pools[name] }
+
+// liveCatalog gives the owner the catalogue in force.
+type liveCatalog struct{ current atomic.Pointer[catalog] }
+
+// Service implements owner.Catalog.
+func (l *liveCatalog) Service(name model.ServiceName) (*snapshot.Service, bool) {
+	if c := l.current.Load(); c != nil {
+		return c.Service(name)
+	}
+	return nil, false
+}
+
+// PoolServers implements owner.Catalog.
+func (l *liveCatalog) PoolServers(id model.PoolID) []snapshot.Server {
+	if c := l.current.Load(); c != nil {
+		return c.servers[id]
+	}
+	return nil
+}
+
+// Weight implements owner.Catalog.
+func (l *liveCatalog) Weight(id model.WorkspaceID) float64 {
+	if c := l.current.Load(); c != nil {
+		if w, ok := c.weights[id]; ok {
+			return w
+		}
+	}
+	return 1
+}
+
+// PoolCount implements owner.Catalog.
+func (l *liveCatalog) PoolCount(name model.ServiceName) int {
+	if c := l.current.Load(); c != nil {
+		return len(c.pools[name])
+	}
+	return 1
+}
+
+// entryCatalog returns the catalogue for the entry, nil before the first.
+func (l *liveCatalog) entryCatalog() entry.Catalog {
+	if c := l.current.Load(); c != nil {
+		return c
+	}
+	return nil
+}
--- /dev/null
+++ b/daemon/doc.go
@@ -0,0 +1,3 @@
+// Package daemon assembles usherd: settings, configuration, membership, the
+// entry and owner roles, listeners and the planned stop.
+package daemon
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,271 @@
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"net/http"
+	"strings"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/agateusher/agateusher/core/idempotency"
+	"github.com/agateusher/agateusher/core/model"
+	"github.com/agateusher/agateusher/core/snapshot"
+	"github.com/agateusher/agateusher/fleet"
+	"github.com/agateusher/agateusher/telemetry"
+)
+
+const (
+	// maxOwners is how many hosts in rank a request may be passed to.
+	maxOwners = 3
+	// hopMargin is kept back from the owner's budget, so that its answer about
+	// a missed deadline arrives before the entry's own deadline.
+	hopMargin = 20 * time.Millisecond
+	// defaultDeadline applies if a service sets none.
+	defaultDeadline = 10 * time.Second
+	// PathPrefix starts the paths that the entry serves itself.
+	PathPrefix = "/.well-known/agateusher/"
+)
+
+// Observer counts finished requests for reports.
+type Observer interface {
+	RequestDone(service model.ServiceName, workspace model.WorkspaceID, r *fleet.Response, took time.Duration)
+}
+
+// Options configures an Entry.
+type Options struct {
+	Host      model.HostID
+	Catalog   func() Catalog
+	Directory Directory
+	Local     fleetOwner
+	Client    *fleet.Client
+	Tracing   *telemetry.Tracing
+	Log       telemetry.Logger
+	Scope     telemetry.Scope
+	Observer  Observer
+	// MaxBody bounds a caller's request body in bytes.
+	MaxBody int64
+}
+
+// Entry is the HTTP handler for callers.
+type Entry struct {
+	o     Options
+	peers *peers
+	loads *loadTable
+}
+
+// New returns an entry. Close ends it.
+func New(o Options) *Entry {
+	return &Entry{o: o, peers: newPeers(o.Client, o.Log, o.Scope), loads: newLoadTable()}
+}
+
+// Close ends the background pings.
+func (e *Entry) Close() { e.peers.close() }
+
+// ServeHTTP implements http.Handler.
+func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if strings.HasPrefix(r.URL.Path, PathPrefix) {
+		e.serveOwn(w, r)
+		return
+	}
+	started := time.Now()
+	id := newRequestID()
+	ctx := e.o.Tracing.Propagator.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+	ctx, span := e.o.Tracing.Tracer.Start(ctx, "entry", trace.WithSpanKind(trace.SpanKindServer), trace.WithAttributes(
+		attribute.String("agateusher.request_id", string(id)),
+		attribute.String("http.request.method", r.Method)))
+	defer span.End()
+
+	q, resp := e.prepare(r, id)
+	deadline := defaultDeadline
+	if q != nil {
+		deadline = q.Budget
+		resp = e.serve(ctx, q, started.Add(deadline))
+	}
+	took := time.Since(started)
+	status := writeResponse(w, id, resp)
+	span.SetAttributes(attribute.String("agateusher.outcome", resp.Outcome.String()), attribute.Int("http.response.status_code", status))
+	e.record(q, r, id, &resp, status, took, deadline, span)
+}
+
+func (e *Entry) record(q *fleet.Request, r *http.Request, id model.RequestID, resp *fleet.Response, status int, took, deadline time.Duration, span trace.Span) {
+	e.o.Scope.Tagged(map[string]string{"outcome": resp.Outcome.String(), "reason": string(resp.Reason)}).Counter("requests").Inc(1)
+	e.o.Scope.Timer("request_duration").Record(took)
+	if q != nil && e.o.Observer != nil {
+		e.o.Observer.RequestDone(q.Pool.Service, q.Workspace, resp, took)
+	}
+	if !slowOrFailed(*resp, took, deadline) {
+		return
+	}
+	fields := telemetry.Fields{
+		"event": "request", "request_id": id, "method": r.Method, "path": r.URL.Path, "status": status,
+		"outcome": resp.Outcome.String(), "reason": resp.Reason, "took_us": took.Microseconds(),
+	}
+	if sc := span.SpanContext(); sc.HasTraceID() {
+		fields["trace_id"] = sc.TraceID().String()
+	}
+	e.o.Log.WithFields(fields).Info("request failed or was slow")
+}
+
+// prepare matches and reads a request. If it is refused, the first result is
+// nil and the second says why.
+func (e *Entry) prepare(r *http.Request, id model.RequestID) (*fleet.Request, fleet.Response) {
+	catalog := e.o.Catalog()
+	if catalog == nil {
+		return nil, fleet.NotRun(model.ReasonNoConfiguration, time.Second)
+	}
+	route, ok := catalog.Match(r.Host, r.Method, r.URL.Path)
+	if !ok {
+		return nil, fleet.NotRun(model.ReasonNoRoute, 0)
+	}
+	service, ok := catalog.Service(route.Service)
+	if !ok {
+		return nil, fleet.NotRun(model.ReasonNoRoute, 0)
+	}
+	body, err := fleet.ReadBody(r.Body, r.ContentLength, e.o.MaxBody)
+	if err != nil {
+		return nil, fleet.NotRun(model.ReasonBadRequest, 0)
+	}
+	q := &fleet.Request{
+		ID: id, Pool: model.PoolID{Service: service.Name}, Route: route.Name,
+		Workspace:  model.WorkspaceID(r.Header.Get(fleet.HeaderWorkspace)),
+		Repeatable: route.Repeatable, Key: r.Header.Get(fleet.HeaderKey),
+		Budget: deadlineOf(service), Epoch: catalog.Epoch(),
+		Method: r.Method, Target: r.URL.RequestURI(), Authority: r.Host,
+		Header: fleet.EndToEnd(r.Header), Body: body,
+	}
+	return q, fleet.Response{}
+}
+
+func deadlineOf(s *snapshot.Service) time.Duration {
+	if s.DeadlineMs <= 0 {
+		return defaultDeadline
+	}
+	return time.Duration(s.DeadlineMs) * time.Millisecond
+}
+
+func (e *Entry) serve(ctx context.Context, q *fleet.Request, deadline time.Time) fleet.Response {
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	if !q.Repeatable {
+		return e.serveOnce(ctx, q, deadline)
+	}
+	q.Key = ""
+	choices := e.loads.order(e.o.Catalog().Pools(q.Pool.Service))
+	if len(choices) == 0 {
+		return fleet.NotRun(model.ReasonNoServer, time.Second)
+	}
+	sent := false
+	for _, choice := range choices {
+		q.Pool = choice.Pool
+		resp, err := e.forwardRanked(ctx, q, deadline)
+		if err == nil && !worthAnotherPool(resp) {
+			return resp
+		}
+		sent = sent || err != nil && fleet.IsSent(err)
+		if ctx.Err() != nil {
+			return expired(sent)
+		}
+		if err == nil && choice == choices[len(choices)-1] {
+			return resp
+		}
+	}
+	if sent {
+		return fleet.Unknown(model.ReasonOwnerFailed)
+	}
+	return fleet.NotRun(model.ReasonNoOwner, time.Second)
+}
+
+// worthAnotherPool says whether an idempotent request that this pool refused
+// should be tried in another data centre.
+func worthAnotherPool(r fleet.Response) bool {
+	return r.Outcome == model.NotRun && (r.Reason == model.ReasonNoServer || r.Reason == model.ReasonQueueFull || r.Reason == model.ReasonStopping)
+}
+
+func expired(sent bool) fleet.Response {
+	if sent {
+		return fleet.Unknown(model.ReasonTimeout)
+	}
+	return fleet.NotRun(model.ReasonDeadline, 0)
+}
+
+// forwardRanked tries the hosts in rank for the request's pool until one
+// answers. Only idempotent requests may come here. The error is the last
+// *fleet.HandoverError, with Sent set if any attempt was sent.
+func (e *Entry) forwardRanked(ctx context.Context, q *fleet.Request, deadline time.Time) (fleet.Response, error) {
+	last := &fleet.HandoverError{Err: errNoOwner}
+	for _, to := range e.peers.order(e.o.Directory.Owners(q.Pool, maxOwners)) {
+		resp, err := e.forwardTo(ctx, to, q, deadline, true)
+		if err == nil {
+			return resp, nil
+		}
+		last = &fleet.HandoverError{Host: to.Host, Sent: last.Sent || fleet.IsSent(err), Err: err}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return fleet.Response{}, last
+}
+
+// errNoOwner: the data centre has no host that could own the pool.
+var errNoOwner = errors.New("no host for the pool")
+
+func (e *Entry) forwardTo(ctx context.Context, to fleet.Peer, q *fleet.Request, deadline time.Time, watch bool) (fleet.Response, error) {
+	q.Budget = max(0, time.Until(deadline)-hopMargin)
+	if to.Host == e.o.Host {
+		resp := e.o.Local.Do(ctx, q)
+		e.loads.update(q.Pool, resp.Load)
+		return resp, nil
+	}
+	resp, err := e.peers.forward(ctx, to, q, watch)
+	if err == nil {
+		e.loads.update(q.Pool, resp.Load)
+	}
+	return resp, err
+}
+
+// serveOnce passes a request that is not idempotent to the issuer of its key,
+// and to nobody else. If the issuer cannot be reached, an earlier request with
+// the same key may have run there, so the outcome is unknown.
+func (e *Entry) serveOnce(ctx context.Context, q *fleet.Request, deadline time.Time) fleet.Response {
+	if q.Key == "" {
+		return fleet.NotRun(model.ReasonKeyMissing, 0)
+	}
+	key, err := idempotency.Decode(q.Key)
+	if err != nil {
+		return fleet.NotRun(model.ReasonKeyInvalid, 0)
+	}
+	host := key.Host
+	if successor, moved := e.o.Directory.Successor(key.Issuer); moved {
+		host = successor
+	}
+	to, dc, ok := e.o.Directory.Peer(host)
+	if !ok {
+		return fleet.Unknown(model.ReasonIssuerGone)
+	}
+	q.Pool.DataCentre = dc
+	resp, err := e.forwardTo(ctx, to, q, deadline, false)
+	switch {
+	case err == nil:
+		return resp
+	case !fleet.IsSent(err):
+		return fleet.Unknown(model.ReasonIssuerGone)
+	case ctx.Err() != nil:
+		return fleet.Unknown(model.ReasonTimeout)
+	}
+	return fleet.Unknown(model.ReasonOwnerFailed)
+}
+
+// requestIDBytes is the size of a request ID; 128 random bits are unguessable.
+const requestIDBytes = 16
+
+func newRequestID() model.RequestID {
+	var b [requestIDBytes]byte
+	_, _ = rand.Read(b[:]) // never fails; see crypto/rand
+	return model.RequestID(hex.EncodeToString(b[:]))
+}
--- a/kernel/ring.go
+++ b/kernel/ring.go
@@ -50,6 +50,10 @@
 	}
 }
 
+// Offer adds an item if there is room, whatever the policy; otherwise the item
+// counts as dropped.
+func (r *Ring[T]) Offer(item T) bool { return r.offer(item) }
+
 // Items returns the channel to receive from.
 func (r *Ring[T]) Items() <-chan T { return r.items }
 
