--- /dev/null
+++ b/core/snapshot/chunks.go
@@ -0,0 +1,219 @@
+package snapshot
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// MaxChunkBytes bounds an encoded chunk. The object API holds values up to
+	// 1 MB; the rest is reserve.
+	MaxChunkBytes = 1_000_000
+	// maxObjectsPerBucket keeps a chunk of servers or routes (about 250 bytes
+	// each) under about 500 KB, and the list of chunks at the target scale
+	// (1 million objects) under about 30 KB.
+	maxObjectsPerBucket = 2048
+	// minObjectsPerBucket is a quarter of it, so that the number of buckets
+	// does not change back and forth around one size: a new number of buckets
+	// rewrites all chunks of the kind.
+	minObjectsPerBucket = 512
+	// maxBuckets bounds the buckets of one kind.
+	maxBuckets = 1 << 14
+	// nameHashBytes is the length of the part of SHA-256 in a chunk's name.
+	nameHashBytes = 16
+)
+
+// ChunkName names a chunk by its content: URL-safe base64 of the first 16
+// bytes of the SHA-256 of its data. It is empty for an empty bucket.
+type ChunkName string
+
+// ChunkNameOf returns the name of a chunk with the data.
+func ChunkNameOf(data []byte) ChunkName {
+	sum := sha256.Sum256(data)
+	return ChunkName(base64.RawURLEncoding.EncodeToString(sum[:nameHashBytes]))
+}
+
+// Manifest lists the chunks that make up a set of objects: for each kind one
+// chunk for each hash bucket.
+type Manifest map[Kind][]ChunkName
+
+// Names returns the names of all chunks, by kind and bucket.
+func (m Manifest) Names() []ChunkName {
+	var names []ChunkName
+	for _, k := range Kinds {
+		for _, n := range m[k] {
+			if n != "" {
+				names = append(names, n)
+			}
+		}
+	}
+	return names
+}
+
+// Chunks holds the data of chunks by name.
+type Chunks map[ChunkName][]byte
+
+var (
+	// ErrChunkMissing: a chunk of the manifest is not at hand.
+	ErrChunkMissing = errors.New("chunk missing")
+	// ErrChunkContent: a chunk's data does not match its name or place.
+	ErrChunkContent = errors.New("chunk content does not match")
+	// ErrChunkTooLarge: objects do not fit into chunks of MaxChunkBytes.
+	ErrChunkTooLarge = errors.New("objects too large for a chunk")
+)
+
+// ChunkError says which chunk could not be used. It wraps ErrChunkMissing,
+// ErrChunkContent, ErrChunkTooLarge or an encoding error.
+type ChunkError struct {
+	Kind   Kind
+	Bucket int
+	Name   ChunkName
+	Err    error
+}
+
+// Error implements error.
+func (e *ChunkError) Error() string {
+	return fmt.Sprintf("chunk %s of %s bucket %d: %v", e.Name, e.Kind, e.Bucket, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *ChunkError) Unwrap() error { return e.Err }
+
+// Split encodes objects, ordered by name, into chunks. The previous manifest
+// (nil if none) determines the number of buckets unless the number of objects
+// has changed much, so that one change rewrites few chunks. The error is a
+// *ChunkError.
+func Split(o Objects, previous Manifest) (Manifest, Chunks, error) {
+	m, c := Manifest{}, Chunks{}
+	steps := []func() error{
+		func() error { return splitKind(m, c, KindService, o.Services, previous) },
+		func() error { return splitKind(m, c, KindServer, o.Servers, previous) },
+		func() error { return splitKind(m, c, KindRoute, o.Routes, previous) },
+		func() error { return splitKind(m, c, KindWorkspace, o.Workspaces, previous) },
+		func() error { return splitKind(m, c, KindReportLayout, o.ReportLayouts, previous) },
+	}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			return nil, nil, err
+		}
+	}
+	return m, c, nil
+}
+
+// bucketCount returns a power of two for a number of objects.
+func bucketCount(objects, previous int) int {
+	n := max(previous, 1)
+	for objects > n*maxObjectsPerBucket {
+		n *= 2
+	}
+	for n > 1 && objects < n*minObjectsPerBucket {
+		n /= 2
+	}
+	return n
+}
+
+func splitKind[T object](m Manifest, c Chunks, k Kind, objects []T, previous Manifest) error {
+	if len(objects) == 0 {
+		return nil
+	}
+	n := bucketCount(len(objects), len(previous[k]))
+	for ; n <= maxBuckets; n *= 2 {
+		err := encodeBuckets(m, c, k, objects, n)
+		if !errors.Is(err, ErrChunkTooLarge) {
+			return err
+		}
+	}
+	return &ChunkError{Kind: k, Err: ErrChunkTooLarge}
+}
+
+func bucketOf(name string, buckets int) int {
+	return int(xxhash.Sum64String(name) % uint64(buckets))
+}
+
+func encodeBuckets[T object](m Manifest, c Chunks, k Kind, objects []T, n int) error {
+	buckets := make([][]T, n)
+	for _, o := range objects {
+		b := bucketOf(o.Ref().Name, n)
+		buckets[b] = append(buckets[b], o)
+	}
+	names, encoded := make([]ChunkName, n), Chunks{}
+	for i, bucket := range buckets {
+		if len(bucket) == 0 {
+			continue
+		}
+		data, err := json.Marshal(bucket)
+		if err == nil && len(data) > MaxChunkBytes {
+			err = ErrChunkTooLarge
+		}
+		if err != nil {
+			return &ChunkError{Kind: k, Bucket: i, Err: err}
+		}
+		// The kind is part of the data, so that chunks of two kinds never
+		// share a name.
+		data = append([]byte(string(k)+"\n"), data...)
+		names[i] = ChunkNameOf(data)
+		encoded[names[i]] = data
+	}
+	m[k] = names
+	for name, data := range encoded {
+		c[name] = data
+	}
+	return nil
+}
+
+// Join decodes the objects of a manifest. Data is checked against the names.
+// The error is a *ChunkError. The objects are not validated as a whole.
+func Join(m Manifest, c Chunks) (Objects, error) {
+	var o Objects
+	steps := []func() error{
+		func() error { return joinKind(m, c, KindService, &o.Services) },
+		func() error { return joinKind(m, c, KindServer, &o.Servers) },
+		func() error { return joinKind(m, c, KindRoute, &o.Routes) },
+		func() error { return joinKind(m, c, KindWorkspace, &o.Workspaces) },
+		func() error { return joinKind(m, c, KindReportLayout, &o.ReportLayouts) },
+	}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			return Objects{}, err
+		}
+	}
+	return o, nil
+}
+
+func joinKind[T object](m Manifest, c Chunks, k Kind, dst *[]T) error {
+	var all []T
+	for i, name := range m[k] {
+		if name == "" {
+			continue
+		}
+		bucket, err := decodeBucket[T](k, name, c)
+		if err != nil {
+			return &ChunkError{Kind: k, Bucket: i, Name: name, Err: err}
+		}
+		all = append(all, bucket...)
+	}
+	*dst = sorted(all)
+	return nil
+}
+
+func decodeBucket[T object](k Kind, name ChunkName, c Chunks) ([]T, error) {
+	data, ok := c[name]
+	if !ok {
+		return nil, ErrChunkMissing
+	}
+	body, ofKind := bytes.CutPrefix(data, []byte(string(k)+"\n"))
+	if !ofKind || ChunkNameOf(data) != name {
+		return nil, ErrChunkContent
+	}
+	var bucket []T
+	if err := json.Unmarshal(body, &bucket); err != nil {
+		return nil, err
+	}
+	return bucket, nil
+}
