Assemble usherd: entry, owner, configuration, admin, planned stop

An integration test runs four daemons against the stand-ins in one process: lookups, keyed requests sent three times through different entries, key failures, a planned stop under load. It first hung for ten minutes: watermill's router does not watch its context while it has no handlers, so the daemon never ended. The bus now closes the router itself; TestBusStopsWithoutHandlers fails without that. The tally reporter registers /metrics on the default mux, which panics with two daemons in one process; a registry of our own replaces it.

--- /dev/null
+++ b/daemon/changes.go
@@ -0,0 +1,38 @@
+package daemon
+
+import (
+	"sync"
+	"time"
+
+	"github.com/agateusher/agateusher/core/model"
+	"github.com/agateusher/agateusher/core/pool"
+)
+
+// changeLog remembers when each backend server last changed state. It
+// implements owner.Observer.
+type changeLog struct {
+	mu sync.Mutex
+	at map[model.ServerID]time.Time
+}
+
+func newChangeLog() *changeLog { return &changeLog{at: map[model.ServerID]time.Time{}} }
+
+// ServerChanged implements owner.Observer.
+func (c *changeLog) ServerChanged(now time.Time, _ model.PoolID, change pool.ServerChanged) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if change.To == pool.Gone {
+		delete(c.at, change.Server)
+		return
+	}
+	c.at[change.Server] = now
+}
+
+func (c *changeLog) since(id model.ServerID, otherwise time.Time) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if at, ok := c.at[id]; ok {
+		return at
+	}
+	return otherwise
+}
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -8,7 +8,7 @@
 	"github.com/agateusher/agateusher/settings"
 )
 
-// Settings is the settings file of usherd. Default returns the defaults; what
+// Settings is the settings file of usherd. DefaultSettings returns the defaults; what
 // has none is required.
 type Settings struct {
 	Host      HostSettings     `json:"host"`
@@ -112,8 +112,8 @@
 	Options json.RawMessage `json:"options,omitempty"`
 }
 
-// Default returns the default settings.
-func Default() Settings {
+// DefaultSettings returns the default settings.
+func DefaultSettings() Settings {
 	return Settings{
 		Platform: PlatformSettings{Timeout: settings.Duration(2 * time.Second)},
 		Keys: KeySettings{
@@ -136,7 +136,7 @@
 // LoadSettings reads a settings file over the defaults. Errors are those of
 // settings.Load.
 func LoadSettings(path string) (Settings, error) {
-	s := Default()
+	s := DefaultSettings()
 	err := settings.Load(path, &s)
 	return s, err
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -95,7 +95,7 @@
 
 func (e *Entry) record(q *fleet.Request, r *http.Request, id model.RequestID, resp *fleet.Response, status int, took, deadline time.Duration, span trace.Span) {
 	e.o.Scope.Tagged(map[string]string{"outcome": resp.Outcome.String(), "reason": string(resp.Reason)}).Counter("requests").Inc(1)
-	e.o.Scope.Timer("request_duration").Record(took)
+	e.o.Scope.Histogram("request_duration", telemetry.LatencyBuckets).RecordDuration(took)
 	if q != nil && e.o.Observer != nil {
 		e.o.Observer.RequestDone(q.Pool.Service, q.Workspace, resp, took)
 	}
--- a/kernel/bus.go
+++ b/kernel/bus.go
@@ -48,6 +48,9 @@
 
 // Run delivers events until ctx ends.
 func (b *Bus) Run(ctx context.Context) error {
+	// The router does not watch ctx while it has no handlers.
+	stop := context.AfterFunc(ctx, func() { _ = b.router.Close() })
+	defer stop()
 	if err := b.router.Run(ctx); err != nil {
 		return fmt.Errorf("event router: %w", err)
 	}
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -1,11 +1,12 @@
 package telemetry
 
 import (
-	"fmt"
 	"io"
 	"net/http"
 	"time"
 
+	promclient "github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 )
@@ -25,18 +26,20 @@
 
 // NewMetrics returns a scope whose metric names start with prefix. Handler
 // serves them in the Prometheus text format.
-func NewMetrics(prefix string) (*Metrics, error) {
-	reporter, err := prometheus.Configuration{}.NewReporter(prometheus.ConfigurationOptions{})
-	if err != nil {
-		return nil, fmt.Errorf("metrics reporter: %w", err)
-	}
+func NewMetrics(prefix string) *Metrics {
+	registry := promclient.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:         prefix,
 		CachedReporter: reporter,
 		Separator:      prometheus.DefaultSeparator,
 	}, reportInterval)
-	return &Metrics{Scope: scope, Handler: reporter.HTTPHandler(), closer: closer}, nil
+	return &Metrics{Scope: scope, Handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{}), closer: closer}
 }
 
 // Close stops reporting.
 func (m *Metrics) Close() error { return m.closer.Close() }
+
+// LatencyBuckets are the bounds of latency histograms: 0.25 ms to about 8 s,
+// doubling.
+var LatencyBuckets = tally.MustMakeExponentialDurationBuckets(250*time.Microsecond, 2, 16)
