--- /dev/null
+++ b/core/snapshot/snapshot_test.go
@@ -0,0 +1,159 @@
+package snapshot
+
+import (
+	"errors"
+	"fmt"
+	"reflect"
+	"strings"
+	"sync"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/agateusher/agateusher/core/invariant"
+	"github.com/agateusher/agateusher/core/model"
+)
+
+func drawObjects(t *rapid.T) Objects {
+	o := Objects{Services: validObjects().Services}
+	for _, i := range rapid.SliceOfNDistinct(rapid.IntRange(1, 30), 0, 30, rapid.ID[int]).Draw(t, "servers") {
+		slots := rapid.IntRange(1, 3).Draw(t, "slots")
+		o.Servers = append(o.Servers, Server{ID: model.ServerID(fmt.Sprint("s", i)), Service: "booking", DataCentre: "d", Address: fmt.Sprintf("10.0.0.%d:80", i), Slots: slots, Connections: 10})
+	}
+	for _, i := range rapid.SliceOfNDistinct(rapid.IntRange(1, 9), 0, 9, rapid.ID[int]).Draw(t, "workspaces") {
+		o.Workspaces = append(o.Workspaces, Workspace{ID: model.WorkspaceID(fmt.Sprint("w", i)), Weight: rapid.Float64Range(0.1, 10).Draw(t, "weight")})
+	}
+	return o.Normalized()
+}
+
+// Guards against a difference that does not lead from one set of objects to
+// the other, and against objects lost by chunks, in any number of buckets.
+func TestDiffAndChunks(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		g := NewWithT(rt)
+		from, to := drawObjects(rt), drawObjects(rt)
+		base, err := (*Snapshot)(nil).Apply(Change{ID: "a", Author: "a", Put: from})
+		g.Expect(err).NotTo(HaveOccurred())
+		d := Diff(from, to)
+		g.Expect(d.Empty()).To(Equal(reflect.DeepEqual(from, to)))
+		if !d.Empty() {
+			next, err := base.Apply(Change{ID: "b", Author: "a", Put: d.Put, Delete: d.Delete})
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(next.Objects).To(Equal(to))
+			g.Expect(next.Epoch).To(BeEquivalentTo(2))
+		}
+		buckets := 1 << rapid.IntRange(0, 4).Draw(rt, "buckets")
+		m, c := Manifest{}, Chunks{}
+		if len(to.Servers) > 0 {
+			g.Expect(encodeBuckets(m, c, KindServer, to.Servers, buckets)).To(Succeed())
+		}
+		joined, err := Join(m, c)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(joined.Servers).To(Equal(to.Servers))
+	})
+}
+
+func manyServers(n int) []Server {
+	servers := make([]Server, n)
+	for i := range servers {
+		servers[i] = Server{ID: model.ServerID(fmt.Sprintf("s%06d", i)), Service: "booking", DataCentre: "lagos-1", Address: fmt.Sprintf("10.%d.%d.%d:80", i>>16, i>>8&255, i&255), Slots: 2, Connections: 330, State: ServerActive}
+	}
+	return servers
+}
+
+// Guards against a change of one object that rewrites more than one chunk, and
+// against buckets whose number changes back and forth.
+func TestOneChangeRewritesOneChunk(t *testing.T) {
+	g := NewWithT(t)
+	o := Objects{Servers: manyServers(10_000)}
+	m, before, err := Split(o, nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(len(m[KindServer])).To(Equal(8))
+	o.Servers[77].State = ServerDraining
+	m2, after, err := Split(o, m)
+	g.Expect(err).NotTo(HaveOccurred())
+	written := 0
+	for name := range after {
+		if _, ok := before[name]; !ok {
+			written++
+		}
+	}
+	g.Expect(written).To(Equal(1))
+	n := len(m2[KindServer])
+	for objects := 4096; objects < n*maxObjectsPerBucket; objects += 512 {
+		g.Expect(bucketCount(objects, n)).To(Equal(n), "%d objects", objects)
+	}
+	g.Expect(bucketCount(n*maxObjectsPerBucket+1, n)).To(Equal(2 * n))
+	g.Expect(bucketCount(n*minObjectsPerBucket-1, n)).To(Equal(n / 2))
+}
+
+// Guards against a chunk that the object API would refuse as too large, and
+// against a number of buckets that differs between the writer and a host that
+// computes the chunks again.
+func TestChunksStayUnderTheLimit(t *testing.T) {
+	g := NewWithT(t)
+	var o Objects
+	for i := range 300 {
+		columns := make([]ReportColumn, 20)
+		for j := range columns {
+			columns[j] = ReportColumn{Heading: strings.Repeat("h", MaxTextBytes), Field: "requests"}
+		}
+		o.ReportLayouts = append(o.ReportLayouts, ReportLayout{Name: fmt.Sprintf("r%03d", i), Columns: columns})
+	}
+	m, c, err := Split(o, nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	for _, data := range c {
+		g.Expect(len(data)).To(BeNumerically("<", 1<<20))
+	}
+	again, _, err := Split(o, m)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(again).To(Equal(m))
+}
+
+// Guards against damaged, missing or exchanged chunks that are accepted.
+func TestJoinChecksChunks(t *testing.T) {
+	g := NewWithT(t)
+	m, c, err := Split(validObjects(), nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	name := m[KindServer][0]
+	data := c[name]
+	c[name] = append([]byte(nil), data...)
+	c[name][len(data)-3] ^= 1
+	_, err = Join(m, c)
+	g.Expect(err).To(MatchError(ErrChunkContent))
+	delete(c, name)
+	_, err = Join(m, c)
+	g.Expect(err).To(MatchError(ErrChunkMissing))
+	c[name] = data
+	m[KindRoute] = m[KindServer]
+	_, err = Join(m, c)
+	g.Expect(err).To(MatchError(ErrChunkContent))
+	var chunk *ChunkError
+	g.Expect(errors.As(err, &chunk)).To(BeTrue())
+	g.Expect(chunk.Kind).To(Equal(KindRoute))
+}
+
+// Guards against a holder that goes back when several goroutines apply epochs
+// in any order, and against two changes with one epoch going unnoticed.
+func TestHolderOnlyMovesUp(t *testing.T) {
+	g := NewWithT(t)
+	var h Holder
+	var wg sync.WaitGroup
+	for i := range 8 {
+		wg.Go(func() {
+			for e := range 500 {
+				h.Apply(&Snapshot{Epoch: model.Epoch((e*7+i*13)%500 + 1), ChangeID: "c"})
+			}
+		})
+	}
+	for last := model.Epoch(0); last < 500; {
+		now := h.Epoch()
+		g.Expect(now).To(BeNumerically(">=", last))
+		last = now
+	}
+	wg.Wait()
+	g.Expect(h.Apply(&Snapshot{Epoch: 499, ChangeID: "old"})).To(BeFalse())
+	g.Expect(h.Apply(&Snapshot{Epoch: 500, ChangeID: "c"})).To(BeFalse())
+	g.Expect(func() { h.Apply(&Snapshot{Epoch: 500, ChangeID: "other"}) }).To(PanicWith(HaveField("Name", invariant.EpochUpward)))
+}
