--- a/core/snapshot/validate_test.go
+++ b/core/snapshot/validate_test.go
@@ -58,7 +58,9 @@
 		{"host", func(o *Objects) { o.Routes[1].Host = "API.example" }},
 		{"pathPrefix", func(o *Objects) { o.Routes[0].PathPrefix = "pay" }},
 		{"pathPrefix", func(o *Objects) { o.Routes[0].PathPrefix = "/a/../b" }},
-		{"pathPrefix", func(o *Objects) { o.Routes[0] = Route{Name: "pay", Host: "api.example", PathPrefix: "/space/", Service: "booking"} }},
+		{"pathPrefix", func(o *Objects) {
+			o.Routes[0] = Route{Name: "pay", Host: "api.example", PathPrefix: "/space/", Service: "booking"}
+		}},
 		{"methods", func(o *Objects) { o.Routes[0].Methods = []string{"post"} }},
 		{"methods", func(o *Objects) { o.Routes[0].Methods = []string{"POST", "POST"} }},
 		{"service", func(o *Objects) { o.Routes[0].Service = "other" }},
