--- a/configstore/harness_test.go
+++ b/configstore/harness_test.go
@@ -83,6 +83,19 @@
 	return h
 }
 
+// next returns the next epoch in force. It fails after ten minutes, which is
+// far above every target, so that a host that stands still does not hang.
+func (h *host) next(t testing.TB) configstore.Applied {
+	t.Helper()
+	select {
+	case a := <-h.epochs:
+		return a
+	case <-time.After(10 * time.Minute):
+		t.Fatal("no new epoch within 10 minutes")
+		return configstore.Applied{}
+	}
+}
+
 func (h *host) peer(local bool) configstore.Peer {
 	return configstore.Peer{ID: "peer", Local: local, Source: h.Follower}
 }
