--- a/core/pool/attempts.go
+++ b/core/pool/attempts.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"github.com/agateusher/agateusher/core/detector"
@@ -15,16 +16,22 @@
 // dispatch starts an attempt of the request at the server.
 func (p *Pool) dispatch(now time.Time, r *request, s *server, hedge bool) {
 	p.checkDispatch(now, r, s, hedge)
+	if r.dispatched == 0 {
+		p.budget.Deposit()
+	}
 	p.lastAttempt++
 	a := &attempt{
 		id: p.lastAttempt, request: r, server: s, started: now,
-		heapPos: indexheap.Absent,
+		heapPos: indexheap.Absent, estimate: p.meanService,
 	}
 	p.attempts[a.id] = a
 	s.inUse++
+	s.live = append(s.live, a)
+	p.used[r.class()]++
 	r.dispatched++
 	r.live = append(r.live, a)
 	r.tried = append(r.tried, s)
+	p.planHedge(now, r)
 	p.detector.Started(now, s.id, a.id)
 	p.emit(Dispatch{Request: r.ID, Attempt: a.id, Server: s.id, Deadline: r.Deadline, Hedge: hedge})
 }
@@ -45,9 +52,9 @@
 // finishLive handles the end of an attempt that its request waits for.
 func (p *Pool) finishLive(now time.Time, a *attempt, res AttemptResult) {
 	r := a.request
-	r.drop(a)
+	a.drop()
 	p.detector.Finished(now, a.server.id, a.id, detector.Result{Kind: evidenceKind(res), Latency: res.Latency})
-	p.observe(res)
+	p.observe(res.Kind, res.Latency)
 	switch res.Kind {
 	case TimedOut:
 		p.hold(now, a)
@@ -59,32 +66,28 @@
 	if res.Kind == FailedBeforeSend || res.Kind == Shed {
 		r.unrun++
 	}
-	if res.Kind == Answered {
+	if res.Kind == Answered && !(res.ServerError && p.retryInstead(now, r)) {
 		p.complete(now, r, a)
 		return
 	}
 	r.reason = failureReason(res.Kind)
-	p.afterFailure(now, r)
+	p.afterFailure(now, r, res.Kind)
 }
 
 // complete gives the request its final decision and abandons other attempts.
 func (p *Pool) complete(now time.Time, r *request, a *attempt) {
+	var slower []*server
 	for _, l := range r.live {
 		if l.id < a.id {
-			p.doubt(now, l.server)
+			slower = append(slower, l.server)
 		}
 	}
 	p.abandonAll(now, r, false)
 	p.forget(r)
 	p.emit(Complete{Request: r.ID, Attempt: a.id})
-}
-
-// afterFailure decides what follows when an attempt brought no answer.
-func (p *Pool) afterFailure(now time.Time, r *request) {
-	if len(r.live) > 0 {
-		return
+	for _, s := range slower {
+		p.doubt(now, s)
 	}
-	p.fail(now, r, r.reason)
 }
 
 // finishEnded handles the end of an attempt that this side had given up. If the
@@ -97,7 +100,8 @@
 
 // abandonAll gives up the live attempts of a request.
 func (p *Pool) abandonAll(now time.Time, r *request, timedOut bool) {
-	for _, a := range r.live {
+	for _, a := range slices.Clone(r.live) {
+		a.drop()
 		kind := detector.Cancelled
 		if timedOut {
 			kind = detector.Failure
@@ -108,8 +112,8 @@
 		if timedOut {
 			p.settle(now, a.server, AttemptResult{Kind: TimedOut})
 		}
+		p.hedgeDelay.Observe(now.Sub(a.started))
 	}
-	r.live = nil
 }
 
 // hold keeps the slot of an attempt that this side ended.
@@ -127,15 +131,18 @@
 		p.holds.Remove(a)
 	}
 	a.server.inUse--
+	p.used[a.request.class()]--
+	p.queue.Charge(a.request.Workspace, a.estimate, now.Sub(a.started))
 	delete(p.attempts, a.id)
 	p.retire(a.server)
 }
 
 // observe updates the estimate of the slot time.
-func (p *Pool) observe(res AttemptResult) {
-	if res.Kind == FailedBeforeSend || res.Kind == Shed {
+func (p *Pool) observe(kind ResultKind, latency time.Duration) {
+	if kind == FailedBeforeSend || kind == Shed {
 		return
 	}
-	delta := float64(res.Latency - p.meanService)
+	delta := float64(latency - p.meanService)
 	p.meanService += time.Duration(serviceSmoothing * delta)
+	p.hedgeDelay.Observe(latency)
 }
--- a/core/pool/config.go
+++ b/core/pool/config.go
@@ -46,10 +46,15 @@
 	// repeated is hedged, 0 to 1; default DefaultHedgePercentile. A negative
 	// value disables hedging.
 	HedgePercentile float64
-	// ReserveShare of the usable slots, rounded down, is kept for each of the
-	// two classes of requests (repeatable or not) while it uses less; default
-	// DefaultReserveShare. A negative value reserves nothing.
+	// ReserveShare of the serving slots is kept for each of the two classes of
+	// requests (repeatable or not) while it uses less: rounded down, but one slot
+	// in pools of at least minReserveSlots. Default DefaultReserveShare; a
+	// negative value reserves nothing.
 	ReserveShare float64
+	// ReserveMemory is how long slots stay reserved for a class after its
+	// latest request, so that a pool with one class uses all of its slots;
+	// default DefaultReserveMemory.
+	ReserveMemory time.Duration
 	// CancelHold bounds how long an attempt that this side ended occupies its
 	// slot without a confirmation; default DefaultCancelHold.
 	CancelHold time.Duration
@@ -90,6 +95,7 @@
 	DefaultRetryBurst       = 10
 	DefaultHedgePercentile  = 0.95
 	DefaultReserveShare     = 0.1
+	DefaultReserveMemory    = 10 * time.Second
 	DefaultCancelHold       = 2 * time.Second
 	DefaultServiceTime      = 20 * time.Millisecond
 	DefaultHold             = 5 * time.Second
@@ -108,6 +114,7 @@
 	setDefault(&c.RetryBurst, DefaultRetryBurst)
 	setDefault(&c.HedgePercentile, DefaultHedgePercentile)
 	setDefault(&c.ReserveShare, DefaultReserveShare)
+	setDefault(&c.ReserveMemory, DefaultReserveMemory)
 	setDefault(&c.CancelHold, DefaultCancelHold)
 	setDefault(&c.ServiceTime, DefaultServiceTime)
 	r := &c.Readmission
@@ -120,6 +127,15 @@
 	return c
 }
 
+// latencyPercentile is the percentile that is estimated even without hedging,
+// because admission uses it.
+func (c Config) latencyPercentile() float64 {
+	if c.HedgePercentile < 0 {
+		return DefaultHedgePercentile
+	}
+	return c.HedgePercentile
+}
+
 func setDefault[T comparable](field *T, value T) {
 	var zero T
 	if *field == zero {
--- a/core/pool/dispatch.go
+++ b/core/pool/dispatch.go
@@ -4,26 +4,54 @@
 	"slices"
 	"time"
 
+	"github.com/agateusher/agateusher/core/fairqueue"
 	"github.com/agateusher/agateusher/core/model"
 )
 
+// minReserveSlots is the size of a pool from which each class has at least one
+// slot reserved. In a smaller one that would cost too large a share.
+const minReserveSlots = 5
+
 // admit decides whether a request is accepted. If not, it returns the reason
 // and when to try again.
 func (p *Pool) admit(now time.Time, r Request) (model.Reason, time.Duration, bool) {
+	class := (&request{Request: r}).class()
+	p.seen[class] = now
 	capacity := p.capacity(now, r.Repeatable)
 	if capacity == 0 {
 		return model.ReasonNoServer, p.cfg.Readmission.Hold, false
 	}
-	wait := time.Duration(int64(p.meanService) * int64(len(p.waiting)) / int64(capacity))
-	if len(p.waiting) >= p.cfg.QueueLimit {
-		return model.ReasonQueueFull, wait, false
-	}
-	if now.Add(wait).After(r.Deadline) || !now.Before(r.Deadline) {
+	wait := p.queueWait(r.Workspace, r.Weight, capacity)
+	if !now.Before(r.Deadline) || (wait > 0 && now.Add(wait+p.hedgeDelay.Delay()).After(r.Deadline)) {
 		return model.ReasonDeadline, wait, false
 	}
 	return model.ReasonNone, 0, true
 }
 
+// queueWait estimates how long a new request of the workspace waits; zero if
+// nothing is queued.
+func (p *Pool) queueWait(w model.WorkspaceID, weight float64, capacity int) time.Duration {
+	if p.queue.Len() == 0 {
+		return 0
+	}
+	ahead := p.queue.Ahead(w, weight, p.meanService) + 1
+	return time.Duration(int64(p.meanService) * int64(ahead) / int64(capacity))
+}
+
+// enqueue puts an admitted request in the queue and refuses the one that has to
+// leave a full queue.
+func (p *Pool) enqueue(now time.Time, r *request) {
+	loser := p.queue.Push(&r.entry, r.Workspace, r.Weight, r.class())
+	if loser == nil {
+		return
+	}
+	lost := loser.Value
+	checkOutcome(lost, model.NotRun)
+	p.forget(lost)
+	wait := p.queueWait(lost.Workspace, lost.Weight, max(1, p.capacity(now, lost.Repeatable)))
+	p.emit(Refuse{Request: lost.ID, Reason: model.ReasonQueueFull, RetryAfter: wait})
+}
+
 // capacity returns the slots that a class of requests may use now, occupied or
 // not.
 func (p *Pool) capacity(now time.Time, repeatable bool) int {
@@ -36,37 +64,139 @@
 	return slots
 }
 
-// fill assigns free slots to waiting requests.
+// fill assigns free slots: first to urgent requests, then to the queue.
 func (p *Pool) fill(now time.Time) {
-	for i := 0; i < len(p.waiting); {
-		r := p.waiting[i]
-		s := p.choose(now, r)
-		if s == nil {
-			i++
+	p.fillUrgent(now)
+	for p.queue.Len() > 0 {
+		ready := p.freeSlots(now)
+		entry := p.queue.Pop(ready.classes(), p.meanService)
+		if entry == nil {
+			return
+		}
+		r := entry.Value
+		if p.tooLate(now, r) {
+			p.queue.Charge(r.Workspace, p.meanService, 0)
+			p.fail(now, r, model.ReasonDeadline)
 			continue
 		}
-		p.unqueue(r)
-		p.dispatch(now, r, s, false)
+		p.dispatch(now, r, p.choose(now, r, ready.serving[r.class()]), false)
+	}
+}
+
+// tooLate reports whether a request waited so long that a slot would probably
+// be wasted on it. Half of its time is left to it in any case, so that requests
+// with short deadlines are not all dropped.
+func (p *Pool) tooLate(now time.Time, r *request) bool {
+	needed := min(p.hedgeDelay.Delay(), r.Deadline.Sub(r.Arrival)/2)
+	return r.Deadline.Sub(now) < needed
+}
+
+// freeSlots says where there are free slots.
+type freeSlots struct {
+	// serving lists the classes with a free slot of a serving server that is not
+	// reserved for the other class.
+	serving fairqueue.Set
+	// lastResort: a suspect server, or one on probation, may take a repeatable
+	// request.
+	lastResort bool
+}
+
+// classes returns the classes that can be served now.
+func (f freeSlots) classes() fairqueue.Set {
+	f.serving[repeatable] = f.serving[repeatable] || f.lastResort
+	return f.serving
+}
+
+func (p *Pool) freeSlots(now time.Time) freeSlots {
+	allowed, free, lastResort := 0, 0, false
+	for _, s := range p.servers {
+		slots := s.allowed(now, p.cfg.Readmission.RampTime)
+		switch {
+		case s.status == Serving:
+			allowed += slots
+			free += max(0, slots-s.inUse)
+		case s.status == Suspect:
+			lastResort = lastResort || s.inUse < slots
+		case s.status == Probation:
+			lastResort = lastResort || (s.inUse == 0 && p.budget.Available())
+		}
+	}
+	reserve := p.reserve(allowed)
+	return freeSlots{lastResort: lastResort, serving: fairqueue.Set{
+		repeatable:    free > p.unmet(now, notRepeatable, reserve),
+		notRepeatable: free > p.unmet(now, repeatable, reserve),
+	}}
+}
+
+// reserve returns the slots reserved for each class.
+func (p *Pool) reserve(slots int) int {
+	reserved := int(max(0, p.cfg.ReserveShare) * float64(slots))
+	if reserved == 0 && p.cfg.ReserveShare > 0 && slots >= minReserveSlots {
+		return 1
 	}
+	return reserved
+}
+
+// unmet returns the part of a class's reserve that it does not use now.
+func (p *Pool) unmet(now time.Time, class fairqueue.Class, reserve int) int {
+	if p.seen[class].IsZero() || now.Sub(p.seen[class]) >= p.cfg.ReserveMemory {
+		return 0
+	}
+	return max(0, reserve-p.used[class])
+}
+
+// reserveWake returns when a reserve ends that may hold back the queue.
+func (p *Pool) reserveWake(now time.Time) time.Time {
+	var wake time.Time
+	if p.queue.Len() == 0 {
+		return wake
+	}
+	for _, seen := range p.seen {
+		if end := seen.Add(p.cfg.ReserveMemory); end.After(now) {
+			wake = earlier(wake, end)
+		}
+	}
+	return wake
 }
 
 // choose returns the server for the next attempt of a request, or nil. The
 // order is: an idle server on probation, for the first attempt of a repeatable
-// request; a serving server that it has not tried; a suspect one that it has
-// not tried, for repeatable requests.
-func (p *Pool) choose(now time.Time, r *request) *server {
-	if r.Repeatable && r.dispatched == 0 {
+// request that the budget could rescue; a serving server that it has not tried;
+// for repeatable requests, a suspect one that it has not tried, and, once all
+// were tried, any of them again. Serving servers are left out if serving is
+// false.
+func (p *Pool) choose(now time.Time, r *request, serving bool) *server {
+	if r.Repeatable && r.dispatched == 0 && p.budget.Available() {
 		if s := p.idleOnProbation(); s != nil {
 			return s
 		}
 	}
-	if s := p.leastLoaded(now, Serving, r.tried); s != nil {
+	var s *server
+	if serving {
+		s = p.leastLoaded(now, Serving, r.tried)
+	}
+	if s != nil || !r.Repeatable {
 		return s
 	}
-	if !r.Repeatable {
-		return nil
+	if s = p.leastLoaded(now, Suspect, r.tried); s != nil || len(r.live) > 0 || p.untried(r) {
+		return s
 	}
-	return p.leastLoaded(now, Suspect, r.tried)
+	if s = p.leastLoaded(now, Serving, nil); s != nil && serving {
+		return s
+	}
+	return p.leastLoaded(now, Suspect, nil)
+}
+
+// untried reports whether a server that the request may use, free or not, has
+// not been tried.
+func (p *Pool) untried(r *request) bool {
+	for _, s := range p.servers {
+		usable := s.status == Serving || (r.Repeatable && s.status == Suspect)
+		if usable && !slices.Contains(r.tried, s) {
+			return true
+		}
+	}
+	return false
 }
 
 // idleOnProbation returns a server on probation without an attempt, or nil.
@@ -82,24 +212,25 @@
 // leastLoaded returns the server of this status with the smallest share of its
 // allowed slots in use, or nil if none has a free slot. Ties are broken in turn.
 func (p *Pool) leastLoaded(now time.Time, status Status, except []*server) *server {
-	var best *server
-	var bestUse, bestAllowed int
+	best, bestUse, bestAllowed := -1, 0, 0
 	n := len(p.servers)
 	for i := range n {
-		s := p.servers[(p.cursor+i)%n]
-		if s.status != status || s.inUse >= s.slots || slices.Contains(except, s) {
-			continue
+		at := p.cursor + i
+		if at >= n {
+			at -= n
 		}
-		allowed := s.allowed(now, p.cfg.Readmission.RampTime)
-		if s.inUse >= allowed {
+		s := p.servers[at]
+		if s.status != status || slices.Contains(except, s) {
 			continue
 		}
-		if best == nil || s.inUse*bestAllowed < bestUse*allowed {
-			best, bestUse, bestAllowed = s, s.inUse, allowed
+		allowed := s.allowed(now, p.cfg.Readmission.RampTime)
+		if s.inUse < allowed && (best < 0 || s.inUse*bestAllowed < bestUse*allowed) {
+			best, bestUse, bestAllowed = at, s.inUse, allowed
 		}
 	}
-	if best != nil {
-		p.cursor = (slices.Index(p.servers, best) + 1) % n
+	if best < 0 {
+		return nil
 	}
-	return best
+	p.cursor = (best + 1) % n
+	return p.servers[best]
 }
--- a/core/pool/health.go
+++ b/core/pool/health.go
@@ -192,6 +192,7 @@
 	s.heldUntil = now.Add(hold)
 	s.unproven = false
 	p.setStatus(now, s, Ejected)
+	p.rescue(now, s)
 }
 
 func (p *Pool) beginProbation(now time.Time, s *server) {
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -4,15 +4,21 @@
 	"time"
 
 	"github.com/agateusher/agateusher/core/detector"
+	"github.com/agateusher/agateusher/core/fairqueue"
 	"github.com/agateusher/agateusher/core/internal/indexheap"
 	"github.com/agateusher/agateusher/core/invariant"
 	"github.com/agateusher/agateusher/core/model"
+	"github.com/agateusher/agateusher/core/retry"
 )
 
 // detectorPoll is the shortest wake for the detector's sake, so that a suspect
 // that the floor keeps does not make the driver spin.
 const detectorPoll = 10 * time.Millisecond
 
+// initialDelays times the assumed service time is the hedge delay until there
+// are samples: about the 95th percentile of exponential service times.
+const initialDelays = 3
+
 // Pool is the state machine of one pool. Create it with New.
 type Pool struct {
 	cfg      Config
@@ -22,7 +28,18 @@
 	byID     map[model.ServerID]*server
 	requests map[model.RequestID]*request
 	attempts map[model.AttemptID]*attempt
-	waiting  []*request
+	queue    *fairqueue.Queue[*request]
+	// urgent lists requests that were queued before and get the next free slot:
+	// retries and hedges that the budget paid for, and requests that a server
+	// did not run. parked lists those that wait for the budget. A request that
+	// got its final decision stays until the list is next read.
+	urgent, parked []*request
+	budget         *retry.Budget
+	hedgeDelay     *retry.HedgeDelay
+	// used counts the occupied slots of each class; seen is when its latest
+	// request arrived.
+	used [fairqueue.Classes]int
+	seen [fairqueue.Classes]time.Time
 	// wakes orders requests by their next wake, holds the held attempts by the
 	// end of their hold.
 	wakes *indexheap.Heap[*request]
@@ -48,8 +65,12 @@
 		wakes:    newWakeHeap(),
 		holds:    newHoldHeap(),
 	}
+	cfg = cfg.withDefaults()
+	p.queue = fairqueue.New[*request](fairqueue.Limits{})
+	p.budget = retry.NewBudget(cfg.RetryBudgetShare, cfg.RetryBurst)
+	p.hedgeDelay = retry.NewHedgeDelay(cfg.latencyPercentile(), initialDelays*cfg.ServiceTime)
+	p.meanService = cfg.ServiceTime
 	p.configure(now, cfg, false)
-	p.meanService = p.cfg.ServiceTime
 	p.out = nil
 	return p
 }
@@ -70,10 +91,11 @@
 		p.emit(Refuse{Request: r.ID, Reason: reason, RetryAfter: wait})
 		return p.finish(now)
 	}
-	req := &request{Request: r, queued: true, heapPos: indexheap.Absent, wake: r.Deadline}
+	req := &request{Request: r, heapPos: indexheap.Absent, wake: r.Deadline}
+	req.entry.Value = req
 	p.requests[r.ID] = req
 	p.wakes.Set(req)
-	p.waiting = append(p.waiting, req)
+	p.enqueue(now, req)
 	return p.finish(now)
 }
 
@@ -130,7 +152,7 @@
 	for _, s := range p.servers {
 		wake = earlier(wake, p.serverWake(now, s))
 	}
-	return wake
+	return earlier(wake, p.reserveWake(now))
 }
 
 // earlier returns the earlier of two times, of which zero means never.
@@ -146,6 +168,7 @@
 	p.expireHolds(now)
 	p.wakeRequests(now)
 	p.assess(now)
+	p.unpark()
 	p.fill(now)
 	out := p.out
 	p.out = nil
@@ -170,17 +193,24 @@
 		if !ok || r.wake.After(now) {
 			return
 		}
-		p.expire(now, r)
+		if now.Before(r.Deadline) {
+			p.hedge(now, r)
+		} else {
+			p.expire(now, r)
+		}
 	}
 }
 
 // expire ends a request whose deadline has passed.
 func (p *Pool) expire(now time.Time, r *request) {
-	if r.mayHaveRun() {
+	switch {
+	case len(r.live) > 0:
 		p.fail(now, r, model.ReasonTimeout)
-		return
+	case r.reason != model.ReasonNone:
+		p.fail(now, r, r.reason)
+	default:
+		p.fail(now, r, model.ReasonDeadline)
 	}
-	p.fail(now, r, model.ReasonDeadline)
 }
 
 // fail gives the request its final decision, with the outcome that its attempts
@@ -193,10 +223,15 @@
 	p.failAs(now, r, outcome, reason)
 }
 
-func (p *Pool) failAs(now time.Time, r *request, outcome model.Outcome, reason model.Reason) {
+// checkOutcome asserts that "not run" is true.
+func checkOutcome(r *request, outcome model.Outcome) {
 	invariant.Check(outcome != model.NotRun || (r.dispatched == r.unrun && len(r.live) == 0),
 		invariant.TruthfulNotRun, "request %s: %d of %d attempts may have run, %d are live",
 		r.ID, r.dispatched-r.unrun, r.dispatched, len(r.live))
+}
+
+func (p *Pool) failAs(now time.Time, r *request, outcome model.Outcome, reason model.Reason) {
+	checkOutcome(r, outcome)
 	p.abandonAll(now, r, reason == model.ReasonTimeout)
 	p.forget(r)
 	p.emit(Fail{Request: r.ID, Outcome: outcome, Reason: reason})
@@ -206,17 +241,6 @@
 func (p *Pool) forget(r *request) {
 	p.wakes.Remove(r)
 	delete(p.requests, r.ID)
-	if r.queued {
-		p.unqueue(r)
-	}
-}
-
-func (p *Pool) unqueue(r *request) {
-	r.queued = false
-	for i, w := range p.waiting {
-		if w == r {
-			p.waiting = append(p.waiting[:i], p.waiting[i+1:]...)
-			return
-		}
-	}
+	p.queue.Remove(&r.entry)
+	r.urgent, r.parked = false, false
 }
--- /dev/null
+++ b/core/pool/retries.go
@@ -0,0 +1,170 @@
+package pool
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// maxLive bounds the attempts of one request that run at a time.
+	maxLive = 3
+	// patientHedges is how often a hedge leaves the free slots to the queue
+	// before it claims the next one: a request that is still unanswered then is
+	// more likely stalled than slow.
+	patientHedges = 2
+)
+
+// afterFailure decides what follows when an attempt brought no answer.
+//
+// An attempt that could not be sent is repeated outside of the budget: it cost
+// no server anything, and each server is tried once only. All other attempts,
+// including those that a server shed, count against the budget: a pool that
+// sheds is overloaded, and free retries would multiply its load.
+func (p *Pool) afterFailure(now time.Time, r *request, kind ResultKind) {
+	switch {
+	case len(r.live) > 0 || r.urgent:
+		return
+	case !now.Before(r.Deadline):
+		p.fail(now, r, r.reason)
+	case kind == FailedBeforeSend && p.untried(r):
+		p.makeUrgent(r)
+	case !r.Repeatable:
+		p.retryUnrun(now, r)
+	case p.budget.Withdraw():
+		p.makeUrgent(r)
+	default:
+		p.park(now, r)
+	}
+}
+
+// retryUnrun repeats a request that may not run twice if it did not run, the
+// budget allows it and there is a server that it has not tried.
+func (p *Pool) retryUnrun(now time.Time, r *request) {
+	if r.mayHaveRun() || !p.untried(r) || !p.budget.Withdraw() {
+		p.fail(now, r, r.reason)
+		return
+	}
+	p.makeUrgent(r)
+}
+
+// retryInstead reports whether a whole answer with a server error is dropped in
+// favour of another attempt: one that is under way, or a retry.
+func (p *Pool) retryInstead(now time.Time, r *request) bool {
+	if !r.Repeatable || !now.Before(r.Deadline) {
+		return false
+	}
+	return len(r.live) > 0 || (p.untried(r) && p.budget.Available())
+}
+
+func (p *Pool) makeUrgent(r *request) {
+	if !r.urgent {
+		r.urgent = true
+		p.urgent = append(p.urgent, r)
+	}
+}
+
+// park lets a repeatable request wait for the budget until its deadline.
+func (p *Pool) park(now time.Time, r *request) {
+	p.parked = slices.DeleteFunc(p.parked, func(o *request) bool { return !o.parked })
+	if len(p.parked) >= p.cfg.QueueLimit {
+		p.fail(now, r, r.reason)
+		return
+	}
+	r.parked = true
+	p.parked = append(p.parked, r)
+}
+
+// unpark makes parked requests urgent as the budget allows, first come first.
+func (p *Pool) unpark() {
+	for len(p.parked) > 0 {
+		r := p.parked[0]
+		if r.parked && !p.budget.Withdraw() {
+			return
+		}
+		if r.parked {
+			r.parked = false
+			p.makeUrgent(r)
+		}
+		p.parked = p.parked[1:]
+	}
+}
+
+// fillUrgent dispatches the urgent requests that find a server.
+func (p *Pool) fillUrgent(now time.Time) {
+	if len(p.urgent) == 0 {
+		return
+	}
+	keep := p.urgent[:0]
+	for _, r := range p.urgent {
+		if !r.urgent {
+			continue
+		}
+		s := p.choose(now, r, true)
+		if s == nil {
+			keep = append(keep, r)
+			continue
+		}
+		r.urgent = false
+		p.startAgain(now, r, s)
+	}
+	clear(p.urgent[len(keep):])
+	p.urgent = keep
+}
+
+// startAgain dispatches a request that does not come from the queue.
+func (p *Pool) startAgain(now time.Time, r *request, s *server) {
+	p.queue.Start(r.Workspace, r.Weight, p.meanService)
+	p.dispatch(now, r, s, len(r.live) > 0)
+}
+
+// planHedge sets when the request is hedged after a dispatch.
+func (p *Pool) planHedge(now time.Time, r *request) {
+	r.hedgeAt = time.Time{}
+	if r.Repeatable && p.cfg.HedgePercentile > 0 && len(r.live) < maxLive {
+		r.hedgeAt = now.Add(p.hedgeDelay.Delay())
+	}
+	p.setWake(r)
+}
+
+func (p *Pool) setWake(r *request) {
+	r.wake = earlier(r.hedgeAt, r.Deadline)
+	p.wakes.Set(r)
+}
+
+// hedge starts another attempt beside the live ones, if the budget and the free
+// slots allow it, or plans the next try.
+func (p *Pool) hedge(now time.Time, r *request) {
+	r.hedgeAt = time.Time{}
+	defer p.setWake(r)
+	if len(r.live) == 0 || len(r.live) >= maxLive || r.urgent {
+		return
+	}
+	r.hedgeWaits++
+	again := now.Add(p.hedgeDelay.Delay())
+	if !p.budget.Available() {
+		r.hedgeAt = again
+		return
+	}
+	if r.hedgeWaits > patientHedges {
+		p.budget.Withdraw()
+		p.makeUrgent(r)
+		return
+	}
+	if s := p.choose(now, r, true); s != nil && p.queue.Len() == 0 {
+		p.budget.Withdraw()
+		p.startAgain(now, r, s)
+		return
+	}
+	r.hedgeAt = again
+}
+
+// rescue hedges the repeatable requests that run at an ejected server now
+// rather than after the hedge delay.
+func (p *Pool) rescue(now time.Time, s *server) {
+	for _, a := range s.live {
+		r := a.request
+		if r.Repeatable && len(r.live) < maxLive && !r.urgent && p.budget.Withdraw() {
+			p.makeUrgent(r)
+		}
+	}
+}
--- /dev/null
+++ b/core/pool/retries_test.go
@@ -0,0 +1,138 @@
+package pool_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/agateusher/agateusher/core/detector"
+	"github.com/agateusher/agateusher/core/model"
+	"github.com/agateusher/agateusher/core/pool"
+)
+
+// Guards against a lookup that fails, or meets the same server again, while
+// another server could answer, and against a posting that is repeated after it
+// may have run.
+func TestRetryAfterFailure(t *testing.T) {
+	for _, c := range []struct {
+		kind       pool.ResultKind
+		status5xx  bool
+		repeatable bool
+		retried    bool
+	}{
+		{pool.FailedAfterSend, false, true, true},
+		{pool.Truncated, false, true, true},
+		{pool.TimedOut, false, true, true},
+		{pool.Answered, true, true, true},
+		{pool.Shed, false, true, true},
+		{pool.FailedBeforeSend, false, false, true},
+		{pool.Shed, false, false, true},
+		{pool.FailedAfterSend, false, false, false},
+		{pool.Truncated, false, false, false},
+		{pool.Answered, true, false, false},
+	} {
+		t.Run(fmt.Sprintf("%s/5xx=%t/repeatable=%t", c.kind, c.status5xx, c.repeatable), func(t *testing.T) {
+			g := NewWithT(t)
+			f := newFixture(2, 1, nil)
+			r := posting("a", 0)
+			r.Repeatable = c.repeatable
+			first := pick[pool.Dispatch](f.pool.Submit(at(0), r))[0]
+			out := f.pool.Finish(at(5), pool.AttemptResult{Attempt: first.Attempt, Kind: c.kind, ServerError: c.status5xx})
+			again := pick[pool.Dispatch](out)
+			if !c.retried {
+				g.Expect(again).To(BeEmpty())
+				return
+			}
+			g.Expect(again).To(HaveLen(1))
+			g.Expect(again[0].Server).NotTo(Equal(first.Server))
+			out = f.pool.Finish(at(9), pool.AttemptResult{Attempt: again[0].Attempt, Kind: pool.Answered})
+			g.Expect(pick[pool.Complete](out)).To(HaveLen(1))
+		})
+	}
+}
+
+// Guards against retries beyond the budget, and against a lookup that is given
+// up although the budget recovers before its deadline.
+func TestLookupWaitsForBudget(t *testing.T) {
+	g := NewWithT(t)
+	f := newFixture(2, 2, func(c *pool.Config) { c.RetryBurst, c.RetryBudgetShare = 1, 0.5 })
+	fail := func(ms int, id string) []pool.Decision {
+		d := pick[pool.Dispatch](f.pool.Submit(at(ms), lookup(id, ms)))[0]
+		return f.pool.Finish(at(ms), pool.AttemptResult{Attempt: d.Attempt, Kind: pool.FailedAfterSend})
+	}
+	g.Expect(pick[pool.Dispatch](fail(0, "a"))).To(HaveLen(1))
+	g.Expect(fail(10, "b")).To(BeEmpty())
+	f.pool.Submit(at(20), posting("c", 20))
+	g.Expect(pick[pool.Dispatch](f.pool.Tick(at(21)))).To(ConsistOf(HaveField("Request", model.RequestID("b"))))
+}
+
+// Guards against a lookup that waits for a stalled server, a hedge that stays
+// after the answer, and a hedged posting.
+func TestHedge(t *testing.T) {
+	g := NewWithT(t)
+	f := newFixture(3, 1, func(c *pool.Config) { c.HedgePercentile = 0.95 })
+	first := pick[pool.Dispatch](f.pool.Submit(at(0), lookup("a", 0)))[0]
+	f.pool.Submit(at(0), posting("b", 0))
+	wake := 3 * pool.DefaultServiceTime
+	g.Expect(f.pool.NextWake(at(0))).To(Equal(at(0).Add(wake)))
+	hedges := pick[pool.Dispatch](f.pool.Tick(at(60)))
+	g.Expect(hedges).To(HaveLen(1))
+	g.Expect(hedges[0].Hedge).To(BeTrue())
+	g.Expect(hedges[0].Request).To(Equal(model.RequestID("a")))
+	out := f.pool.Finish(at(70), pool.AttemptResult{Attempt: hedges[0].Attempt, Kind: pool.Answered})
+	g.Expect(pick[pool.Complete](out)).To(HaveLen(1))
+	g.Expect(pick[pool.Abandon](out)).To(ConsistOf(pool.Abandon{Attempt: first.Attempt}))
+	g.Expect(f.detector.results[first.Server]).To(ConsistOf(detector.Result{Kind: detector.Cancelled, Latency: 70 * time.Millisecond}))
+}
+
+// Guards against lookups that wait out the hedge delay at a server known to be
+// sick.
+func TestEjectionRescuesLookups(t *testing.T) {
+	g := NewWithT(t)
+	f := newFixture(2, 1, func(c *pool.Config) { c.HedgePercentile = 0.95 })
+	first := pick[pool.Dispatch](f.pool.Submit(at(0), lookup("a", 0)))[0]
+	f.detector.scores[first.Server] = 1
+	g.Expect(pick[pool.Dispatch](f.pool.Tick(at(1)))).To(ConsistOf(HaveField("Hedge", true)))
+}
+
+// Guards against stuck lookups that hold every slot, so that postings starve,
+// and against the reverse; and against slots that stay idle for a class that is
+// not used.
+func TestReserve(t *testing.T) {
+	g := NewWithT(t)
+	f := newFixture(5, 2, func(c *pool.Config) { c.ReserveShare = 0.2 })
+	first := pick[pool.Dispatch](f.pool.Submit(at(0), posting("p0", 0)))[0]
+	f.pool.Finish(at(1), pool.AttemptResult{Attempt: first.Attempt, Kind: pool.Answered})
+	running := 0
+	for i := range 12 {
+		r := lookup(fmt.Sprint("l", i), 2)
+		r.Deadline = at(60000)
+		running += len(pick[pool.Dispatch](f.pool.Submit(at(2), r)))
+	}
+	g.Expect(running).To(Equal(8))
+	g.Expect(pick[pool.Dispatch](f.pool.Submit(at(3), posting("p1", 3)))).To(HaveLen(1))
+	g.Expect(f.pool.NextWake(at(3))).To(Equal(at(1003)))
+	f.pool.Tick(at(1003))
+	out := f.pool.Tick(at(3).Add(pool.DefaultReserveMemory))
+	g.Expect(pick[pool.Dispatch](out)).To(HaveLen(2))
+}
+
+// Guards against requests that are accepted although their deadline passes in
+// the queue, and against a flooding workspace that gets others refused.
+func TestEarlyRefusal(t *testing.T) {
+	g := NewWithT(t)
+	f := newFixture(1, 1, nil)
+	for i := range 40 {
+		f.pool.Submit(at(0), lookup(fmt.Sprint("flood", i), 0))
+	}
+	short := lookup("short", 0)
+	short.Deadline = at(200)
+	refused := pick[pool.Refuse](f.pool.Submit(at(0), short))
+	g.Expect(refused).To(HaveLen(1))
+	g.Expect(refused[0].Reason).To(Equal(model.ReasonDeadline))
+	g.Expect(refused[0].RetryAfter).To(BeNumerically("~", 800*time.Millisecond, 50*time.Millisecond))
+	short.ID, short.Workspace = "other", "other"
+	g.Expect(f.pool.Submit(at(0), short)).To(BeEmpty())
+}
--- a/core/pool/servers.go
+++ b/core/pool/servers.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/agateusher/agateusher/core/detector"
+	"github.com/agateusher/agateusher/core/fairqueue"
 	"github.com/agateusher/agateusher/core/snapshot"
 )
 
@@ -12,6 +13,9 @@
 // with a ramp.
 func (p *Pool) configure(now time.Time, cfg Config, ramp bool) {
 	p.cfg = cfg.withDefaults()
+	p.queue.SetLimits(fairqueue.Limits{Total: p.cfg.QueueLimit, Workspace: p.cfg.WorkspaceQueueLimit})
+	p.budget.Set(p.cfg.RetryBudgetShare, p.cfg.RetryBurst)
+	p.hedgeDelay.SetPercentile(p.cfg.latencyPercentile())
 	listed := make(map[*server]bool, len(cfg.Servers))
 	for _, c := range cfg.Servers {
 		s := p.byID[c.ID]
--- a/core/pool/state.go
+++ b/core/pool/state.go
@@ -1,9 +1,11 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"github.com/agateusher/agateusher/core/detector"
+	"github.com/agateusher/agateusher/core/fairqueue"
 	"github.com/agateusher/agateusher/core/internal/indexheap"
 	"github.com/agateusher/agateusher/core/model"
 	"github.com/agateusher/agateusher/core/snapshot"
@@ -26,6 +28,8 @@
 	// heldUntil ends an ejection; probationFrom began the current probation.
 	heldUntil     time.Time
 	probationFrom time.Time
+	// live lists the attempts that may still answer.
+	live []*attempt
 	// successes and doubts count answers and lost hedges in a row on probation.
 	successes, doubts int
 	// unproven: readmitted early, and not yet successful often enough.
@@ -72,7 +76,9 @@
 	server  *server
 	started time.Time
 	// ended: this side gave it up; heldUntil bounds the slot.
-	ended     bool
+	ended bool
+	// estimate is the slot time that the workspace was charged at dispatch.
+	estimate  time.Duration
 	heldUntil time.Time
 	heapPos   int
 }
@@ -80,7 +86,10 @@
 // request is one submitted request without a final decision.
 type request struct {
 	Request
-	queued bool
+	entry fairqueue.Entry[*request]
+	// urgent: in the list of attempts that go before the queue.
+	// parked: waiting for the retry budget.
+	urgent, parked bool
 	// live lists the attempts that may still answer.
 	live []*attempt
 	// tried lists the servers of all attempts.
@@ -89,6 +98,10 @@
 	dispatched, unrun int
 	// reason is that of the latest failed attempt.
 	reason model.Reason
+	// hedgeAt is when another attempt starts beside the live ones; zero: never.
+	// hedgeWaits counts how often it found no free slot.
+	hedgeAt    time.Time
+	hedgeWaits int
 	// wake is when the request needs attention next: its deadline or hedge time.
 	wake    time.Time
 	heapPos int
@@ -97,16 +110,33 @@
 // mayHaveRun reports whether any attempt may have run.
 func (r *request) mayHaveRun() bool { return r.dispatched > r.unrun }
 
-// drop removes an attempt from the live ones.
-func (r *request) drop(a *attempt) {
-	for i, l := range r.live {
-		if l == a {
-			r.live = append(r.live[:i], r.live[i+1:]...)
-			return
-		}
+// drop removes an attempt from the live ones of its request and server.
+func (a *attempt) drop() {
+	a.request.live = without(a.request.live, a)
+	a.server.live = without(a.server.live, a)
+}
+
+func without(list []*attempt, a *attempt) []*attempt {
+	if i := slices.Index(list, a); i >= 0 {
+		return slices.Delete(list, i, i+1)
 	}
+	return list
 }
 
+// class of the request in the queue.
+func (r *request) class() fairqueue.Class {
+	if r.Repeatable {
+		return repeatable
+	}
+	return notRepeatable
+}
+
+// Classes of requests in the queue.
+const (
+	repeatable fairqueue.Class = iota
+	notRepeatable
+)
+
 func newWakeHeap() *indexheap.Heap[*request] {
 	return indexheap.New(
 		func(a, b *request) bool { return a.wake.Before(b.wake) },
--- a/core/pool/view.go
+++ b/core/pool/view.go
@@ -6,8 +6,8 @@
 func (p *Pool) View(now time.Time) View {
 	v := View{
 		Servers:     make([]ServerView, 0, len(p.servers)),
-		Queued:      len(p.waiting),
-		Running:     len(p.requests) - len(p.waiting),
+		Queued:      p.queue.Len(),
+		Running:     len(p.requests) - p.queue.Len(),
 		ServiceTime: p.meanService,
 	}
 	for _, s := range p.servers {
