--- /dev/null
+++ b/experiment/pooltrial/cmd/main.go
@@ -0,0 +1,93 @@
+// Command cmd prints the tables of the pool trial: queueing delay of one owner
+// against entries that dispatch on their own view, fairness beside a flooding
+// workspace, overload and recovery, and added retries.
+package main
+
+import (
+	"fmt"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/agateusher/agateusher/experiment/pooltrial"
+)
+
+type options struct {
+	Seed    uint64 `long:"seed" default:"1" description:"seed of all random sources"`
+	Seconds int    `long:"seconds" default:"60" description:"virtual length of each run"`
+}
+
+func main() {
+	var opts options
+	if _, err := flags.Parse(&opts); err != nil {
+		os.Exit(2)
+	}
+	length := time.Duration(opts.Seconds) * time.Second
+	fmt.Printf("seed %d, %s each, %d servers x %d slots, mean service %s, capacity %.0f/s\n\n",
+		opts.Seed, length, pooltrial.Servers, pooltrial.Slots, pooltrial.MeanService, pooltrial.Capacity)
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	printWaits(w, length, opts.Seed)
+	printFairness(w, length, opts.Seed)
+	printOverload(w, length, opts.Seed)
+	printRetries(w, length, opts.Seed)
+}
+
+var services = []struct {
+	name string
+	draw pooltrial.Service
+}{{"exponential", pooltrial.Exponential}, {"lognormal", pooltrial.Lognormal}}
+
+func printWaits(w *tabwriter.Writer, length time.Duration, seed uint64) {
+	fmt.Fprintln(w, "service\tload\tdispatch\tp50 wait\tp99 wait")
+	for _, s := range services {
+		for _, load := range []float64{0.7, 0.8, 0.9} {
+			row := func(name string, waits pooltrial.Samples) {
+				fmt.Fprintf(w, "%s\t%.0f%%\t%s\t%s\t%s\n", s.name, 100*load, name, ms(waits.Percentile(0.5)), ms(waits.Percentile(0.99)))
+			}
+			row("one owner", pooltrial.OwnerWaits(s.draw, load, length, seed))
+			row("40 entries, least outstanding", pooltrial.EntryWaits(pooltrial.LeastOutstanding, s.draw, load, length, seed))
+			row("40 entries, power of two", pooltrial.EntryWaits(pooltrial.PowerOfTwo, s.draw, load, length, seed))
+		}
+	}
+	flush(w)
+}
+
+func printFairness(w *tabwriter.Writer, length time.Duration, seed uint64) {
+	fmt.Fprintln(w, "service\tothers offer\tothers keep\tp99 alone\tp99 beside flood\tadded attempts")
+	for _, s := range services {
+		for _, load := range []float64{0.5, 0.8, 0.9, 0.95, 1} {
+			f := pooltrial.MeasureFairness(load, s.draw, length, seed)
+			fmt.Fprintf(w, "%s\t%.0f%%\t%.1f%%\t%s\t%s\t%.1f%%\n", s.name, 100*load, 100*f.Kept, ms(f.Alone), ms(f.Beside), 100*f.Retries)
+		}
+	}
+	flush(w)
+}
+
+func printOverload(w *tabwriter.Writer, length time.Duration, seed uint64) {
+	fmt.Fprintln(w, "service\tload after\tgoodput at 3x\tunknown\trecovery")
+	for _, s := range services {
+		for _, after := range []float64{0.5, 0.8} {
+			o := pooltrial.MeasureOverload(length, after, s.draw, seed)
+			fmt.Fprintf(w, "%s\t%.0f%%\t%.1f%%\t%.1f%%\t%s\n", s.name, 100*after, 100*o.Goodput, 100*o.Unknown, o.Recovery)
+		}
+	}
+	flush(w)
+}
+
+func printRetries(w *tabwriter.Writer, length time.Duration, seed uint64) {
+	fmt.Fprintln(w, "failing attempts\tadded attempts\tanswered lookups")
+	for _, failures := range []float64{0, 0.02, 0.05, 0.3, 1} {
+		r := pooltrial.MeasureRetries(failures, 0.7, length, seed)
+		fmt.Fprintf(w, "%.0f%%\t%.1f%%\t%.1f%%\n", 100*failures, 100*r.Added, 100*r.Answered)
+	}
+	flush(w)
+}
+
+func flush(w *tabwriter.Writer) {
+	fmt.Fprintln(w)
+	w.Flush()
+}
+
+func ms(d time.Duration) string { return fmt.Sprintf("%.1f ms", float64(d)/float64(time.Millisecond)) }
--- /dev/null
+++ b/experiment/pooltrial/owner.go
@@ -0,0 +1,217 @@
+package pooltrial
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/agateusher/agateusher/core/detector"
+	"github.com/agateusher/agateusher/core/floor"
+	"github.com/agateusher/agateusher/core/model"
+	"github.com/agateusher/agateusher/core/pool"
+)
+
+// confirmDelay is how long a server takes to confirm a cancellation.
+const confirmDelay = time.Millisecond
+
+// Owner drives one real pool with modelled servers.
+type Owner struct {
+	clock    *Clock
+	random   *rand.Rand
+	pool     *pool.Pool
+	service  Service
+	failures float64
+	running  map[model.AttemptID]*Event
+	requests map[model.RequestID]*openRequest
+	accounts map[model.WorkspaceID]*Account
+	lastID   uint64
+	wake     *Event
+	wakeAt   time.Time
+	measured bool
+	// Waits from arrival to the first dispatch.
+	Waits Samples
+	// Dispatched counts attempts, First those that were the request's first.
+	Dispatched, First int
+	// OnAnswer is called for each answered request.
+	OnAnswer func()
+}
+
+// openRequest is a request without a final decision.
+type openRequest struct {
+	account    *Account
+	arrival    time.Time
+	dispatched bool
+}
+
+// OwnerConfig describes the modelled pool.
+type OwnerConfig struct {
+	Service Service
+	// Failures is the share of attempts that fail after they were sent.
+	Failures float64
+	// Change adapts the pool's configuration; nil: none.
+	Change func(*pool.Config)
+	Seed   uint64
+}
+
+// NewOwner returns an owner of Servers healthy servers.
+func NewOwner(c *Clock, cfg OwnerConfig) *Owner {
+	o := &Owner{
+		clock: c, random: newRand(cfg.Seed, 0), service: cfg.Service, failures: cfg.Failures,
+		running:  make(map[model.AttemptID]*Event),
+		requests: make(map[model.RequestID]*openRequest),
+		accounts: make(map[model.WorkspaceID]*Account),
+		measured: true,
+	}
+	pc := pool.Config{Detector: healthy{}, Plan: func(floor.Input) floor.Result { return floor.Result{} }}
+	for i := range Servers {
+		pc.Servers = append(pc.Servers, pool.Server{ID: model.ServerID("s" + strconv.Itoa(i)), Slots: Slots})
+	}
+	if cfg.Change != nil {
+		cfg.Change(&pc)
+	}
+	o.pool = pool.New(pc, c.Now())
+	return o
+}
+
+// Measure says whether requests that arrive from now on are counted.
+func (o *Owner) Measure(on bool) { o.measured = on }
+
+// Submit sends a request with a time limit.
+func (o *Owner) Submit(w model.WorkspaceID, repeatable bool, limit time.Duration) {
+	o.lastID++
+	id := model.RequestID(strconv.FormatUint(o.lastID, 10))
+	open := &openRequest{account: &Account{}, arrival: o.clock.Now()}
+	if o.measured {
+		open.account = o.Account(w)
+	}
+	open.account.Offered++
+	o.requests[id] = open
+	o.apply(o.pool.Submit(o.clock.Now(), pool.Request{
+		ID: id, Workspace: w, Weight: 1, Repeatable: repeatable,
+		Arrival: o.clock.Now(), Deadline: o.clock.Now().Add(limit),
+	}))
+}
+
+// Account returns the account of a workspace.
+func (o *Owner) Account(w model.WorkspaceID) *Account {
+	a := o.accounts[w]
+	if a == nil {
+		a = &Account{Workspace: w}
+		o.accounts[w] = a
+	}
+	return a
+}
+
+// Total returns the sum of all accounts, without latencies.
+func (o *Owner) Total() Account {
+	var sum Account
+	for _, a := range o.accounts {
+		sum.Offered += a.Offered
+		sum.Answered += a.Answered
+		sum.NotRun += a.NotRun
+		sum.Unknown += a.Unknown
+	}
+	return sum
+}
+
+// apply executes decisions.
+func (o *Owner) apply(ds []pool.Decision) {
+	for _, d := range ds {
+		switch d := d.(type) {
+		case pool.Dispatch:
+			o.dispatch(d)
+		case pool.Abandon:
+			o.abandon(d.Attempt)
+		case pool.Complete:
+			o.complete(d.Request)
+		case pool.Refuse:
+			o.end(d.Request).account.NotRun++
+		case pool.Fail:
+			if open := o.end(d.Request); d.Outcome == model.NotRun {
+				open.account.NotRun++
+			} else {
+				open.account.Unknown++
+			}
+		}
+	}
+	o.schedule()
+}
+
+func (o *Owner) dispatch(d pool.Dispatch) {
+	open := o.requests[d.Request]
+	o.Dispatched++
+	if !open.dispatched {
+		open.dispatched = true
+		o.First++
+		if o.measured {
+			o.Waits = append(o.Waits, o.clock.Now().Sub(open.arrival))
+		}
+	}
+	kind := pool.Answered
+	if o.random.Float64() < o.failures {
+		kind = pool.FailedAfterSend
+	}
+	o.running[d.Attempt] = o.clock.After(o.service(o.random), func() { o.finish(d.Attempt, kind) })
+}
+
+func (o *Owner) finish(a model.AttemptID, kind pool.ResultKind) {
+	delete(o.running, a)
+	o.apply(o.pool.Finish(o.clock.Now(), pool.AttemptResult{Attempt: a, Kind: kind}))
+}
+
+// abandon stops the attempt at the server, which confirms after confirmDelay.
+func (o *Owner) abandon(a model.AttemptID) {
+	event, running := o.running[a]
+	if !running {
+		return
+	}
+	event.Cancel()
+	delete(o.running, a)
+	o.clock.After(0, func() { o.finish(a, pool.TimedOut) })
+	o.clock.After(confirmDelay, func() { o.apply(o.pool.CancelConfirmed(o.clock.Now(), a)) })
+}
+
+func (o *Owner) complete(id model.RequestID) {
+	open := o.end(id)
+	open.account.Answered++
+	open.account.Latency = append(open.account.Latency, o.clock.Now().Sub(open.arrival))
+	if o.OnAnswer != nil {
+		o.OnAnswer()
+	}
+}
+
+func (o *Owner) end(id model.RequestID) *openRequest {
+	open := o.requests[id]
+	delete(o.requests, id)
+	return open
+}
+
+// schedule sets the timer for the pool's next wake.
+func (o *Owner) schedule() {
+	at := o.pool.NextWake(o.clock.Now())
+	if at.Equal(o.wakeAt) && !at.IsZero() {
+		return
+	}
+	if o.wake != nil {
+		o.wake.Cancel()
+	}
+	o.wakeAt = at
+	if at.IsZero() {
+		return
+	}
+	o.wake = o.clock.At(at, func() {
+		o.wakeAt = time.Time{}
+		o.apply(o.pool.Tick(o.clock.Now()))
+	})
+}
+
+// healthy is a detector that suspects no server.
+type healthy struct{}
+
+func (healthy) Started(time.Time, model.ServerID, model.AttemptID)                   {}
+func (healthy) Finished(time.Time, model.ServerID, model.AttemptID, detector.Result) {}
+func (healthy) Reset(time.Time, model.ServerID)                                      {}
+func (healthy) Forget(model.ServerID)                                                {}
+func (healthy) Suspects(time.Time) []detector.Suspicion                              { return nil }
+func (healthy) Evidence(time.Time, model.ServerID) detector.Evidence                 { return detector.Evidence{} }
+func (healthy) NextWake(time.Time) time.Time                                         { return time.Time{} }
