core/fairqueue: bounded credit for workspaces below their share

Change: a workspace may start up to 25 mean requests of slot time early. Tried: credits of 10, 50 and 100 (no better); forgetting the credit of idle workspaces when they return (no gain).

--- a/core/fairqueue/doc.go
+++ b/core/fairqueue/doc.go
@@ -9,6 +9,10 @@
 // tune. Its delay bound for a workspace that sends little does not depend on the
 // backlog of others.
 //
+// A workspace that uses less than its share, or that was not seen lately, may
+// start earlier by a bounded credit, so that random bursts within its share do
+// not wait behind a workspace that always has a backlog.
+//
 // A queue has two classes with one tag per workspace, so that a workspace gets
 // one fair share whatever it sends, while the caller decides which classes may
 // be served now.
--- a/core/fairqueue/queue.go
+++ b/core/fairqueue/queue.go
@@ -11,6 +11,9 @@
 type Limits struct {
 	// Total over all workspaces, and for each Workspace.
 	Total, Workspace int
+	// Credit is the slot time, per unit of weight, that a workspace may save up
+	// by using less than its share.
+	Credit time.Duration
 }
 
 // Queue is a bounded weighted fair queue. Create it with New. It is not safe
@@ -83,7 +86,7 @@
 		return e
 	}
 	if f.queued == 0 {
-		f.tag = max(f.tag, q.virtual)
+		f.tag = max(f.tag, q.oldest())
 		q.waitingWeight += f.weight
 	}
 	q.seq++
@@ -135,7 +138,7 @@
 func (q *Queue[T]) Start(w model.WorkspaceID, weight float64, estimate time.Duration) {
 	f := q.flow(w, weight)
 	if f.queued == 0 {
-		f.tag = max(f.tag, q.virtual)
+		f.tag = max(f.tag, q.oldest())
 	}
 	q.start(f, estimate)
 }
@@ -175,7 +178,7 @@
 	if q.queued == 0 {
 		return 0
 	}
-	own, tag := 0, q.virtual
+	own, tag := 0, q.oldest()
 	total := q.waitingWeight
 	if f := q.flows[w]; f != nil {
 		own, tag, weight = f.queued, max(f.tag, tag), f.weight
@@ -191,6 +194,9 @@
 	return int(min(float64(q.queued), max(0, ahead)))
 }
 
+// oldest returns the smallest tag of a flow that starts to wait.
+func (q *Queue[T]) oldest() float64 { return q.virtual - q.limits.Credit.Seconds() }
+
 // least returns the smallest tag of a waiting flow.
 func (q *Queue[T]) least() float64 {
 	least := q.virtual
@@ -207,6 +213,7 @@
 	f := q.flows[w]
 	if f == nil {
 		f = newFlow[T](w)
+		f.tag = q.oldest()
 		q.flows[w] = f
 	}
 	if weight <= 0 {
@@ -249,7 +256,7 @@
 	}
 	for {
 		idle, ok := q.idle.Min()
-		if !ok || idle.tag > q.virtual {
+		if !ok || idle.tag > q.oldest() {
 			return
 		}
 		q.idle.Remove(idle)
--- a/core/fairqueue/queue_test.go
+++ b/core/fairqueue/queue_test.go
@@ -214,3 +214,16 @@
 		})
 	})
 }
+
+// Guards against a burst of a workspace within its share that waits behind one
+// with a constant backlog, and against a credit beyond its bound.
+func TestCreditIsBounded(t *testing.T) {
+	g := NewWithT(t)
+	q := fairqueue.New[string](fairqueue.Limits{Total: 1000, Workspace: 1000, Credit: 5 * cost})
+	same := func(string) time.Duration { return cost }
+	push(q, "flood", 200)
+	serve(q, 100, same)
+	push(q, "burst", 50)
+	g.Expect(serve(q, 5, same)["burst"]).To(Equal(5))
+	g.Expect(serve(q, 20, same)["burst"]).To(BeNumerically("~", 10, 1))
+}
--- a/core/pool/attempts.go
+++ b/core/pool/attempts.go
@@ -145,4 +145,5 @@
 	delta := float64(latency - p.meanService)
 	p.meanService += time.Duration(serviceSmoothing * delta)
 	p.hedgeDelay.Observe(latency)
+	p.limitQueue()
 }
--- a/core/pool/dispatch.go
+++ b/core/pool/dispatch.go
@@ -12,6 +12,12 @@
 // slot reserved. In a smaller one that would cost too large a share.
 const minReserveSlots = 5
 
+// creditRequests is the burst, in requests of mean length, that a workspace may
+// save up by using less than its share. Beside a flooding workspace it lowers
+// the 99th percentile of one that uses 90% of its share from 1.97 to 1.49 times
+// that of running alone (pooltrial, exponential); 10 and 50 do not do better.
+const creditRequests = 25
+
 // admit decides whether a request is accepted. If not, it returns the reason
 // and when to try again.
 func (p *Pool) admit(now time.Time, r Request) (model.Reason, time.Duration, bool) {
@@ -38,6 +44,13 @@
 	return time.Duration(int64(p.meanService) * int64(ahead) / int64(capacity))
 }
 
+// limitQueue passes the bounds to the queue.
+func (p *Pool) limitQueue() {
+	p.queue.SetLimits(fairqueue.Limits{
+		Total: p.cfg.QueueLimit, Workspace: p.cfg.WorkspaceQueueLimit, Credit: creditRequests * p.meanService,
+	})
+}
+
 // enqueue puts an admitted request in the queue and refuses the one that has to
 // leave a full queue.
 func (p *Pool) enqueue(now time.Time, r *request) {
--- a/core/pool/servers.go
+++ b/core/pool/servers.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/agateusher/agateusher/core/detector"
-	"github.com/agateusher/agateusher/core/fairqueue"
 	"github.com/agateusher/agateusher/core/snapshot"
 )
 
@@ -13,7 +12,7 @@
 // with a ramp.
 func (p *Pool) configure(now time.Time, cfg Config, ramp bool) {
 	p.cfg = cfg.withDefaults()
-	p.queue.SetLimits(fairqueue.Limits{Total: p.cfg.QueueLimit, Workspace: p.cfg.WorkspaceQueueLimit})
+	p.limitQueue()
 	p.budget.Set(p.cfg.RetryBudgetShare, p.cfg.RetryBurst)
 	p.hedgeDelay.SetPercentile(p.cfg.latencyPercentile())
 	listed := make(map[*server]bool, len(cfg.Servers))
