core/pool: retry the newest parked lookup first

Change: the newest goes first. Tried: leaving half of the saved budget to retries before hedges; no change, not kept.

--- a/core/pool/retries.go
+++ b/core/pool/retries.go
@@ -74,18 +74,22 @@
 	p.parked = append(p.parked, r)
 }
 
-// unpark makes parked requests urgent as the budget allows, first come first.
+// unpark makes parked requests urgent as the budget allows. The newest goes
+// first: if the budget stays short, the oldest would be retried just before
+// their deadlines, too late to be answered.
 func (p *Pool) unpark() {
 	for len(p.parked) > 0 {
-		r := p.parked[0]
+		last := len(p.parked) - 1
+		r := p.parked[last]
 		if r.parked && !p.budget.Withdraw() {
 			return
 		}
+		p.parked[last] = nil
+		p.parked = p.parked[:last]
 		if r.parked {
 			r.parked = false
 			p.makeUrgent(r)
 		}
-		p.parked = p.parked[1:]
 	}
 }
 
--- a/core/pool/retries_test.go
+++ b/core/pool/retries_test.go
@@ -136,3 +136,17 @@
 	short.ID, short.Workspace = "other", "other"
 	g.Expect(f.pool.Submit(at(0), short)).To(BeEmpty())
 }
+
+// Guards against retries that come too late for every waiting lookup because
+// the oldest are retried first while the budget stays short.
+func TestNewestParkedLookupIsRetriedFirst(t *testing.T) {
+	g := NewWithT(t)
+	f := newFixture(3, 2, func(c *pool.Config) { c.RetryBurst, c.RetryBudgetShare = 1, 0.25 })
+	for i, id := range []string{"a", "b", "c"} {
+		d := pick[pool.Dispatch](f.pool.Submit(at(i), lookup(id, i)))[0]
+		f.pool.Finish(at(i), pool.AttemptResult{Attempt: d.Attempt, Kind: pool.FailedAfterSend})
+	}
+	f.pool.Submit(at(5), posting("p", 5))
+	f.pool.Submit(at(5), posting("q", 5))
+	g.Expect(pick[pool.Dispatch](f.pool.Tick(at(6)))).To(ConsistOf(HaveField("Request", model.RequestID("c"))))
+}
