core/pool: fewer allocations for each request

Cause: the arguments of invariant.Check were allocated although the invariants held, 30% of all allocations. Change: test the condition first; keep the first attempts and servers of a request inside of it.

--- a/core/pool/attempts.go
+++ b/core/pool/attempts.go
@@ -36,15 +36,21 @@
 	p.emit(Dispatch{Request: r.ID, Attempt: a.id, Server: s.id, Deadline: r.Deadline, Hedge: hedge})
 }
 
-// checkDispatch asserts the rules of a dispatch.
+// checkDispatch asserts the rules of a dispatch. The conditions are tested
+// before Check is called, because its arguments would be allocated each time.
 func (p *Pool) checkDispatch(now time.Time, r *request, s *server, hedge bool) {
-	invariant.Check(s.inUse < s.allowed(now, p.cfg.Readmission.RampTime), invariant.SlotLimit,
-		"server %s has %d of %d slots in use", s.id, s.inUse, s.slots)
-	invariant.Check(!s.leaving(), invariant.LeavingServer, "server %s gets request %s", s.id, r.ID)
-	if !r.Repeatable {
-		invariant.Check(r.dispatched == r.unrun && !hedge, invariant.AtMostOnce,
+	if s.inUse >= s.allowed(now, p.cfg.Readmission.RampTime) {
+		invariant.Check(false, invariant.SlotLimit, "server %s has %d of %d slots in use", s.id, s.inUse, s.slots)
+	}
+	if s.leaving() {
+		invariant.Check(false, invariant.LeavingServer, "server %s gets request %s", s.id, r.ID)
+	}
+	if !r.Repeatable && (r.dispatched != r.unrun || hedge) {
+		invariant.Check(false, invariant.AtMostOnce,
 			"request %s is dispatched again after %d attempts of which %d did not run", r.ID, r.dispatched, r.unrun)
-		invariant.Check(s.status == Serving, invariant.AtMostOnce,
+	}
+	if !r.Repeatable && s.status != Serving {
+		invariant.Check(false, invariant.AtMostOnce,
 			"request %s goes to server %s, which is %s", r.ID, s.id, s.status)
 	}
 }
--- a/core/pool/bench_test.go
+++ b/core/pool/bench_test.go
@@ -17,7 +17,8 @@
 	for i := range workspaces {
 		workspaces[i] = model.WorkspaceID("w" + strconv.Itoa(i))
 	}
-	ids := make([]model.RequestID, b.N+waiting+40)
+	// IDs are used again: by then their requests are over.
+	ids := make([]model.RequestID, 4096)
 	for i := range ids {
 		ids[i] = model.RequestID(strconv.Itoa(i))
 	}
@@ -26,7 +27,7 @@
 	next := 0
 	submit := func() {
 		r := pool.Request{
-			ID: ids[next], Workspace: workspaces[next%len(workspaces)], Repeatable: next%4 > 0,
+			ID: ids[next%len(ids)], Workspace: workspaces[next%len(workspaces)], Repeatable: next%4 > 0,
 			Arrival: now, Deadline: now.Add(time.Minute),
 		}
 		next++
@@ -43,9 +44,6 @@
 	}
 	b.ReportAllocs()
 	for b.Loop() {
-		if next == len(ids) {
-			break
-		}
 		now = now.Add(time.Microsecond)
 		submit()
 		oldest := running[0]
--- a/core/pool/health.go
+++ b/core/pool/health.go
@@ -170,9 +170,11 @@
 		}
 	}
 	needed := int(math.Ceil(p.cfg.Limits.Share*float64(configured) - shareTolerance))
-	invariant.Check(ejected == 0 || (slots >= needed && servers >= p.cfg.Limits.MinServers), invariant.Floor,
-		"%d servers with %d slots are in service and %d are ejected; the floor is %d servers and %d slots",
-		servers, slots, ejected, p.cfg.Limits.MinServers, needed)
+	if ejected > 0 && (slots < needed || servers < p.cfg.Limits.MinServers) {
+		invariant.Check(false, invariant.Floor,
+			"%d servers with %d slots are in service and %d are ejected; the floor is %d servers and %d slots",
+			servers, slots, ejected, p.cfg.Limits.MinServers, needed)
+	}
 }
 
 // eject takes a server out of service, or back from probation, for its hold
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -93,6 +93,7 @@
 	}
 	req := &request{Request: r, heapPos: indexheap.Absent, wake: r.Deadline}
 	req.entry.Value = req
+	req.live, req.tried = req.liveSpace[:0], req.triedSpace[:0]
 	p.requests[r.ID] = req
 	p.wakes.Set(req)
 	p.enqueue(now, req)
--- a/core/pool/state.go
+++ b/core/pool/state.go
@@ -96,6 +96,10 @@
 	tried []*server
 	// dispatched counts attempts; unrun counts those that certainly did not run.
 	dispatched, unrun int
+	// liveSpace and triedSpace are the first backing of live and tried, so that
+	// most requests need no allocation for them.
+	liveSpace  [maxLive]*attempt
+	triedSpace [maxLive]*server
 	// reason is that of the latest failed attempt.
 	reason model.Reason
 	// hedgeAt is when another attempt starts beside the live ones; zero: never.
