core/pool: hedges respect the reserve, bounded free repeats; target tests

Hedges and retries of stuck lookups could take the slots reserved for postings. A request whose attempts could not be sent tried every server of the pool outside of the budget; now three repeats are free.

--- a/core/pool/main_test.go
+++ b/core/pool/main_test.go
@@ -8,7 +8,8 @@
 )
 
 // TestMain fixes the seed of the random tests so that runs can be compared;
-// -rapid.seed explores others.
+// -rapid.seed explores others. It runs 1,000 sequences instead of rapid's 100:
+// a posting sent to a suspect server was first found in the 151st.
 func TestMain(m *testing.M) {
 	flag.Parse()
 	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == "0" {
@@ -16,6 +17,11 @@
 			panic(err)
 		}
 	}
+	if checks := flag.Lookup("rapid.checks"); checks.Value.String() == checks.DefValue {
+		if err := checks.Value.Set("1000"); err != nil {
+			panic(err)
+		}
+	}
 	fmt.Println("rapid.seed", flag.Lookup("rapid.seed").Value)
 	os.Exit(m.Run())
 }
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -169,8 +169,9 @@
 	p.expireHolds(now)
 	p.wakeRequests(now)
 	p.assess(now)
-	p.unpark()
 	p.fill(now)
+	p.unpark()
+	p.fillUrgent(now)
 	out := p.out
 	p.out = nil
 	return out
--- a/core/pool/retries.go
+++ b/core/pool/retries.go
@@ -12,21 +12,24 @@
 	// before it claims the next one: a request that is still unanswered then is
 	// more likely stalled than slow.
 	patientHedges = 2
+	// freeRepeats bounds how often a request is repeated outside of the budget
+	// because it could not be sent.
+	freeRepeats = 3
 )
 
 // afterFailure decides what follows when an attempt brought no answer.
 //
-// An attempt that could not be sent is repeated outside of the budget: it cost
-// no server anything, and each server is tried once only. All other attempts,
-// including those that a server shed, count against the budget: a pool that
-// sheds is overloaded, and free retries would multiply its load.
+// An attempt that could not be sent is repeated outside of the budget, at most
+// freeRepeats times and each server once: it cost no server anything. All other
+// attempts, including those that a server shed, count against the budget: a
+// pool that sheds is overloaded, and free retries would multiply its load.
 func (p *Pool) afterFailure(now time.Time, r *request, kind ResultKind) {
 	switch {
 	case len(r.live) > 0 || r.urgent:
 		return
 	case !now.Before(r.Deadline):
 		p.fail(now, r, r.reason)
-	case kind == FailedBeforeSend && p.untried(r):
+	case kind == FailedBeforeSend && r.unrun <= freeRepeats && p.untried(r):
 		p.makeUrgent(r)
 	case !r.Repeatable:
 		p.retryUnrun(now, r)
@@ -103,7 +106,7 @@
 		if !r.urgent {
 			continue
 		}
-		s := p.choose(now, r, true)
+		s := p.choose(now, r, p.freeSlots(now).serving[r.class()])
 		if s == nil {
 			keep = append(keep, r)
 			continue
@@ -154,12 +157,14 @@
 		p.makeUrgent(r)
 		return
 	}
-	if s := p.choose(now, r, true); s != nil && p.queue.Len() == 0 {
+	r.hedgeAt = again
+	if p.queue.Len() > 0 {
+		return
+	}
+	if s := p.choose(now, r, p.freeSlots(now).serving[r.class()]); s != nil {
 		p.budget.Withdraw()
 		p.startAgain(now, r, s)
-		return
 	}
-	r.hedgeAt = again
 }
 
 // rescue hedges the repeatable requests that run at an ejected server now
--- /dev/null
+++ b/experiment/pooltrial/targets_test.go
@@ -0,0 +1,88 @@
+package pooltrial_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/agateusher/agateusher/core/pool"
+	"github.com/agateusher/agateusher/experiment/pooltrial"
+)
+
+// The targets of the design page, section "Limits and fairness".
+const (
+	keptTarget     = 0.95
+	p99Factor      = 2
+	goodputTarget  = 0.9
+	recoveryTarget = 5 * time.Second
+)
+
+// seeds are fixed so that runs can be compared.
+var seeds = []uint64{1, 2}
+
+// each runs a trial for each seed and distribution of service times.
+func each(t *testing.T, trial func(g *WithT, seed uint64, s pooltrial.Service)) {
+	for name, s := range map[string]pooltrial.Service{"exponential": pooltrial.Exponential, "lognormal": pooltrial.Lognormal} {
+		for _, seed := range seeds {
+			t.Run(fmt.Sprintf("%s/seed=%d", name, seed), func(t *testing.T) {
+				t.Parallel()
+				trial(NewWithT(t), seed, s)
+			})
+		}
+	}
+}
+
+// Guards against a workspace at 10 times its share that takes from others which
+// offer exactly theirs. Their p99 has no target here: at this load their own
+// queues are critically loaded, with or without the flood.
+func TestOthersKeepTheirShare(t *testing.T) {
+	each(t, func(g *WithT, seed uint64, s pooltrial.Service) {
+		f := pooltrial.MeasureFairness(1, s, 20*time.Second, seed)
+		g.Expect(f.Kept).To(BeNumerically(">=", keptTarget))
+	})
+}
+
+// Guards against a workspace at 10 times its share that delays others which use
+// 80% of theirs.
+func TestOthersKeepTheirLatency(t *testing.T) {
+	each(t, func(g *WithT, seed uint64, s pooltrial.Service) {
+		f := pooltrial.MeasureFairness(0.8, s, 20*time.Second, seed)
+		g.Expect(f.Kept).To(BeNumerically(">=", keptTarget))
+		g.Expect(f.Beside).To(BeNumerically("<=", p99Factor*f.Alone))
+	})
+}
+
+// Guards against slots wasted on requests that cannot be answered in time, and
+// against a backlog that outlives the overload.
+func TestOverloadAndRecovery(t *testing.T) {
+	each(t, func(g *WithT, seed uint64, s pooltrial.Service) {
+		o := pooltrial.MeasureOverload(60*time.Second, 0.8, s, seed)
+		g.Expect(o.Goodput).To(BeNumerically(">=", goodputTarget))
+		g.Expect(o.Recovery).To(BeNumerically("<=", recoveryTarget))
+	})
+}
+
+// Guards against retries and hedges beyond the budget when servers fail.
+func TestRetriesStayWithinBudget(t *testing.T) {
+	for _, seed := range seeds {
+		for _, failures := range []float64{0.02, 0.3, 1} {
+			g := NewWithT(t)
+			r := pooltrial.MeasureRetries(failures, 0.7, 20*time.Second, seed)
+			// The burst is saved up before the first request.
+			burst := pool.DefaultRetryBurst / float64(r.Requests)
+			g.Expect(r.Added).To(BeNumerically("<=", pool.DefaultRetryBudgetShare+burst), "seed %d, %g failures", seed, failures)
+		}
+	}
+}
+
+// Guards against the loss of the reason for the pool owner: one queue must wait
+// less than entries that dispatch on their own view.
+func TestOwnerWaitsLessThanEntries(t *testing.T) {
+	each(t, func(g *WithT, seed uint64, s pooltrial.Service) {
+		owner := pooltrial.OwnerWaits(s, 0.8, 20*time.Second, seed)
+		entries := pooltrial.EntryWaits(pooltrial.LeastOutstanding, s, 0.8, 20*time.Second, seed)
+		g.Expect(owner.Percentile(0.99)).To(BeNumerically("<", entries.Percentile(0.99)))
+	})
+}
