--- a/core/detector/sequential.go
+++ b/core/detector/sequential.go
@@ -11,6 +11,15 @@
 // activeWindow is how long a server counts as a peer after its last answer.
 const activeWindow = 10 * time.Second
 
+const (
+	// silenceFactor is the multiple of the mean time between the pool's answers
+	// after which silence no longer counts as waiting. Of exponential times 0.7%
+	// exceed five times their mean.
+	silenceFactor = 5
+	// intervalWeight is the weight of a new sample in that mean.
+	intervalWeight = 1.0 / 64
+)
+
 // Sequential runs three cumulative-sum (CUSUM) tests on each server, all
 // relative to its peers in the pool and all in log-likelihood ratios: on
 // failures, on the latency of answers, and on unanswered attempts. Latencies
@@ -33,11 +42,15 @@
 	clock   time.Duration // observed time since base, without pauses
 	paused  time.Duration
 	resumed time.Duration // observed time of the end of the last pause
-	open    int
-	shift   float64 // ln of the pool's recent slowdown, 0 or more
-	speed   float64 // exp(-shift)
-	unshift int     // answers until shift is computed again
-	scratch []float64
+	// answered is the observed time of the pool's last answer and interval the
+	// mean observed time between answers, in nanoseconds.
+	answered time.Duration
+	interval float64
+	open     int
+	shift    float64 // ln of the pool's recent slowdown, 0 or more
+	speed    float64 // exp(-shift)
+	unshift  int     // answers until shift is computed again
+	scratch  []float64
 }
 
 var _ Detector = (*Sequential)(nil)
@@ -62,7 +75,30 @@
 		gap = q.profile.MaxGap / 2
 		q.resumed = q.clock + gap
 	}
-	q.clock += gap
+	q.clock += q.withoutSilence(gap)
+}
+
+// withoutSilence cuts an advance of the clock at the longest silence of the
+// pool that still counts as waiting. While no server answers, an unanswered
+// attempt is no evidence against one of them.
+func (q *Sequential) withoutSilence(gap time.Duration) time.Duration {
+	limit := q.answered + max(q.profile.MaxGap, time.Duration(silenceFactor*q.interval))
+	if q.interval == 0 || q.clock+gap <= limit {
+		return gap
+	}
+	cut := q.clock + gap - max(limit, q.clock)
+	q.paused += cut
+	return gap - cut
+}
+
+// heardAnswer notes that the pool is answering.
+func (q *Sequential) heardAnswer() {
+	gap := float64(q.clock - q.answered)
+	if q.interval == 0 {
+		q.interval = gap
+	}
+	q.interval += (gap - q.interval) * intervalWeight
+	q.answered = q.clock
 }
 
 func (q *Sequential) state(id model.ServerID) *serverState {
@@ -104,6 +140,9 @@
 		kind = Cancelled
 	}
 	s.lastEnd = q.clock
+	if kind == Success || kind == Shed {
+		q.heardAnswer()
+	}
 	q.score(s, kind, max(latency, 0))
 }
 
--- /dev/null
+++ b/experiment/detection/cmd/main.go
@@ -0,0 +1,102 @@
+// Command cmd measures the health detectors in virtual time.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/agateusher/agateusher/core/detector"
+	"github.com/agateusher/agateusher/experiment/detection"
+)
+
+type common struct {
+	Seed    uint64 `long:"seed" default:"1" description:"first seed; the others follow it"`
+	Workers int    `long:"workers" default:"4" description:"trials run at a time"`
+}
+
+type tableCommand struct {
+	common
+	Seeds   int           `long:"seeds" default:"200" description:"trials for each cell"`
+	Horizon time.Duration `long:"horizon" default:"60s" description:"longest wait for a detection"`
+	Quiet   time.Duration `long:"quiet" default:"20s" description:"length of trials in which no server may be ejected"`
+	Rates   []float64     `long:"rate" description:"requests per second and server; default 1, 10, 100"`
+	Fault   string        `long:"fault" description:"only this row"`
+	Setup   string        `long:"setup" description:"only this way to judge"`
+}
+
+// Execute implements flags.Commander.
+func (c *tableCommand) Execute([]string) error {
+	rates := c.Rates
+	if len(rates) == 0 {
+		rates = []float64{1, 10, 100}
+	}
+	var cells []detection.Summary
+	for row, f := range detection.Faults() {
+		if c.Fault != "" && f.Name != c.Fault {
+			continue
+		}
+		horizon := c.Quiet
+		if f.MustEject {
+			horizon = c.Horizon
+		}
+		for _, rate := range rates {
+			for _, s := range detection.Setups() {
+				if c.Setup != "" && s.Name != c.Setup {
+					continue
+				}
+				first := c.Seed + uint64(row*c.Seeds)
+				out := detection.RunSeeds(detection.NewConfig(s, f.Kind, rate, horizon, 0), first, c.Seeds, c.Workers)
+				cells = append(cells, detection.Summarize(s.Name, f, rate, out))
+			}
+		}
+	}
+	fmt.Printf("seeds from %d, %d for each cell\n\n", c.Seed, c.Seeds)
+	return detection.WriteTable(os.Stdout, cells)
+}
+
+type longrunCommand struct {
+	common
+	Profile    string  `long:"profile" default:"consortium" choice:"ridemark" choice:"consortium"`
+	Threshold  float64 `long:"threshold" description:"nats; default: the profile's"`
+	ServerDays float64 `long:"server-days" default:"1000"`
+	Rate       float64 `long:"rate" default:"10" description:"requests per second and server"`
+}
+
+// Execute implements flags.Commander.
+func (c *longrunCommand) Execute([]string) error {
+	p := detector.Consortium()
+	if c.Profile == "ridemark" {
+		p = detector.Ridemark()
+	}
+	if c.Threshold > 0 {
+		p.Threshold = c.Threshold
+	}
+	began := time.Now()
+	r := detection.LongRun(p, c.Rate, c.ServerDays, c.Seed, c.Workers)
+	fmt.Printf("profile %s, threshold %.2f, %g req/s a server, seeds from %d: %.1f server-days, %d attempts, %d false ejections %v (%s)\n",
+		c.Profile, p.Threshold, c.Rate, c.Seed, r.ServerDays, r.Attempts, r.False, r.Signals, time.Since(began).Round(time.Second))
+	return nil
+}
+
+func main() {
+	parser := flags.NewParser(nil, flags.Default)
+	add := func(name, short string, c flags.Commander) {
+		if _, err := parser.AddCommand(name, short, short, c); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+	}
+	add("table", "Detection times and false ejections for all faults", &tableCommand{})
+	add("longrun", "False ejections of healthy servers over a long time", &longrunCommand{})
+	if _, err := parser.Parse(); err != nil {
+		var f *flags.Error
+		if errors.As(err, &f) && f.Type == flags.ErrHelp {
+			return
+		}
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/experiment/detection/summary.go
@@ -0,0 +1,122 @@
+package detection
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"runtime"
+	"slices"
+	"strings"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// Summary is one cell of the table: many seeds of one trial.
+type Summary struct {
+	Setup string
+	Fault Fault
+	Rate  float64
+	Seeds int
+	// Median and P99 detection times; zero if so many trials missed the fault.
+	Median, P99 time.Duration
+	// Missed is the share of trials without detection within the horizon.
+	Missed float64
+	// False ejections of healthy servers over all trials, the trials with any,
+	// and the most servers so ejected in one trial.
+	False, FalseTrials, MostServers int
+	// Signals counts what ejected the target.
+	Signals map[string]int
+}
+
+// RunSeeds runs a trial with seeds first, first+1, ... on a number of workers;
+// below 1 means one for each CPU. The result does not depend on the workers.
+func RunSeeds(c Config, first uint64, seeds, workers int) []Outcome {
+	if workers < 1 {
+		workers = runtime.GOMAXPROCS(0)
+	}
+	out := make([]Outcome, seeds)
+	var g errgroup.Group
+	g.SetLimit(workers)
+	for i := range seeds {
+		g.Go(func() error {
+			c := c
+			c.Seed = first + uint64(i)
+			out[i] = Run(c)
+			return nil
+		})
+	}
+	_ = g.Wait() // trials return no errors
+	return out
+}
+
+// Summarize condenses the outcomes of one cell.
+func Summarize(setup string, f Fault, rate float64, outcomes []Outcome) Summary {
+	s := Summary{Setup: setup, Fault: f, Rate: rate, Seeds: len(outcomes), Signals: map[string]int{}}
+	var times []time.Duration
+	missed := 0
+	for _, o := range outcomes {
+		if o.Detected {
+			times = append(times, o.Detection)
+			s.Signals[o.Signal]++
+		} else {
+			missed++
+			times = append(times, forever)
+		}
+		if n := o.FalseTotal(); n > 0 {
+			s.False += n
+			s.FalseTrials++
+		}
+		s.MostServers = max(s.MostServers, o.FalseServers)
+	}
+	s.Missed = float64(missed) / float64(len(outcomes))
+	s.Median, s.P99 = percentile(times, 50), percentile(times, 99)
+	return s
+}
+
+// percentile returns the p-th percentile by nearest rank; zero if it falls on
+// a miss.
+func percentile(times []time.Duration, p int) time.Duration {
+	slices.Sort(times)
+	rank := (p*len(times) + 99) / 100
+	if t := times[max(rank, 1)-1]; t != forever {
+		return t
+	}
+	return 0
+}
+
+// WriteTable writes the cells as a Markdown table.
+func WriteTable(w io.Writer, cells []Summary) error {
+	if _, err := fmt.Fprintln(w, "| fault | req/s a server | judged by | median | p99 | missed | ejected by | false ejections (trials with any, most servers in one) |\n|---|---|---|---|---|---|---|---|"); err != nil {
+		return err
+	}
+	for _, s := range cells {
+		detection := "- | - | - | -"
+		if s.Fault.MustEject {
+			detection = fmt.Sprintf("%s | %s | %.1f%% | %s", show(s.Median), show(s.P99), 100*s.Missed, showSignals(s.Signals))
+		}
+		_, err := fmt.Fprintf(w, "| %s | %g | %s | %s | %d (%d of %d, %d) |\n", s.Fault.Name, s.Rate, s.Setup, detection, s.False, s.FalseTrials, s.Seeds, s.MostServers)
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func show(d time.Duration) string {
+	if d == 0 {
+		return "missed"
+	}
+	return fmt.Sprintf("%.2f s", d.Seconds())
+}
+
+func showSignals(signals map[string]int) string {
+	names := make([]string, 0, len(signals))
+	for n := range signals {
+		names = append(names, n)
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		return cmp.Or(cmp.Compare(signals[b], signals[a]), cmp.Compare(a, b))
+	})
+	return strings.Join(names, ", ")
+}
