detector: tolerate unequal machines and follow slowdowns faster

A server 1.5 times as slow as its peers drifted to an ejection; answers are now compared after division by a tolerated slowdown of 2.

--- a/core/detector/profile.go
+++ b/core/detector/profile.go
@@ -25,6 +25,9 @@
 	LatencyHazard float64
 	// StallHazard is the same for a stalled server; close to 0.
 	StallHazard float64
+	// SlowFactor is the slowdown relative to the peers that is no sickness; it
+	// allows for unequal machines. Answers are compared after division by it.
+	SlowFactor float64
 	// MinFailures, MinSlow and MinStalled are the least numbers of attempts
 	// that can bring the failures, latency and stall score to Threshold.
 	MinFailures, MinSlow, MinStalled int
@@ -45,13 +48,12 @@
 
 // False-alarm probabilities per attempt that the thresholds are derived from.
 const (
-	// ridemarkAlpha accepts about one false ejection in a server-day at 10
-	// requests per second (864,000 attempts), because a queue at the gate costs
-	// more than a few seconds without one of many servers.
-	ridemarkAlpha = 1e-6
-	// consortiumAlpha expects 0.001 false ejections in 1,000 server-days at 10
+	// ridemarkAlpha bounds the capacity lost to false ejections: at 10 requests
+	// per second and a hold of 5 s it is 10 * 1e-5 * 5 s, or 0.05%.
+	ridemarkAlpha = 1e-5
+	// consortiumAlpha expects 0.009 false ejections in 1,000 server-days at 10
 	// requests per second (8.6e8 attempts).
-	consortiumAlpha = 1e-12
+	consortiumAlpha = 1e-11
 )
 
 // Ridemark returns the profile for fast detection.
@@ -75,11 +77,12 @@
 		FailureOdds:   4,
 		LatencyHazard: 0.25,
 		StallHazard:   0.05,
+		SlowFactor:    2,
 		MinFailures:   3,
 		MinSlow:       4,
 		MinStalled:    2,
 		PeerMargin:    2,
-		TailIndex:     4,
+		TailIndex:     5,
 		Window:        10000,
 		// Two to three times the usual service time of 20 ms, so that a pause
 		// too short to be noticed makes no attempt look very old.
@@ -116,6 +119,7 @@
 		{"failureOdds", p.FailureOdds, p.FailureOdds > 1, "a number above 1"},
 		{"latencyHazard", p.LatencyHazard, p.LatencyHazard > 0 && p.LatencyHazard < 1, inside},
 		{"stallHazard", p.StallHazard, p.StallHazard > 0 && p.StallHazard < 1, inside},
+		{"slowFactor", p.SlowFactor, p.SlowFactor >= 1, atLeast1},
 		{"minFailures", p.MinFailures, p.MinFailures >= 1, atLeast1},
 		{"minSlow", p.MinSlow, p.MinSlow >= 1, atLeast1},
 		{"minStalled", p.MinStalled, p.MinStalled >= 1, atLeast1},
--- a/core/detector/sequential.go
+++ b/core/detector/sequential.go
@@ -47,10 +47,9 @@
 	answered time.Duration
 	interval float64
 	open     int
-	shift    float64 // ln of the pool's recent slowdown, 0 or more
-	speed    float64 // exp(-shift)
-	unshift  int     // answers until shift is computed again
-	scratch  []float64
+	recent   recentAnswers
+	// speed is the inverse of the pool's recent slowdown, at most 1.
+	speed float64
 }
 
 var _ Detector = (*Sequential)(nil)
@@ -58,7 +57,7 @@
 // NewSequential returns a detector with the thresholds of p, which must be
 // valid (see Profile.Validate).
 func NewSequential(p Profile) *Sequential {
-	return &Sequential{profile: p, servers: map[model.ServerID]*serverState{}, ref: newReference(p), resumed: math.MinInt64}
+	return &Sequential{profile: p, servers: map[model.ServerID]*serverState{}, ref: newReference(p), resumed: math.MinInt64, speed: 1}
 }
 
 // advance moves the observed clock to now and leaves out pauses.
@@ -151,11 +150,10 @@
 	case Success, Failure:
 		s.ends.add(kind == Failure)
 		s.addFailure(&q.profile, kind, q.ref.failureRate(&s.own))
-		s.addHazard(&q.profile, q.hazard(s, latency), false)
+		s.addHazard(&q.profile, q.hazard(s, latency), q.tolerant(s, latency), kind)
 		if kind == Success {
-			s.addRecent(latency)
 			q.ref.addLatency(&s.own, latency, true)
-			q.countAnswer()
+			q.noteAnswer(latency)
 		}
 		q.addOutcome(s, kind == Failure)
 	case ConnectFailure:
@@ -163,7 +161,7 @@
 		s.addFailure(&q.profile, kind, q.ref.failureRate(&s.own))
 		q.addOutcome(s, true)
 	case Cancelled:
-		s.addHazard(&q.profile, q.hazard(s, latency), true)
+		s.addHazard(&q.profile, q.hazard(s, latency), q.tolerant(s, latency), kind)
 		q.ref.addLatency(&s.own, latency, false)
 	}
 }
@@ -181,35 +179,28 @@
 // hazard returns the peers' cumulative hazard at a latency after correcting it
 // for a recent slowdown of the whole pool.
 func (q *Sequential) hazard(s *serverState, d time.Duration) float64 {
-	if q.shift > 0 {
-		d = time.Duration(float64(d) * q.speed)
-	}
 	if s.peers.due <= q.ref.events {
 		q.ref.fill(&s.peers, &s.own)
 	}
-	return s.peers.at(d)
+	return s.peers.at(time.Duration(float64(d) * q.speed))
+}
+
+// tolerant returns the hazard of an answer after the tolerated slowdown.
+func (q *Sequential) tolerant(s *serverState, d time.Duration) float64 {
+	return q.hazard(s, time.Duration(float64(d)/q.profile.SlowFactor))
 }
 
-// countAnswer recomputes the pool's recent slowdown once for as many answers as
-// there are servers, so that the cost for each answer does not grow with them.
-func (q *Sequential) countAnswer() {
-	if q.unshift--; q.unshift > 0 {
+// noteAnswer follows the pool's recent slowdown: the ratio of the medians of
+// the recent and of the reference's answers. One sick server in two cannot
+// move the lower median.
+func (q *Sequential) noteAnswer(d time.Duration) {
+	recent, computed := q.recent.add(d)
+	if !computed {
 		return
 	}
-	q.unshift = len(q.servers)
-	q.shift = 0
-	median, ok := q.ref.logMedian()
-	recent := q.scratch[:0]
-	for _, s := range q.list {
-		if s.sampled && q.active(s) {
-			recent = append(recent, s.fast)
-		}
-	}
-	q.scratch = recent
-	if ok && len(recent) > 0 {
-		slices.Sort(recent)
-		q.shift = max(recent[(len(recent)-1)/2]-median, 0)
-		q.speed = math.Exp(-q.shift)
+	q.speed = 1
+	if reference, ok := q.ref.logMedian(); ok {
+		q.speed = min(math.Exp(reference-recent), 1)
 	}
 }
 
--- a/core/detector/server.go
+++ b/core/detector/server.go
@@ -11,14 +11,16 @@
 	// maxOpen bounds the unanswered attempts that are tracked for one server.
 	// It is far more than a stalled server's attempts need to be noticed.
 	maxOpen = 32
-	// fastWeight is the weight of a new sample in a server's recent latency:
-	// three samples in a row move it by more than half.
-	fastWeight = 0.3
 	// scoreLimit bounds scores, in thresholds, so that a recovered server's
 	// score falls again within a few attempts.
 	scoreLimit = 2
 )
 
+// timeoutHazard is the cumulative hazard beyond which a failure is taken as an
+// attempt that got no answer. Fewer than 1% of answers come so late, so an
+// error among them is rare in healthy servers.
+const timeoutHazard = 5
+
 // openAttempt is an unanswered attempt. Times are on the observed clock.
 type openAttempt struct {
 	id    model.AttemptID
@@ -38,8 +40,6 @@
 	failures uint16  // since fail was last zero
 	connects uint16  // of failures, those without a connection
 	ends     ends
-	fast     float64 // moving average of ln(latency in seconds)
-	sampled  bool    // fast holds at least one sample
 	lastEnd  time.Duration
 	own      tally
 	peers    hazardTable
@@ -87,28 +87,25 @@
 // addHazard moves the latency and stall scores by one ended attempt. The
 // alternative is that the server ends attempts at a fraction a of the peers'
 // hazard, so an answer contributes ln(a) + (1-a)h and an attempt cancelled
-// without an answer (1-a)h. A failure counts like an answer, the lower value.
-func (s *serverState) addHazard(p *Profile, h float64, cancelled bool) {
-	move := func(score, a float64, n int) float64 {
+// without an answer (1-a)h. A failure counts like an answer, the lower value,
+// unless it is so late that it is taken as a timeout. Of h, tolerant is the
+// value after the tolerated slowdown; only an unanswered attempt counts fully,
+// and only for the stall score.
+func (s *serverState) addHazard(p *Profile, h, tolerant float64, kind Kind) {
+	unanswered := kind == Cancelled || kind == Failure && h > timeoutHazard
+	if !unanswered {
+		h = tolerant
+	}
+	move := func(score, a, h float64, n int) float64 {
 		gain := (1 - a) * h
-		if !cancelled {
+		if !unanswered {
 			gain += math.Log(a)
 		}
 		gain = min(gain, p.capFor(n))
 		return min(max(score+gain, 0), scoreLimit*p.Threshold)
 	}
-	s.slow = move(s.slow, p.LatencyHazard, p.MinSlow)
-	s.stall = move(s.stall, p.StallHazard, p.MinStalled)
-}
-
-// addRecent moves the average of recent latencies.
-func (s *serverState) addRecent(d time.Duration) {
-	x := math.Log(max(d, firstBucket).Seconds())
-	if !s.sampled {
-		s.fast, s.sampled = x, true
-		return
-	}
-	s.fast += fastWeight * (x - s.fast)
+	s.slow = move(s.slow, p.LatencyHazard, tolerant, p.MinSlow)
+	s.stall = move(s.stall, p.StallHazard, h, p.MinStalled)
 }
 
 // failureSignal names the failures score: "connect" if most of the failures
--- a/experiment/detection/fault.go
+++ b/experiment/detection/fault.go
@@ -92,6 +92,12 @@
 	ErrorRate float64
 	// TailShare of the answers take TailFactor times as long.
 	TailShare, TailFactor float64
+	// TailIndex makes the tail's factor a Pareto variable of that index, with
+	// TailFactor as its least value, instead of a constant; zero: constant.
+	TailIndex float64
+	// CancelAfter cancels attempts that take longer, as hedging does when the
+	// hedge answers first; zero: never.
+	CancelAfter time.Duration
 }
 
 // Targeted returns the background of the targets: 0.5% errors and a 1% tail of
@@ -116,11 +122,20 @@
 	factor := math.Exp(b.Sigma * rng.NormFloat64())
 	if rng.Float64() < b.TailShare {
 		factor *= b.TailFactor
+		if b.TailIndex > 0 {
+			factor *= math.Pow(1-rng.Float64(), -1/b.TailIndex)
+		}
 	}
 	a.latency = time.Duration(factor * float64(b.Median))
 	if rng.Float64() < b.ErrorRate {
 		a.kind = detector.Failure
 	}
+	if b.CancelAfter > 0 && a.latency > b.CancelAfter {
+		hedge := time.Duration(math.Exp(b.Sigma*rng.NormFloat64()) * float64(b.Median))
+		if b.CancelAfter+hedge < a.latency {
+			return answer{kind: detector.Cancelled, latency: b.CancelAfter + hedge}
+		}
+	}
 	return a
 }
 
--- a/modules/detector/doc.go
+++ b/modules/detector/doc.go
@@ -4,8 +4,8 @@
 // service policy, with every threshold visible:
 //
 //	{
-//	  "ridemark":   {"threshold": 13.8}, // nats; lower ejects sooner
-//	  "consortium": {"threshold": 27.6}, // higher ejects less often in error
+//	  "ridemark":   {"threshold": 11.5}, // nats; lower ejects sooner
+//	  "consortium": {"threshold": 25.3}, // higher ejects less often in error
 //	}
 //
 // Omitted values keep their defaults. detector.consecutive is the baseline; it
--- a/modules/detector/sequential.go
+++ b/modules/detector/sequential.go
@@ -22,6 +22,8 @@
 	// LatencyHazard and StallHazard describe slow and stalled servers, 0 to 1.
 	LatencyHazard float64 `json:"latencyHazard"`
 	StallHazard   float64 `json:"stallHazard"`
+	// SlowFactor is the tolerated slowdown relative to the peers.
+	SlowFactor float64 `json:"slowFactor"`
 	// MinFailures, MinSlow and MinStalled are least numbers of attempts.
 	MinFailures int `json:"minFailures"`
 	MinSlow     int `json:"minSlow"`
@@ -39,7 +41,7 @@
 func fromCore(p core.Profile) Profile {
 	return Profile{
 		Threshold: p.Threshold, FailureRate: p.FailureRate, FailureOdds: p.FailureOdds,
-		LatencyHazard: p.LatencyHazard, StallHazard: p.StallHazard,
+		LatencyHazard: p.LatencyHazard, StallHazard: p.StallHazard, SlowFactor: p.SlowFactor,
 		MinFailures: p.MinFailures, MinSlow: p.MinSlow, MinStalled: p.MinStalled,
 		PeerMargin: p.PeerMargin, TailIndex: p.TailIndex, Window: p.Window,
 		MaxGap: settings.Duration(p.MaxGap),
@@ -50,7 +52,7 @@
 	return core.Profile{
 		Name:      string(name),
 		Threshold: p.Threshold, FailureRate: p.FailureRate, FailureOdds: p.FailureOdds,
-		LatencyHazard: p.LatencyHazard, StallHazard: p.StallHazard,
+		LatencyHazard: p.LatencyHazard, StallHazard: p.StallHazard, SlowFactor: p.SlowFactor,
 		MinFailures: p.MinFailures, MinSlow: p.MinSlow, MinStalled: p.MinStalled,
 		PeerMargin: p.PeerMargin, TailIndex: p.TailIndex, Window: p.Window,
 		MaxGap: p.MaxGap.Std(),
