detector: raise the threshold with the request rate

A threshold fixed per attempt lets false ejections grow with the rate. It now grows with the logarithm of the rate above 10 requests a second a server.

--- a/core/detector/profile.go
+++ b/core/detector/profile.go
@@ -13,7 +13,9 @@
 type Profile struct {
 	// Name labels the profile in logs and reports.
 	Name string
-	// Threshold is the score at which a server is suspected, in nats.
+	// Threshold is the score at which a server is suspected, in nats, at up to
+	// ReferenceRate. At higher rates it grows with the logarithm of the rate, by
+	// at most a quarter, so that false ejections grow no more frequent in time.
 	Threshold float64
 	// FailureRate is the least failure rate that counts as sick, 0 to 1.
 	FailureRate float64
@@ -46,6 +48,15 @@
 	MaxGap time.Duration
 }
 
+// ReferenceRate is the rate that thresholds are stated for, in answers per
+// second and server. It is the rate of the stated targets.
+const ReferenceRate = 10
+
+// maxRaise bounds the growth of the threshold with the rate. The caps on single
+// attempts let two stalled attempts reach 4/3 of the threshold, and more of the
+// other kinds n/(n-0.5) of it.
+const maxRaise = 1.25
+
 // False-alarm probabilities per attempt that the thresholds are derived from.
 const (
 	// ridemarkAlpha bounds the capacity lost to false ejections: at 10 requests
@@ -139,3 +150,11 @@
 // capFor returns the largest score of one attempt, so that n attempts can
 // reach the threshold and n-1 cannot.
 func (p Profile) capFor(n int) float64 { return p.Threshold / (float64(n) - 0.5) }
+
+// thresholdAt returns the threshold at a rate in answers per second and server.
+func (p Profile) thresholdAt(rate float64) float64 {
+	if rate <= ReferenceRate {
+		return p.Threshold
+	}
+	return min(p.Threshold+math.Log(rate/ReferenceRate), maxRaise*p.Threshold)
+}
--- a/core/detector/sequential.go
+++ b/core/detector/sequential.go
@@ -50,6 +50,8 @@
 	recent   recentAnswers
 	// speed is the inverse of the pool's recent slowdown, at most 1.
 	speed float64
+	// threshold is the profile's at the pool's present rate.
+	threshold float64
 }
 
 var _ Detector = (*Sequential)(nil)
@@ -57,7 +59,7 @@
 // NewSequential returns a detector with the thresholds of p, which must be
 // valid (see Profile.Validate).
 func NewSequential(p Profile) *Sequential {
-	return &Sequential{profile: p, servers: map[model.ServerID]*serverState{}, ref: newReference(p), resumed: math.MinInt64, speed: 1}
+	return &Sequential{profile: p, servers: map[model.ServerID]*serverState{}, ref: newReference(p), resumed: math.MinInt64, speed: 1, threshold: p.Threshold}
 }
 
 // advance moves the observed clock to now and leaves out pauses.
@@ -190,7 +192,7 @@
 	return q.hazard(s, time.Duration(float64(d)/q.profile.SlowFactor))
 }
 
-// noteAnswer follows the pool's recent slowdown: the ratio of the medians of
+// noteAnswer follows the pool's rate and its recent slowdown: the ratio of the medians of
 // the recent and of the reference's answers. One sick server in two cannot
 // move the lower median.
 func (q *Sequential) noteAnswer(d time.Duration) {
@@ -198,6 +200,8 @@
 	if !computed {
 		return
 	}
+	rate := float64(time.Second) / max(q.interval*float64(len(q.list)), 1)
+	q.threshold = q.profile.thresholdAt(rate)
 	q.speed = 1
 	if reference, ok := q.ref.logMedian(); ok {
 		q.speed = min(math.Exp(reference-recent), 1)
--- a/core/detector/verdict.go
+++ b/core/detector/verdict.go
@@ -24,7 +24,7 @@
 	var peers *peerScores
 	for _, s := range q.list {
 		own := q.scoresOf(s)
-		if own.max() < q.profile.Threshold {
+		if own.max() < q.threshold {
 			continue
 		}
 		if peers == nil {
@@ -51,7 +51,7 @@
 
 func (q *Sequential) evidence(s *serverState, own scores, peers *peerScores) Evidence {
 	e := Evidence{
-		Threshold:     q.profile.Threshold,
+		Threshold:     q.threshold,
 		OldestAttempt: s.oldest(q.clock),
 		Attempts:      int(s.ends.attempts),
 		Failures:      int(s.ends.failures),
@@ -117,7 +117,7 @@
 	}
 	wait := q.profile.MaxGap / 2
 	for _, s := range q.list {
-		if len(s.open) > 0 && q.stallAt(s, q.clock) < q.profile.Threshold {
+		if len(s.open) > 0 && q.stallAt(s, q.clock) < q.threshold {
 			wait = q.crossing(s, wait)
 		}
 	}
@@ -130,12 +130,12 @@
 // crossing returns how long until the server's stall score reaches the
 // threshold, at most limit.
 func (q *Sequential) crossing(s *serverState, limit time.Duration) time.Duration {
-	if q.stallAt(s, q.clock+limit) < q.profile.Threshold {
+	if q.stallAt(s, q.clock+limit) < q.threshold {
 		return limit
 	}
 	low, high := time.Duration(0), limit
 	for high-low > wakeStep {
-		if mid := (low + high) / 2; q.stallAt(s, q.clock+mid) < q.profile.Threshold {
+		if mid := (low + high) / 2; q.stallAt(s, q.clock+mid) < q.threshold {
 			low = mid
 		} else {
 			high = mid
--- a/experiment/detection/fault.go
+++ b/experiment/detection/fault.go
@@ -69,6 +69,7 @@
 // row runs with seeds of its own.
 func Faults() []Fault {
 	return []Fault{
+		{"none", NoFault, false},
 		{"full stall", Stall, true},
 		{"stall, probes good", Stall, true},
 		{"30% errors", Errors, true},
--- a/experiment/detection/longrun.go
+++ b/experiment/detection/longrun.go
@@ -30,7 +30,7 @@
 	}
 	r := LongRunResult{Signals: map[string]int{}}
 	c := NewConfig(Sequential(p), NoFault, rate, part, 0)
-	c.Background = b
+	c.Background, c.FromStart = b, true
 	for _, o := range RunSeeds(c, seed, seeds, workers) {
 		r.ServerDays += poolServers * o.Elapsed.Seconds() / secondsPerDay
 		r.Attempts += o.Attempts
--- a/experiment/detection/trial.go
+++ b/experiment/detection/trial.go
@@ -74,6 +74,9 @@
 	Background  Background
 	Rule        Rule
 	Limits      floor.Limits
+	// FromStart counts false ejections during the warm-up too, while the
+	// detector knows little about the pool.
+	FromStart bool
 	// Horizon is the time after the warm-up. A trial of a single server's fault
 	// ends when the target is ejected.
 	Horizon time.Duration
@@ -96,11 +99,12 @@
 	Detection time.Duration
 	// Signal is the test that ejected the target first.
 	Signal string
-	// False counts ejections of healthy servers by signal, in all judges.
+	// False counts ejections of healthy servers by signal, in all judges, from
+	// the begin of the fault on, or from the start if the trial says so.
 	False map[string]int
 	// FalseServers is the number of healthy servers ejected at least once.
 	FalseServers int
-	// Attempts ended, and the simulated time after the warm-up.
+	// Attempts ended, and the simulated time in which False was counted.
 	Attempts int
 	Elapsed  time.Duration
 }
@@ -136,6 +140,9 @@
 	t := newTrial(c)
 	t.run()
 	t.out.Elapsed = t.now - t.begin
+	if c.FromStart {
+		t.out.Elapsed = t.now
+	}
 	for s := range t.falsely {
 		if t.falsely[s] {
 			t.out.FalseServers++
@@ -225,7 +232,10 @@
 
 func (t *trial) record(list []ejection) {
 	for _, e := range list {
-		if e.server != target || t.now < t.begin || !t.c.Fault.mustEject() {
+		if t.now < t.begin && !t.c.FromStart {
+			continue
+		}
+		if e.server != target || !t.c.Fault.mustEject() {
 			t.out.False[e.signal]++
 			t.falsely[e.server] = true
 			continue
--- a/modules/detector/sequential.go
+++ b/modules/detector/sequential.go
@@ -13,7 +13,8 @@
 // Profile holds the thresholds of one policy; core/detector.Profile describes
 // each.
 type Profile struct {
-	// Threshold is the score at which a server is suspected, in nats.
+	// Threshold is the score at which a server is suspected, in nats, at up to
+	// 10 requests per second and server.
 	Threshold float64 `json:"threshold"`
 	// FailureRate is the least failure rate that counts as sick, 0 to 1.
 	FailureRate float64 `json:"failureRate"`
