--- a/core/detector/profile.go
+++ b/core/detector/profile.go
@@ -13,7 +13,9 @@
 type Profile struct {
 	// Name labels the profile in logs and reports.
 	Name string
-	// Threshold is the score at which a server is suspected, in nats.
+	// Threshold is the score at which a server is suspected, in nats, at up to
+	// ReferenceRate. At higher rates it grows with the logarithm of the rate, by
+	// at most a quarter, so that false ejections grow no more frequent in time.
 	Threshold float64
 	// FailureRate is the least failure rate that counts as sick, 0 to 1.
 	FailureRate float64
@@ -25,6 +27,9 @@
 	LatencyHazard float64
 	// StallHazard is the same for a stalled server; close to 0.
 	StallHazard float64
+	// SlowFactor is the slowdown relative to the peers that is no sickness; it
+	// allows for unequal machines. Answers are compared after division by it.
+	SlowFactor float64
 	// MinFailures, MinSlow and MinStalled are the least numbers of attempts
 	// that can bring the failures, latency and stall score to Threshold.
 	MinFailures, MinSlow, MinStalled int
@@ -43,15 +48,23 @@
 	MaxGap time.Duration
 }
 
+// ReferenceRate is the rate that thresholds are stated for, in answers per
+// second and server. It is the rate of the stated targets.
+const ReferenceRate = 10
+
+// maxRaise bounds the growth of the threshold with the rate. The caps on single
+// attempts let two stalled attempts reach 4/3 of the threshold, and more of the
+// other kinds n/(n-0.5) of it.
+const maxRaise = 1.25
+
 // False-alarm probabilities per attempt that the thresholds are derived from.
 const (
-	// ridemarkAlpha accepts about one false ejection in a server-day at 10
-	// requests per second (864,000 attempts), because a queue at the gate costs
-	// more than a few seconds without one of many servers.
-	ridemarkAlpha = 1e-6
-	// consortiumAlpha expects 0.001 false ejections in 1,000 server-days at 10
+	// ridemarkAlpha bounds the capacity lost to false ejections: at 10 requests
+	// per second and a hold of 5 s it is 10 * 1e-5 * 5 s, or 0.05%.
+	ridemarkAlpha = 1e-5
+	// consortiumAlpha expects 0.009 false ejections in 1,000 server-days at 10
 	// requests per second (8.6e8 attempts).
-	consortiumAlpha = 1e-12
+	consortiumAlpha = 1e-11
 )
 
 // Ridemark returns the profile for fast detection.
@@ -75,11 +88,12 @@
 		FailureOdds:   4,
 		LatencyHazard: 0.25,
 		StallHazard:   0.05,
+		SlowFactor:    2,
 		MinFailures:   3,
 		MinSlow:       4,
 		MinStalled:    2,
 		PeerMargin:    2,
-		TailIndex:     4,
+		TailIndex:     5,
 		Window:        10000,
 		// Two to three times the usual service time of 20 ms, so that a pause
 		// too short to be noticed makes no attempt look very old.
@@ -116,6 +130,7 @@
 		{"failureOdds", p.FailureOdds, p.FailureOdds > 1, "a number above 1"},
 		{"latencyHazard", p.LatencyHazard, p.LatencyHazard > 0 && p.LatencyHazard < 1, inside},
 		{"stallHazard", p.StallHazard, p.StallHazard > 0 && p.StallHazard < 1, inside},
+		{"slowFactor", p.SlowFactor, p.SlowFactor >= 1, atLeast1},
 		{"minFailures", p.MinFailures, p.MinFailures >= 1, atLeast1},
 		{"minSlow", p.MinSlow, p.MinSlow >= 1, atLeast1},
 		{"minStalled", p.MinStalled, p.MinStalled >= 1, atLeast1},
@@ -135,3 +150,11 @@
 // capFor returns the largest score of one attempt, so that n attempts can
 // reach the threshold and n-1 cannot.
 func (p Profile) capFor(n int) float64 { return p.Threshold / (float64(n) - 0.5) }
+
+// thresholdAt returns the threshold at a rate in answers per second and server.
+func (p Profile) thresholdAt(rate float64) float64 {
+	if rate <= ReferenceRate {
+		return p.Threshold
+	}
+	return min(p.Threshold+math.Log(rate/ReferenceRate), maxRaise*p.Threshold)
+}
--- a/core/detector/sequential.go
+++ b/core/detector/sequential.go
@@ -11,6 +11,15 @@
 // activeWindow is how long a server counts as a peer after its last answer.
 const activeWindow = 10 * time.Second
 
+const (
+	// silenceFactor is the multiple of the mean time between the pool's answers
+	// after which silence no longer counts as waiting. Of exponential times 0.7%
+	// exceed five times their mean.
+	silenceFactor = 5
+	// intervalWeight is the weight of a new sample in that mean.
+	intervalWeight = 1.0 / 64
+)
+
 // Sequential runs three cumulative-sum (CUSUM) tests on each server, all
 // relative to its peers in the pool and all in log-likelihood ratios: on
 // failures, on the latency of answers, and on unanswered attempts. Latencies
@@ -33,11 +42,16 @@
 	clock   time.Duration // observed time since base, without pauses
 	paused  time.Duration
 	resumed time.Duration // observed time of the end of the last pause
-	open    int
-	shift   float64 // ln of the pool's recent slowdown, 0 or more
-	speed   float64 // exp(-shift)
-	unshift int     // answers until shift is computed again
-	scratch []float64
+	// answered is the observed time of the pool's last answer and interval the
+	// mean observed time between answers, in nanoseconds.
+	answered time.Duration
+	interval float64
+	open     int
+	recent   recentAnswers
+	// speed is the inverse of the pool's recent slowdown, at most 1.
+	speed float64
+	// threshold is the profile's at the pool's present rate.
+	threshold float64
 }
 
 var _ Detector = (*Sequential)(nil)
@@ -45,7 +59,7 @@
 // NewSequential returns a detector with the thresholds of p, which must be
 // valid (see Profile.Validate).
 func NewSequential(p Profile) *Sequential {
-	return &Sequential{profile: p, servers: map[model.ServerID]*serverState{}, ref: newReference(p), resumed: math.MinInt64}
+	return &Sequential{profile: p, servers: map[model.ServerID]*serverState{}, ref: newReference(p), resumed: math.MinInt64, speed: 1, threshold: p.Threshold}
 }
 
 // advance moves the observed clock to now and leaves out pauses.
@@ -62,7 +76,30 @@
 		gap = q.profile.MaxGap / 2
 		q.resumed = q.clock + gap
 	}
-	q.clock += gap
+	q.clock += q.withoutSilence(gap)
+}
+
+// withoutSilence cuts an advance of the clock at the longest silence of the
+// pool that still counts as waiting. While no server answers, an unanswered
+// attempt is no evidence against one of them.
+func (q *Sequential) withoutSilence(gap time.Duration) time.Duration {
+	limit := q.answered + max(q.profile.MaxGap, time.Duration(silenceFactor*q.interval))
+	if q.interval == 0 || q.clock+gap <= limit {
+		return gap
+	}
+	cut := q.clock + gap - max(limit, q.clock)
+	q.paused += cut
+	return gap - cut
+}
+
+// heardAnswer notes that the pool is answering.
+func (q *Sequential) heardAnswer() {
+	gap := float64(q.clock - q.answered)
+	if q.interval == 0 {
+		q.interval = gap
+	}
+	q.interval += (gap - q.interval) * intervalWeight
+	q.answered = q.clock
 }
 
 func (q *Sequential) state(id model.ServerID) *serverState {
@@ -104,6 +141,9 @@
 		kind = Cancelled
 	}
 	s.lastEnd = q.clock
+	if kind == Success || kind == Shed {
+		q.heardAnswer()
+	}
 	q.score(s, kind, max(latency, 0))
 }
 
@@ -112,11 +152,10 @@
 	case Success, Failure:
 		s.ends.add(kind == Failure)
 		s.addFailure(&q.profile, kind, q.ref.failureRate(&s.own))
-		s.addHazard(&q.profile, q.hazard(s, latency), false)
+		s.addHazard(&q.profile, q.hazard(s, latency), q.tolerant(s, latency), kind)
 		if kind == Success {
-			s.addRecent(latency)
 			q.ref.addLatency(&s.own, latency, true)
-			q.countAnswer()
+			q.noteAnswer(latency)
 		}
 		q.addOutcome(s, kind == Failure)
 	case ConnectFailure:
@@ -124,7 +163,7 @@
 		s.addFailure(&q.profile, kind, q.ref.failureRate(&s.own))
 		q.addOutcome(s, true)
 	case Cancelled:
-		s.addHazard(&q.profile, q.hazard(s, latency), true)
+		s.addHazard(&q.profile, q.hazard(s, latency), q.tolerant(s, latency), kind)
 		q.ref.addLatency(&s.own, latency, false)
 	}
 }
@@ -142,35 +181,30 @@
 // hazard returns the peers' cumulative hazard at a latency after correcting it
 // for a recent slowdown of the whole pool.
 func (q *Sequential) hazard(s *serverState, d time.Duration) float64 {
-	if q.shift > 0 {
-		d = time.Duration(float64(d) * q.speed)
-	}
 	if s.peers.due <= q.ref.events {
 		q.ref.fill(&s.peers, &s.own)
 	}
-	return s.peers.at(d)
+	return s.peers.at(time.Duration(float64(d) * q.speed))
 }
 
-// countAnswer recomputes the pool's recent slowdown once for as many answers as
-// there are servers, so that the cost for each answer does not grow with them.
-func (q *Sequential) countAnswer() {
-	if q.unshift--; q.unshift > 0 {
+// tolerant returns the hazard of an answer after the tolerated slowdown.
+func (q *Sequential) tolerant(s *serverState, d time.Duration) float64 {
+	return q.hazard(s, time.Duration(float64(d)/q.profile.SlowFactor))
+}
+
+// noteAnswer follows the pool's rate and its recent slowdown: the ratio of the medians of
+// the recent and of the reference's answers. One sick server in two cannot
+// move the lower median.
+func (q *Sequential) noteAnswer(d time.Duration) {
+	recent, computed := q.recent.add(d)
+	if !computed {
 		return
 	}
-	q.unshift = len(q.servers)
-	q.shift = 0
-	median, ok := q.ref.logMedian()
-	recent := q.scratch[:0]
-	for _, s := range q.list {
-		if s.sampled && q.active(s) {
-			recent = append(recent, s.fast)
-		}
-	}
-	q.scratch = recent
-	if ok && len(recent) > 0 {
-		slices.Sort(recent)
-		q.shift = max(recent[(len(recent)-1)/2]-median, 0)
-		q.speed = math.Exp(-q.shift)
+	rate := float64(time.Second) / max(q.interval*float64(len(q.list)), 1)
+	q.threshold = q.profile.thresholdAt(rate)
+	q.speed = 1
+	if reference, ok := q.ref.logMedian(); ok {
+		q.speed = min(math.Exp(reference-recent), 1)
 	}
 }
 
--- a/modules/detector/sequential.go
+++ b/modules/detector/sequential.go
@@ -13,7 +13,8 @@
 // Profile holds the thresholds of one policy; core/detector.Profile describes
 // each.
 type Profile struct {
-	// Threshold is the score at which a server is suspected, in nats.
+	// Threshold is the score at which a server is suspected, in nats, at up to
+	// 10 requests per second and server.
 	Threshold float64 `json:"threshold"`
 	// FailureRate is the least failure rate that counts as sick, 0 to 1.
 	FailureRate float64 `json:"failureRate"`
@@ -22,6 +23,8 @@
 	// LatencyHazard and StallHazard describe slow and stalled servers, 0 to 1.
 	LatencyHazard float64 `json:"latencyHazard"`
 	StallHazard   float64 `json:"stallHazard"`
+	// SlowFactor is the tolerated slowdown relative to the peers.
+	SlowFactor float64 `json:"slowFactor"`
 	// MinFailures, MinSlow and MinStalled are least numbers of attempts.
 	MinFailures int `json:"minFailures"`
 	MinSlow     int `json:"minSlow"`
@@ -39,7 +42,7 @@
 func fromCore(p core.Profile) Profile {
 	return Profile{
 		Threshold: p.Threshold, FailureRate: p.FailureRate, FailureOdds: p.FailureOdds,
-		LatencyHazard: p.LatencyHazard, StallHazard: p.StallHazard,
+		LatencyHazard: p.LatencyHazard, StallHazard: p.StallHazard, SlowFactor: p.SlowFactor,
 		MinFailures: p.MinFailures, MinSlow: p.MinSlow, MinStalled: p.MinStalled,
 		PeerMargin: p.PeerMargin, TailIndex: p.TailIndex, Window: p.Window,
 		MaxGap: settings.Duration(p.MaxGap),
@@ -50,7 +53,7 @@
 	return core.Profile{
 		Name:      string(name),
 		Threshold: p.Threshold, FailureRate: p.FailureRate, FailureOdds: p.FailureOdds,
-		LatencyHazard: p.LatencyHazard, StallHazard: p.StallHazard,
+		LatencyHazard: p.LatencyHazard, StallHazard: p.StallHazard, SlowFactor: p.SlowFactor,
 		MinFailures: p.MinFailures, MinSlow: p.MinSlow, MinStalled: p.MinStalled,
 		PeerMargin: p.PeerMargin, TailIndex: p.TailIndex, Window: p.Window,
 		MaxGap: p.MaxGap.Std(),
