loadgen, examples: add the load generator and the users' examples

The comparisons and the demo need open-loop load whose answers are checked against what really ran. loadgen sends Poisson or fixed-rate arrivals for several workspaces, measures from the intended send time, makes direct calls in the same run, and compares the outcomes told to callers with the stand-ins' execution logs. Each check is tested against a fleet that is wrong in exactly that way. The examples have the sizes of the design page.

--- /dev/null
+++ b/examples/examples_test.go
@@ -0,0 +1,93 @@
+package examples
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/agateusher/agateusher/core/model"
+	"github.com/agateusher/agateusher/core/snapshot"
+)
+
+// Guards against examples that do not have the sizes of docs/design.md, or
+// whose objects refer to objects that do not exist.
+func TestExampleFiles(t *testing.T) {
+	tests := []struct {
+		file        string
+		sizes       map[model.ServiceName]int
+		dataCentres int
+		connections int
+		policy      snapshot.Policy
+	}{
+		{"ridemark", map[model.ServiceName]int{"booking": 15, "ledger": 10}, 4, 330, snapshot.PolicyRidemark},
+		{"consortium", map[model.ServiceName]int{"wayleave-registry": 20, "route-atlas": 15}, 4, 400, snapshot.PolicyConsortium},
+	}
+	for _, tt := range tests {
+		t.Run(tt.file, func(t *testing.T) {
+			g := NewWithT(t)
+			o, err := ReadObjects(filepath.Join(tt.file, "objects.jsonc"))
+			g.Expect(err).NotTo(HaveOccurred())
+			sizes, ids, places := map[model.ServiceName]int{}, map[model.ServerID]bool{}, map[model.DataCentre]bool{}
+			addresses := map[string]bool{}
+			for _, s := range o.Servers {
+				sizes[s.Service]++
+				ids[s.ID], places[s.DataCentre], addresses[s.Address] = true, true, true
+				g.Expect(s.Slots).To(Equal(2))
+				g.Expect(s.Connections).To(Equal(tt.connections))
+			}
+			g.Expect(sizes).To(Equal(tt.sizes))
+			g.Expect(ids).To(HaveLen(len(o.Servers)))
+			g.Expect(addresses).To(HaveLen(len(o.Servers)))
+			g.Expect(places).To(HaveLen(tt.dataCentres))
+			routes, once := map[model.RouteName]bool{}, 0
+			for _, r := range o.Routes {
+				routes[r.Name] = true
+				g.Expect(sizes).To(HaveKey(r.Service))
+				if !r.Repeatable {
+					once++
+				}
+			}
+			g.Expect(once).To(BeNumerically(">=", 2))
+			for _, r := range o.Routes {
+				if r.IssueKeysFor != "" {
+					g.Expect(routes).To(HaveKey(r.IssueKeysFor))
+				}
+			}
+			for _, s := range o.Services {
+				g.Expect(s.Policy).To(Equal(tt.policy))
+				g.Expect(s.Floor.Share).To(BeNumerically(">", 0))
+			}
+			g.Expect(len(o.Workspaces)).To(BeNumerically(">=", 3))
+			g.Expect(o.ReportLayouts).To(HaveLen(1))
+		})
+	}
+}
+
+// Guards against servers that keep their placeholder address, and against a
+// rewrite that changes the objects it was given.
+func TestReaddress(t *testing.T) {
+	g := NewWithT(t)
+	o := snapshot.Objects{Servers: []snapshot.Server{{ID: "a", DataCentre: "d1", Address: "old"}, {ID: "b", DataCentre: "d2", Address: "old"}}}
+	_, err := Readdress(o, map[model.ServerID]string{"a": "x"})
+	g.Expect(err).To(Equal(&AddressError{Server: "b"}))
+	part := InDataCentres(o, "d1")
+	got, err := Readdress(part, map[model.ServerID]string{"a": "x"})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(got.Servers).To(Equal([]snapshot.Server{{ID: "a", DataCentre: "d1", Address: "x"}}))
+	g.Expect(o.Servers[0].Address).To(Equal("old"))
+	path := filepath.Join(t.TempDir(), "o.json")
+	g.Expect(WriteObjects(path, got)).To(Succeed())
+	g.Expect(ReadObjects(path)).To(Equal(got))
+}
+
+// Guards against a misspelt field that is ignored.
+func TestReadObjectsRejectsUnknownFields(t *testing.T) {
+	g := NewWithT(t)
+	path := filepath.Join(t.TempDir(), "o.jsonc")
+	g.Expect(os.WriteFile(path, []byte(`{"servrs": []}`), 0o600)).To(Succeed())
+	_, err := ReadObjects(path)
+	var wrong *ObjectsError
+	g.Expect(err).To(BeAssignableToTypeOf(wrong))
+}
--- /dev/null
+++ b/loadgen/daemons.go
@@ -0,0 +1,148 @@
+package loadgen
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/agateusher/agateusher/adminapi"
+	"github.com/agateusher/agateusher/core/model"
+)
+
+// Limits of the polling of daemons.
+const (
+	daemonInterval = 200 * time.Millisecond
+	daemonTimeout  = 2 * time.Second
+)
+
+// EjectionReport lists the servers that daemons reported as ejected by the
+// detector.
+type EjectionReport struct {
+	// False lists ejected servers other than the one with the planned fault.
+	False []model.ServerID `json:"false"`
+	// Correct reports that the server with the planned fault was ejected.
+	Correct bool `json:"correct"`
+	// Daemons counts the daemons that were asked, Samples their answers and
+	// Failures the attempts without an answer.
+	Daemons  int `json:"daemons"`
+	Samples  int `json:"samples"`
+	Failures int `json:"failures"`
+}
+
+// PoolsError reports that a daemon's pools could not be read.
+type PoolsError struct {
+	Daemon string
+	Status int
+	Err    error
+}
+
+// Error implements error.
+func (e *PoolsError) Error() string {
+	return fmt.Sprintf("pools of daemon %s: status %d: %v", e.Daemon, e.Status, e.Err)
+}
+
+// Unwrap returns the cause, if any.
+func (e *PoolsError) Unwrap() error { return e.Err }
+
+// ejectionWatch collects ejected servers from samples of the daemons' pools. A
+// server that is ejected for less than the interval may be missed.
+type ejectionWatch struct {
+	daemons []string
+	http    *http.Client
+
+	mu       sync.Mutex
+	ejected  map[model.ServerID]bool
+	samples  int
+	failures int
+}
+
+func newEjectionWatch(daemons []string) *ejectionWatch {
+	return &ejectionWatch{daemons: daemons, http: &http.Client{Timeout: daemonTimeout}, ejected: map[model.ServerID]bool{}}
+}
+
+// start samples until the returned function is called, which takes a last
+// sample and waits for it.
+func (w *ejectionWatch) start(ctx context.Context) func() {
+	ctx, cancel := context.WithCancel(ctx)
+	var polling sync.WaitGroup
+	for _, daemon := range w.daemons {
+		polling.Go(func() {
+			ticker := time.NewTicker(daemonInterval)
+			defer ticker.Stop()
+			for {
+				select {
+				case <-ticker.C:
+					w.sample(ctx, daemon)
+				case <-ctx.Done():
+					w.sample(context.WithoutCancel(ctx), daemon)
+					return
+				}
+			}
+		})
+	}
+	return func() {
+		cancel()
+		polling.Wait()
+	}
+}
+
+func (w *ejectionWatch) sample(ctx context.Context, daemon string) {
+	pools, err := w.read(ctx, daemon)
+	if err != nil && ctx.Err() != nil {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err != nil {
+		w.failures++
+		return
+	}
+	w.samples++
+	for _, p := range pools.Pools {
+		for _, s := range p.Servers {
+			if s.State == adminapi.ServerEjected {
+				w.ejected[s.ID] = true
+			}
+		}
+	}
+}
+
+func (w *ejectionWatch) read(ctx context.Context, daemon string) (adminapi.Pools, error) {
+	var pools adminapi.Pools
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+daemon+adminapi.PoolsPath, nil)
+	if err != nil {
+		return pools, &PoolsError{Daemon: daemon, Err: err}
+	}
+	resp, err := w.http.Do(req)
+	if err != nil {
+		return pools, &PoolsError{Daemon: daemon, Err: err}
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return pools, &PoolsError{Daemon: daemon, Status: resp.StatusCode}
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, adminapi.MaxAnswerBytes)).Decode(&pools); err != nil {
+		return pools, &PoolsError{Daemon: daemon, Status: resp.StatusCode, Err: err}
+	}
+	return pools, nil
+}
+
+func (w *ejectionWatch) report(faulty model.ServerID) *EjectionReport {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	report := &EjectionReport{False: []model.ServerID{}, Daemons: len(w.daemons), Samples: w.samples, Failures: w.failures}
+	for id := range w.ejected {
+		if id == faulty {
+			report.Correct = true
+			continue
+		}
+		report.False = append(report.False, id)
+	}
+	slices.Sort(report.False)
+	return report
+}
--- /dev/null
+++ b/loadgen/direct.go
@@ -0,0 +1,59 @@
+package loadgen
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/agateusher/agateusher/standin/backend"
+)
+
+// directPrefix marks the identifiers of direct calls.
+const directPrefix = "direct-"
+
+// directResult is one direct call to a backend server.
+type directResult struct {
+	intended time.Time
+	latency  time.Duration
+	outside  time.Duration
+	failed   bool
+}
+
+// callDirectly makes one call to a backend server of the run, never the one
+// with the planned fault, whose answers say nothing about the fleet.
+func (r *runner) callDirectly(ctx context.Context, id string, op Operation, intended time.Time, number int) {
+	server := r.servers[number%len(r.servers)]
+	if f := r.config.Fault; f != nil && server.ID == f.Server {
+		server = r.servers[(number+1)%len(r.servers)]
+	}
+	d := directResult{intended: intended, failed: true}
+	if answer, err := r.directAnswer(ctx, server.Address, op, directPrefix+id); err == nil {
+		d.failed = false
+		d.latency = time.Since(intended)
+		d.outside = d.latency - time.Duration(answer.BusyUs)*time.Microsecond
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.direct = append(r.direct, d)
+}
+
+func (r *runner) directAnswer(ctx context.Context, address string, op Operation, id string) (backend.Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, r.config.Timeout)
+	defer cancel()
+	url := requestURL(address, op, id, r.config.Bytes) + "&" + backend.QueryDirect + "=1"
+	req, err := http.NewRequestWithContext(ctx, op.Method, url, nil)
+	if err != nil {
+		return backend.Answer{}, err
+	}
+	resp, err := r.caller.http.Do(req)
+	if err != nil {
+		return backend.Answer{}, err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return backend.Answer{}, err
+	}
+	return backend.CheckAnswer(body, id, r.config.Bytes)
+}
--- /dev/null
+++ b/loadgen/loadgen_test.go
@@ -0,0 +1,199 @@
+package loadgen
+
+import (
+	"bytes"
+	"context"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/agateusher/agateusher/standin/backend"
+)
+
+// Guards against a check that does not notice the fault it is there for. Each
+// case runs against a fleet that is wrong in exactly one way; the first one is
+// right.
+func TestChecksFindWrongFleets(t *testing.T) {
+	tests := []struct {
+		name    string
+		wrong   func(*fakeFleet)
+		options backend.Options
+		want    []ViolationKind
+	}{
+		{"right", func(*fakeFleet) {}, backend.Options{}, nil},
+		{"runs twice", func(f *fakeFleet) { f.runTwice = true }, backend.Options{}, []ViolationKind{ExecutedTwice}},
+		{"denies that it ran", func(f *fakeFleet) { f.denyRun = true }, backend.Options{}, []ViolationKind{NotRunThatRan}},
+		{"swaps answers", func(f *fakeFleet) { f.swap = true }, backend.Options{}, []ViolationKind{WrongAnswer}},
+		{"cuts answers", func(f *fakeFleet) { f.cut = true }, backend.Options{}, []ViolationKind{WrongAnswer}},
+		{"sends no outcome", func(f *fakeFleet) { f.silent = true }, backend.Options{}, []ViolationKind{NoOutcome}},
+		{"issues one key for all", func(f *fakeFleet) { f.sameKey = true }, backend.Options{}, []ViolationKind{WrongAnswer, KeyUsedTwice, AnsweredWithoutRun}},
+		{"incomplete log", func(*fakeFleet) {}, backend.Options{LogLimit: 1}, []ViolationKind{OracleIncomplete, AnsweredWithoutRun}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			report := newRig(t, tt.wrong, tt.options).run(t)
+			var kinds []ViolationKind
+			for _, v := range report.Violations {
+				kinds = append(kinds, v.Kind)
+			}
+			g.Expect(kinds).To(ConsistOf(tt.want))
+			g.Expect(report.Kept()).To(Equal(tt.want == nil))
+			g.Expect(report.Checked).To(BeTrue())
+			var out bytes.Buffer
+			g.Expect(report.WriteTable(&out, true)).To(Succeed())
+			if tt.want != nil {
+				g.Expect(out.String()).To(ContainSubstring("BROKEN PROMISE " + string(tt.want[0])))
+			}
+		})
+	}
+}
+
+// Guards against answers that no server ran and that still count as right.
+func TestInventedAnswers(t *testing.T) {
+	g := NewWithT(t)
+	other := newRig(t, func(*fakeFleet) {}, backend.Options{})
+	r := newRig(t, func(f *fakeFleet) { f.target = "http://" + other.group.Listings()[0].Address }, backend.Options{})
+	report := r.run(t)
+	g.Expect(report.Violations).To(HaveLen(1))
+	g.Expect(report.Violations[0].Kind).To(Equal(AnsweredWithoutRun))
+	g.Expect(report.Violations[0].Count).To(Equal(report.Total.Requests))
+}
+
+// Guards against a repeat that uses a new key or is not sent.
+func TestLostAnswersAreRepeatedWithTheSameKey(t *testing.T) {
+	g := NewWithT(t)
+	report := newRig(t, func(f *fakeFleet) { f.loseFirst = true }, backend.Options{}).run(t)
+	g.Expect(report.Violations).To(BeEmpty())
+	g.Expect(report.Total.Classes).To(Equal(map[Class]int{ClassAnswered: report.Total.Requests}))
+	g.Expect(report.Total.Sends).To(Equal(2 * report.Total.Requests))
+}
+
+// Guards against latencies that leave out the wait before the transmission.
+func TestLatencyCountsFromIntendedTime(t *testing.T) {
+	g := NewWithT(t)
+	r := newRig(t, func(f *fakeFleet) { f.keyDelay = 300 * time.Millisecond }, backend.Options{})
+	r.config.Operations = r.config.Operations[1:]
+	r.config.Workspaces = r.config.Workspaces[:1]
+	r.config.KeyBatch = 1000
+	report := r.run(t)
+	g.Expect(report.Total.Latency.MaxMs).To(BeNumerically(">=", 290))
+	// A request intended t ms after the first one waits 300-t ms for the batch,
+	// so the median over 500 ms is about 50 ms, against 2 ms if only the time from
+	// the transmission counted.
+	g.Expect(report.Total.Latency.P50Ms).To(BeNumerically(">=", 25))
+	g.Expect(report.Added.Direct.P50Ms).To(BeNumerically("<", report.Added.Fleet.P50Ms))
+}
+
+// Guards against arrival processes whose rate is wrong or whose order differs
+// between runs with the same seed.
+func TestArrivals(t *testing.T) {
+	const count, rate = 50_000, 500.0
+	for _, kind := range []ArrivalKind{Poisson, FixedRate} {
+		t.Run(string(kind), func(t *testing.T) {
+			g := NewWithT(t)
+			start := time.Unix(0, 0)
+			a := newArrivals(kind, rate, rand.New(rand.NewPCG(3, 4)), start)
+			b := newArrivals(kind, rate, rand.New(rand.NewPCG(3, 4)), start)
+			var last time.Time
+			for range count {
+				last = a.take()
+				g.Expect(b.take()).To(Equal(last))
+			}
+			g.Expect(last.Sub(start).Seconds()).To(BeNumerically("~", count/rate, 0.02*count/rate))
+		})
+	}
+}
+
+// Guards against a detection time that counts trials of an ejected server, or
+// that calls a server detected although requests kept arriving.
+func TestMeasureDetection(t *testing.T) {
+	began := time.Unix(1000, 0)
+	tests := []struct {
+		name       string
+		arrivalsMs []int
+		clearedMs  int
+		want       FaultReport
+	}{
+		{"no requests", nil, 5000, FaultReport{Detected: true}},
+		{"stops", []int{0, 100, 400}, 5000, FaultReport{Detected: true, DetectionMs: 400, LastRequestMs: 400, Requests: 3}},
+		{"tried again", []int{100, 400, 2000}, 5000, FaultReport{Detected: true, DetectionMs: 400, LastRequestMs: 2000, Requests: 3, Later: 1}},
+		{"never stops", []int{500, 1000, 1500}, 2000, FaultReport{LastRequestMs: 1500, Requests: 3}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			log := []backend.Execution{{Arrived: began.Add(-time.Second)}, {Arrived: began.Add(time.Second), Direct: true}}
+			for _, at := range tt.arrivalsMs {
+				log = append(log, backend.Execution{Arrived: began.Add(time.Duration(at) * time.Millisecond)})
+			}
+			cleared := began.Add(time.Duration(tt.clearedMs) * time.Millisecond)
+			got := measureDetection(log, faultTimes{began: began, cleared: cleared}, time.Second)
+			NewWithT(t).Expect(got).To(Equal(tt.want))
+		})
+	}
+}
+
+// Guards against a planned fault that does not reach its server, and against
+// ejections that are put down to the wrong server.
+func TestFaultAndEjections(t *testing.T) {
+	for _, ejected := range []string{"s-a", "s-b"} {
+		t.Run(ejected, func(t *testing.T) {
+			g := NewWithT(t)
+			r := newRig(t, func(*fakeFleet) {}, backend.Options{})
+			r.config.Daemons = []string{fakePools(t, ejected)}
+			r.config.Fault = &FaultPlan{Server: "s-a", At: 200 * time.Millisecond, Faults: backend.Faults{ErrorRate: 1}}
+			r.config.Operations = r.config.Operations[:1]
+			report := r.run(t)
+			g.Expect(report.Fault.Requests).To(BeNumerically(">", 0))
+			g.Expect(report.Fault.Detected).To(BeFalse())
+			g.Expect(report.AddedCalm.Fleet.Count).To(BeNumerically("<", report.Added.Direct.Count+report.Added.Fleet.Count))
+			g.Expect(report.Ejections.Samples).To(BeNumerically(">", 0))
+			if ejected == "s-a" {
+				g.Expect(report.Ejections.Correct).To(BeTrue())
+				g.Expect(report.Ejections.False).To(BeEmpty())
+				return
+			}
+			g.Expect(report.Ejections.False).To(ConsistOf(BeEquivalentTo("s-b")))
+		})
+	}
+}
+
+// Guards against mistakes in a configuration that are noticed only in the run.
+func TestConfigErrors(t *testing.T) {
+	right := Config{Entries: []string{"127.0.0.1:1"}, Workspaces: []Workspace{{ID: "a", RatePerSecond: 1}}, Operations: []Operation{{Weight: 1}}}
+	tests := map[string]func(*Config){
+		"entries":      func(c *Config) { c.Entries = nil },
+		"workspaces":   func(c *Config) { c.Workspaces = nil },
+		"operations":   func(c *Config) { c.Operations = nil },
+		"arrivals":     func(c *Config) { c.Arrivals = "bursts" },
+		"direct share": func(c *Config) { c.DirectShare = 2 },
+		"fault":        func(c *Config) { c.Fault = &FaultPlan{Server: "s"} },
+	}
+	for field, change := range tests {
+		t.Run(field, func(t *testing.T) {
+			g := NewWithT(t)
+			c := right
+			change(&c)
+			_, err := Run(t.Context(), c)
+			var wrong *ConfigError
+			g.Expect(err).To(BeAssignableToTypeOf(wrong))
+			g.Expect(err.(*ConfigError).Field).To(Equal(field))
+		})
+	}
+}
+
+// Guards against a run without requests that counts as a success.
+func TestEmptyRunIsNotKept(t *testing.T) {
+	g := NewWithT(t)
+	r := newRig(t, func(*fakeFleet) {}, backend.Options{})
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	r.config.StandinAdmin = ""
+	report, err := Run(ctx, r.config)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(report.Total.Requests).To(BeZero())
+	g.Expect(report.Kept()).To(BeFalse())
+}
--- /dev/null
+++ b/loadgen/oracle.go
@@ -0,0 +1,130 @@
+package loadgen
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/agateusher/agateusher/core/model"
+	"github.com/agateusher/agateusher/standin/backend"
+)
+
+// ViolationKind names a broken promise.
+type ViolationKind string
+
+const (
+	// ExecutedTwice: a request that must not repeat ran more than once.
+	ExecutedTwice ViolationKind = "executed-twice"
+	// NotRunThatRan: a request ran although its caller was told that it did not.
+	NotRunThatRan ViolationKind = "not-run-that-ran"
+	// WrongAnswer: an answer that was presented as complete is mixed up, corrupt
+	// or cut short.
+	WrongAnswer ViolationKind = "wrong-answer"
+	// AnsweredWithoutRun: an answer to a request that no server ran.
+	AnsweredWithoutRun ViolationKind = "answered-without-run"
+	// NoOutcome: a response that does not say whether the request ran.
+	NoOutcome ViolationKind = "no-outcome"
+	// KeyUsedTwice: one idempotency key was issued for two requests.
+	KeyUsedTwice ViolationKind = "key-used-twice"
+	// OracleIncomplete: an execution log is incomplete, so that nothing is
+	// proved.
+	OracleIncomplete ViolationKind = "oracle-incomplete"
+)
+
+// maxExamples bounds the examples kept for each kind.
+const maxExamples = 5
+
+// Violations counts broken promises of one kind.
+type Violations struct {
+	Kind     ViolationKind `json:"kind"`
+	Count    int           `json:"count"`
+	Examples []string      `json:"examples"`
+}
+
+// verdict collects violations.
+type verdict struct {
+	order  []ViolationKind
+	byKind map[ViolationKind]*Violations
+}
+
+func (v *verdict) add(kind ViolationKind, format string, args ...any) {
+	if v.byKind == nil {
+		v.byKind = map[ViolationKind]*Violations{}
+	}
+	found := v.byKind[kind]
+	if found == nil {
+		found = &Violations{Kind: kind}
+		v.byKind[kind] = found
+		v.order = append(v.order, kind)
+	}
+	found.Count++
+	if len(found.Examples) < maxExamples {
+		found.Examples = append(found.Examples, fmt.Sprintf(format, args...))
+	}
+}
+
+func (v *verdict) list() []Violations {
+	out := []Violations{}
+	for _, kind := range v.order {
+		out = append(out, *v.byKind[kind])
+	}
+	return out
+}
+
+// checkAnswers finds violations that show in the responses alone.
+func (v *verdict) checkAnswers(results []result, operations []Operation) {
+	keys := map[string]string{}
+	for _, r := range results {
+		if r.problem != nil {
+			v.add(WrongAnswer, "%s %s: %v", operations[r.operation], r.id, r.problem)
+		}
+		if r.class == ClassUnclassified {
+			v.add(NoOutcome, "%s %s: status %d", operations[r.operation], r.id, r.status)
+		}
+		if r.key == "" {
+			continue
+		}
+		if other, used := keys[r.key]; used {
+			v.add(KeyUsedTwice, "requests %s and %s", other, r.id)
+		}
+		keys[r.key] = r.id
+	}
+}
+
+// checkExecutions compares the outcomes told to callers with the execution
+// logs.
+func (v *verdict) checkExecutions(results []result, operations []Operation, logs map[model.ServerID]backend.LogReport) {
+	runs := map[string][]backend.Execution{}
+	for id, report := range logs {
+		if report.Dropped > 0 {
+			v.add(OracleIncomplete, "server %s has no record of %d requests", id, report.Dropped)
+		}
+		for _, e := range report.Executions {
+			if e.Ran() && !e.Direct {
+				runs[e.ClientID] = append(runs[e.ClientID], e)
+			}
+		}
+	}
+	for _, r := range results {
+		ran := runs[r.id]
+		op := operations[r.operation]
+		if !op.Repeatable && len(ran) > 1 {
+			v.add(ExecutedTwice, "%s %s (%s): %s", op, r.id, r.class, places(ran))
+		}
+		notRun := r.class == ClassNotRun || r.class == ClassNoKey
+		if notRun && len(ran) > 0 {
+			v.add(NotRunThatRan, "%s %s (reason %s, sent %d times): %s", op, r.id, r.reason, r.sends, places(ran))
+		}
+		if (r.class == ClassAnswered || r.class == ClassServerError) && len(ran) == 0 {
+			v.add(AnsweredWithoutRun, "%s %s: status %d", op, r.id, r.status)
+		}
+	}
+}
+
+// places says where and when a request ran.
+func places(runs []backend.Execution) string {
+	parts := make([]string, len(runs))
+	for i, e := range runs {
+		parts[i] = fmt.Sprintf("ran at %s from %s (%s)", e.Server, e.Started.Format("15:04:05.000"), e.End)
+	}
+	return strings.Join(parts, ", ")
+}
--- /dev/null
+++ b/loadgen/report.go
@@ -0,0 +1,225 @@
+package loadgen
+
+import (
+	"context"
+	"time"
+
+	"github.com/agateusher/agateusher/core/model"
+)
+
+// GroupReport summarises a part of the requests.
+type GroupReport struct {
+	Name string `json:"name"`
+	// Requests counts requests, Sends their transmissions.
+	Requests int           `json:"requests"`
+	Sends    int           `json:"sends"`
+	Classes  map[Class]int `json:"classes"`
+	// Latency of the answered requests, from the intended send time.
+	Latency Latencies `json:"latency"`
+}
+
+// Second is one second of the run.
+type Second struct {
+	// Second counts from the start of the run, by intended send time.
+	Second  int           `json:"second"`
+	Classes map[Class]int `json:"classes"`
+	// Latency of the answered requests of this second.
+	P50Ms float64 `json:"p50Ms"`
+	P99Ms float64 `json:"p99Ms"`
+}
+
+// AddedLatency compares requests through the fleet with direct calls. Both
+// sides count the time outside the answering server, from the intended send
+// time, so that service times do not blur the comparison.
+type AddedLatency struct {
+	Fleet  Latencies `json:"fleet"`
+	Direct Latencies `json:"direct"`
+	// P50Ms and P99Ms are the differences of the quantiles, in milliseconds.
+	P50Ms float64 `json:"p50Ms"`
+	P99Ms float64 `json:"p99Ms"`
+}
+
+// ReasonCount counts the requests that were given one reason.
+type ReasonCount struct {
+	Class  Class        `json:"class"`
+	Reason model.Reason `json:"reason"`
+	Count  int          `json:"count"`
+}
+
+// Report is the result of a run.
+type Report struct {
+	Started time.Time `json:"started"`
+	// DurationMs is the time from the start to the last answer.
+	DurationMs float64       `json:"durationMs"`
+	Seed       uint64        `json:"seed"`
+	Total      GroupReport   `json:"total"`
+	Operations []GroupReport `json:"operations"`
+	Workspaces []GroupReport `json:"workspaces"`
+	Reasons    []ReasonCount `json:"reasons"`
+	// Added covers the whole run; AddedCalm only the requests before the planned
+	// fault began. Both are nil without direct calls.
+	Added     *AddedLatency `json:"added,omitempty"`
+	AddedCalm *AddedLatency `json:"addedCalm,omitempty"`
+	// DirectFailures counts direct calls without a whole answer.
+	DirectFailures int `json:"directFailures"`
+	// LagP99Ms and LagMaxMs say how late the generator itself started requests.
+	LagP99Ms float64      `json:"lagP99Ms"`
+	LagMaxMs float64      `json:"lagMaxMs"`
+	Fault    *FaultReport `json:"fault,omitempty"`
+	// Ejections lists the servers that daemons reported as ejected; nil if no
+	// daemon was asked.
+	Ejections *EjectionReport `json:"ejections,omitempty"`
+	// Checked reports that outcomes were compared with the execution logs.
+	Checked    bool         `json:"checked"`
+	Violations []Violations `json:"violations"`
+	Seconds    []Second     `json:"seconds"`
+}
+
+// Kept reports that requests were sent and no promise was broken.
+func (r *Report) Kept() bool { return len(r.Violations) == 0 && r.Total.Requests > 0 }
+
+// conclude reads the execution logs and builds the report.
+func (r *runner) conclude(ctx context.Context) (*Report, error) {
+	report := &Report{Started: r.start, DurationMs: ms(time.Since(r.start)), Seed: r.config.Seed}
+	var v verdict
+	v.checkAnswers(r.results, r.config.Operations)
+	if r.standins != nil {
+		time.Sleep(r.config.Settle)
+		logs, err := r.standins.Logs(ctx, r.servers, r.start)
+		if err != nil {
+			return nil, err
+		}
+		v.checkExecutions(r.results, r.config.Operations, logs)
+		report.Checked = true
+		if f := r.config.Fault; f != nil && !r.fault.began.IsZero() {
+			fault := measureDetection(logs[f.Server].Executions, r.fault, r.config.Quiet)
+			fault.Server = f.Server
+			fault.BeganMs, fault.ClearedMs = ms(r.fault.began.Sub(r.start)), ms(r.fault.cleared.Sub(r.start))
+			report.Fault = &fault
+		}
+	}
+	report.Violations = v.list()
+	if len(r.config.Daemons) > 0 {
+		report.Ejections = r.watch.report(r.faultyServer())
+	}
+	r.summarise(report)
+	return report, nil
+}
+
+func (r *runner) faultyServer() model.ServerID {
+	if r.config.Fault == nil {
+		return ""
+	}
+	return r.config.Fault.Server
+}
+
+func (r *runner) summarise(report *Report) {
+	all := func(result) bool { return true }
+	report.Total = r.group("all requests", all)
+	for i, op := range r.config.Operations {
+		report.Operations = append(report.Operations, r.group(op.String(), func(x result) bool { return x.operation == i }))
+	}
+	for i, w := range r.config.Workspaces {
+		report.Workspaces = append(report.Workspaces, r.group(string(w.ID), func(x result) bool { return x.workspace == i }))
+	}
+	report.Reasons = r.reasons()
+	report.Added = r.added(time.Time{})
+	if !r.fault.began.IsZero() {
+		report.AddedCalm = r.added(r.fault.began)
+	}
+	for _, d := range r.direct {
+		if d.failed {
+			report.DirectFailures++
+		}
+	}
+	lag := newHistogram()
+	for _, x := range r.results {
+		lag.add(x.lag)
+	}
+	report.LagP99Ms, report.LagMaxMs = lag.summary().P99Ms, lag.summary().MaxMs
+	report.Seconds = r.seconds()
+}
+
+func (r *runner) group(name string, include func(result) bool) GroupReport {
+	g := GroupReport{Name: name, Classes: map[Class]int{}}
+	h := newHistogram()
+	for _, x := range r.results {
+		if !include(x) {
+			continue
+		}
+		g.Requests++
+		g.Sends += x.sends
+		g.Classes[x.class]++
+		if x.class == ClassAnswered {
+			h.add(x.latency)
+		}
+	}
+	g.Latency = h.summary()
+	return g
+}
+
+func (r *runner) reasons() []ReasonCount {
+	counts := map[ReasonCount]int{}
+	out := []ReasonCount{}
+	for _, x := range r.results {
+		if x.class == ClassAnswered {
+			continue
+		}
+		key := ReasonCount{Class: x.class, Reason: x.reason}
+		if counts[key]++; counts[key] == 1 {
+			out = append(out, key)
+		}
+	}
+	for i, key := range out {
+		out[i].Count = counts[key]
+	}
+	return out
+}
+
+// added compares the calls whose intended time is before the given one; zero:
+// all calls. It returns nil if there is nothing to compare.
+func (r *runner) added(before time.Time) *AddedLatency {
+	counts := func(t time.Time) bool { return before.IsZero() || t.Before(before) }
+	fleet, direct := newHistogram(), newHistogram()
+	for _, x := range r.results {
+		if x.class == ClassAnswered && x.problem == nil && counts(x.intended) {
+			fleet.add(x.outside)
+		}
+	}
+	for _, d := range r.direct {
+		if !d.failed && counts(d.intended) {
+			direct.add(d.outside)
+		}
+	}
+	if fleet.TotalCount() == 0 || direct.TotalCount() == 0 {
+		return nil
+	}
+	a := &AddedLatency{Fleet: fleet.summary(), Direct: direct.summary()}
+	a.P50Ms = a.Fleet.P50Ms - a.Direct.P50Ms
+	a.P99Ms = a.Fleet.P99Ms - a.Direct.P99Ms
+	return a
+}
+
+func (r *runner) seconds() []Second {
+	last := 0
+	bySecond := map[int][]result{}
+	for _, x := range r.results {
+		at := int(x.intended.Sub(r.start) / time.Second)
+		bySecond[at] = append(bySecond[at], x)
+		last = max(last, at)
+	}
+	out := make([]Second, last+1)
+	for at := range out {
+		s := Second{Second: at, Classes: map[Class]int{}}
+		h := newHistogram()
+		for _, x := range bySecond[at] {
+			s.Classes[x.class]++
+			if x.class == ClassAnswered {
+				h.add(x.latency)
+			}
+		}
+		s.P50Ms, s.P99Ms = h.summary().P50Ms, h.summary().P99Ms
+		out[at] = s
+	}
+	return out
+}
