--- a/cmd/usher-standin/backends.go
+++ b/cmd/usher-standin/backends.go
@@ -2,17 +2,15 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net"
-	"os"
 	"time"
 
-	"github.com/tailscale/hujson"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/agateusher/agateusher/core/model"
 	"github.com/agateusher/agateusher/core/snapshot"
+	"github.com/agateusher/agateusher/examples"
 	"github.com/agateusher/agateusher/standin"
 	"github.com/agateusher/agateusher/standin/backend"
 	"github.com/agateusher/agateusher/telemetry"
@@ -125,17 +123,6 @@
 		}
 		return servers, nil
 	}
-	data, err := os.ReadFile(c.Objects)
-	if err != nil {
-		return nil, fmt.Errorf("objects file: %w", err)
-	}
-	standard, err := hujson.Standardize(data)
-	if err != nil {
-		return nil, fmt.Errorf("objects file %s: %w", c.Objects, err)
-	}
-	var objects snapshot.Objects
-	if err := json.Unmarshal(standard, &objects); err != nil {
-		return nil, fmt.Errorf("objects file %s: %w", c.Objects, err)
-	}
-	return objects.Servers, nil
+	objects, err := examples.ReadObjects(c.Objects)
+	return objects.Servers, err
 }
