demo: start the product on one machine and check it under load

The stand-in servers echo the request ID in a response header as well. The example files are embedded, so that the demo works from any directory.

--- /dev/null
+++ b/cmd/usher-demo/main.go
@@ -0,0 +1,88 @@
+// Command usher-demo runs the product on one machine for a few seconds and
+// prints what happened. The programs must be in the directory of usher-demo. It
+// exits with 0 if no promise was broken, 1 on a failure, 2 on wrong usage and 3
+// if a promise was broken.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/agateusher/agateusher/demo"
+	"github.com/agateusher/agateusher/telemetry"
+)
+
+// Exit statuses.
+const (
+	exitFailure = 1
+	exitUsage   = 2
+	exitBroken  = 3
+)
+
+type options struct {
+	Binaries string        `long:"binaries" description:"directory of the programs; default: the directory of usher-demo"`
+	Rate     float64       `long:"rate" default:"200" description:"requests per second"`
+	Duration time.Duration `short:"d" long:"duration" default:"8s" description:"how long requests are sent"`
+	Seed     uint64        `long:"seed" default:"1" description:"seed of arrivals and service times"`
+	Keep     bool          `long:"keep" description:"keep settings and logs"`
+	LogLevel string        `long:"log-level" default:"info" choice:"error" choice:"warn" choice:"info" choice:"debug" description:"lowest level that is logged"`
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	status := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(status)
+}
+
+func run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	var o options
+	_, err := flags.NewParser(&o, flags.HelpFlag|flags.PassDoubleDash).ParseArgs(args)
+	var usage *flags.Error
+	if errors.As(err, &usage) && usage.Type == flags.ErrHelp {
+		fmt.Fprintln(stdout, usage.Message)
+		return 0
+	}
+	if err != nil {
+		fmt.Fprintln(stderr, "usher-demo:", err)
+		return exitUsage
+	}
+	result, err := perform(ctx, o, stderr)
+	if result.Report != nil || result.StopError != nil {
+		result.WriteSummary(stdout)
+	}
+	switch {
+	case err != nil:
+		fmt.Fprintln(stderr, "usher-demo:", err)
+		return exitFailure
+	case !result.Kept():
+		return exitBroken
+	}
+	return 0
+}
+
+func perform(ctx context.Context, o options, stderr io.Writer) (demo.Result, error) {
+	log, err := telemetry.NewLogger(stderr, o.LogLevel)
+	if err != nil {
+		return demo.Result{}, err
+	}
+	if o.Binaries == "" {
+		self, err := os.Executable()
+		if err != nil {
+			return demo.Result{}, &demo.SetupError{Step: "find the programs", Err: err}
+		}
+		o.Binaries = filepath.Dir(self)
+	}
+	return demo.Run(ctx, demo.Options{
+		Binaries: o.Binaries, Rate: o.Rate, Duration: o.Duration, Seed: o.Seed, Keep: o.Keep, Log: log,
+	})
+}
--- /dev/null
+++ b/demo/layout.go
@@ -0,0 +1,110 @@
+package demo
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/agateusher/agateusher/core/model"
+	"github.com/agateusher/agateusher/daemon"
+	"github.com/agateusher/agateusher/objectapi"
+	"github.com/agateusher/agateusher/settings"
+)
+
+// The fleet of the demo: two daemons in each data centre of one region.
+const (
+	region              = model.Region("lagos")
+	hostsPerDataCentre  = 2
+	portsPerHost        = 4
+	stopNotice          = 300 * time.Millisecond
+	stopLimit           = 10 * time.Second
+	settingsPermissions = 0o600
+)
+
+var dataCentres = []model.DataCentre{"lagos-1", "lagos-2"}
+
+// SetupError reports that the demo's environment could not be prepared.
+type SetupError struct {
+	Step string
+	Err  error
+}
+
+// Error implements error.
+func (e *SetupError) Error() string { return fmt.Sprintf("%s: %v", e.Step, e.Err) }
+
+// Unwrap returns the cause.
+func (e *SetupError) Unwrap() error { return e.Err }
+
+// host is one daemon of the demo.
+type host struct {
+	objectapi.Host
+	admin string
+}
+
+// secrets of one run.
+type secrets struct {
+	fleet, keys, token string
+}
+
+// freeAddresses returns loopback addresses with ports that were free a moment
+// ago. All are held until the last is chosen, so that none is chosen twice.
+func freeAddresses(n int) ([]string, error) {
+	addresses := make([]string, n)
+	for i := range addresses {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, &SetupError{Step: "choose a port", Err: err}
+		}
+		defer ln.Close()
+		addresses[i] = ln.Addr().String()
+	}
+	return addresses, nil
+}
+
+// layoutHosts names the hosts and chooses their addresses.
+func layoutHosts() ([]host, error) {
+	count := hostsPerDataCentre * len(dataCentres)
+	ports, err := freeAddresses(count * portsPerHost)
+	if err != nil {
+		return nil, err
+	}
+	hosts := make([]host, count)
+	for i := range hosts {
+		dataCentre := dataCentres[i/hostsPerDataCentre]
+		p := ports[i*portsPerHost:]
+		hosts[i] = host{admin: p[3], Host: objectapi.Host{
+			ID:         model.HostID(fmt.Sprintf("%s-host-%d", dataCentre, i%hostsPerDataCentre+1)),
+			DataCentre: dataCentre, Region: region,
+			CallerAddress: p[0], FleetAddress: p[1], PeerAddress: p[2], State: objectapi.HostLive,
+		}}
+	}
+	return hosts, nil
+}
+
+// daemonSettings returns the settings of one usherd.
+func daemonSettings(h host, platform string, s secrets) daemon.Settings {
+	d := daemon.Default()
+	d.Host = daemon.HostSettings{ID: h.ID, DataCentre: h.DataCentre, Region: h.Region}
+	d.Listeners = daemon.ListenerSettings{Caller: h.CallerAddress, Fleet: h.FleetAddress, Peer: h.PeerAddress, Admin: h.admin}
+	d.Platform.URL = "http://" + platform
+	d.Fleet.Secrets = []string{s.fleet}
+	d.Keys.Secrets = []string{s.keys}
+	d.Stop = daemon.StopSettings{Notice: settings.Duration(stopNotice), Timeout: settings.Duration(stopLimit)}
+	return d
+}
+
+// writeSettings writes a settings file and returns its path.
+func writeSettings(dir, name string, value any) (string, error) {
+	data, err := json.MarshalIndent(value, "", "  ")
+	if err != nil {
+		return "", &SetupError{Step: "settings of " + name, Err: err}
+	}
+	path := filepath.Join(dir, name+".jsonc")
+	if err := os.WriteFile(path, data, settingsPermissions); err != nil {
+		return "", &SetupError{Step: "settings of " + name, Err: err}
+	}
+	return path, nil
+}
--- /dev/null
+++ b/demo/run.go
@@ -0,0 +1,329 @@
+package demo
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"time"
+
+	"github.com/agateusher/agateusher/adminapi"
+	"github.com/agateusher/agateusher/core/model"
+	"github.com/agateusher/agateusher/core/snapshot"
+	"github.com/agateusher/agateusher/examples"
+	"github.com/agateusher/agateusher/loadgen"
+	"github.com/agateusher/agateusher/objectapi"
+	"github.com/agateusher/agateusher/operator"
+	"github.com/agateusher/agateusher/standin"
+	"github.com/agateusher/agateusher/telemetry"
+)
+
+// Defaults of Options.
+const (
+	// DefaultRate is about a third of the capacity of the two data centres.
+	DefaultRate     = 200.0
+	DefaultDuration = 8 * time.Second
+	// startTimeout bounds the start of the programs and the first configuration.
+	startTimeout = 30 * time.Second
+	pollInterval = 50 * time.Millisecond
+	// stopTimeout bounds the graceful stop of one program. It is above the
+	// daemons' own limit.
+	stopTimeout = 15 * time.Second
+)
+
+// grayServer is the backend server that stalls; its probes go on answering.
+const grayServer = model.ServerID("booking-lagos-1-1")
+
+// Options configures a run. The zero value of a field selects its default.
+type Options struct {
+	// Binaries is the directory of the programs.
+	Binaries string
+	// Rate of requests per second and Duration of the load.
+	Rate     float64
+	Duration time.Duration
+	Seed     uint64
+	// Keep leaves settings and logs of the programs in the temporary directory.
+	Keep bool
+	Log  telemetry.Logger
+}
+
+// Result is what a run found.
+type Result struct {
+	Report *loadgen.Report
+	// Hosts and Servers count the daemons and stand-in servers.
+	Hosts, Servers int
+	// Directory holds settings and logs if Options.Keep is set.
+	Directory string
+	// StopError is set if a program did not stop cleanly.
+	StopError error
+}
+
+// run is one run of the demo.
+type run struct {
+	options   Options
+	directory string
+	processes *processes
+	secrets   secrets
+	hosts     []host
+	objects   snapshot.Objects
+
+	platform string
+	standins string
+	api      string
+}
+
+// Run starts everything, applies the example, sends load and stops everything,
+// also when ctx ends or a step fails. Errors are *SetupError, *ProcessError or
+// those of package examples; broken promises are in the result.
+func Run(ctx context.Context, o Options) (Result, error) {
+	if o.Rate <= 0 {
+		o.Rate = DefaultRate
+	}
+	if o.Duration <= 0 {
+		o.Duration = DefaultDuration
+	}
+	directory, err := os.MkdirTemp("", "usher-demo-")
+	if err != nil {
+		return Result{}, &SetupError{Step: "temporary directory", Err: err}
+	}
+	r := &run{
+		options: o, directory: directory,
+		processes: &processes{binaries: o.Binaries, logs: directory, log: o.Log, patience: stopTimeout},
+		secrets:   secrets{fleet: rand.Text(), keys: rand.Text(), token: rand.Text()},
+	}
+	report, err := r.perform(ctx)
+	stopErr := r.processes.stop()
+	result := Result{Report: report, Hosts: len(r.hosts), Servers: len(r.objects.Servers), Directory: directory, StopError: stopErr}
+	if !o.Keep {
+		_ = os.RemoveAll(directory)
+		result.Directory = ""
+	}
+	if err != nil {
+		return result, errors.Join(err, stopErr)
+	}
+	return result, nil
+}
+
+func (r *run) perform(ctx context.Context) (*loadgen.Report, error) {
+	starting, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	steps := []struct {
+		name string
+		do   func(context.Context) error
+	}{
+		{"start the stand-in platform", r.startPlatform},
+		{"start the stand-in backend servers", r.startBackends},
+		{"start usher-api", r.startAPI},
+		{"start four usherd", r.startDaemons},
+		{"apply the Ridemark example", r.apply},
+	}
+	for _, step := range steps {
+		r.options.Log.WithField("step", step.name).Info("demo step")
+		if err := step.do(starting); err != nil {
+			return nil, err
+		}
+		if err := r.processes.check(); err != nil {
+			return nil, err
+		}
+	}
+	r.options.Log.WithField("step", "send load").Info("demo step")
+	report, err := r.load(ctx)
+	return report, errors.Join(err, r.processes.check(), context.Cause(ctx))
+}
+
+func (r *run) startPlatform(ctx context.Context) error {
+	lines, err := r.startStandin(ctx, "platform", "platform", "--host-lag", "100ms")
+	if err != nil {
+		return err
+	}
+	r.platform = addressOf(lines, standin.LinePlatform)
+	if r.hosts, err = layoutHosts(); err != nil {
+		return err
+	}
+	return r.publishHosts(ctx)
+}
+
+// publishHosts gives the platform its host list.
+func (r *run) publishHosts(ctx context.Context) error {
+	list := objectapi.HostList{}
+	for _, h := range r.hosts {
+		list.Hosts = append(list.Hosts, h.Host)
+	}
+	body, err := json.Marshal(list)
+	if err != nil {
+		return &SetupError{Step: "host list", Err: err}
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+r.platform+"/admin/hosts", bytes.NewReader(body))
+	if err != nil {
+		return &SetupError{Step: "host list", Err: err}
+	}
+	return succeed(req, "host list")
+}
+
+func (r *run) startBackends(ctx context.Context) error {
+	example, err := examples.Ridemark()
+	if err != nil {
+		return err
+	}
+	r.objects = examples.InDataCentres(example, dataCentres...)
+	path := filepath.Join(r.directory, "servers.json")
+	if err := examples.WriteObjects(path, r.objects); err != nil {
+		return err
+	}
+	lines, err := r.startStandin(ctx, "backends", "backends", "--objects", path, "--health", "always-good",
+		"--seed", strconv.FormatUint(r.options.Seed, 10))
+	if err != nil {
+		return err
+	}
+	r.standins = addressOf(lines, standin.LineAdmin)
+	addresses := map[model.ServerID]string{}
+	for _, l := range lines {
+		if l.Kind == standin.LineBackend {
+			addresses[l.ID] = l.Address
+		}
+	}
+	r.objects, err = examples.Readdress(r.objects, addresses)
+	return err
+}
+
+// startStandin starts usher-standin and reads the addresses that it announces.
+func (r *run) startStandin(ctx context.Context, name string, args ...string) ([]standin.Line, error) {
+	one, err := r.processes.launch(name, "usher-standin", nil, args, true)
+	if err != nil {
+		return nil, err
+	}
+	stopWait := context.AfterFunc(ctx, func() { _ = one.stdout.Close() })
+	defer stopWait()
+	lines, err := standin.ReadLines(one.stdout)
+	if err != nil {
+		return nil, one.failure(err)
+	}
+	return lines, nil
+}
+
+func addressOf(lines []standin.Line, kind standin.LineKind) string {
+	for _, l := range lines {
+		if l.Kind == kind {
+			return l.Address
+		}
+	}
+	return ""
+}
+
+func (r *run) startDaemons(ctx context.Context) error {
+	for _, h := range r.hosts {
+		path, err := writeSettings(r.directory, string(h.ID), daemonSettings(h, r.platform, r.secrets))
+		if err != nil {
+			return err
+		}
+		if _, err := r.processes.start(string(h.ID), "usherd", daemonArguments(path)...); err != nil {
+			return err
+		}
+	}
+	for _, h := range r.hosts {
+		if err := r.await(ctx, "http://"+h.admin+adminapi.StatusPath); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *run) startAPI(ctx context.Context) error {
+	addresses, err := freeAddresses(1)
+	if err != nil {
+		return err
+	}
+	r.api = addresses[0]
+	path, err := writeSettings(r.directory, "usher-api", r.apiSettings())
+	if err != nil {
+		return err
+	}
+	if _, err := r.processes.start("usher-api", "usher-api", apiArguments(path)...); err != nil {
+		return err
+	}
+	return r.await(ctx, "http://"+r.api+operator.ReadyPath)
+}
+
+func (r *run) apply(ctx context.Context) error {
+	path := filepath.Join(r.directory, "objects.json")
+	if err := examples.WriteObjects(path, r.objects); err != nil {
+		return err
+	}
+	_, err := r.processes.output(ctx, "usherctl", "usherctl", []string{"USHERCTL_TOKEN=" + r.secrets.token},
+		"--api", "http://"+r.api, "apply", "-f", path, "--wait", "--timeout", startTimeout.String())
+	return err
+}
+
+// load runs usher-load and reads its report.
+func (r *run) load(ctx context.Context) (*loadgen.Report, error) {
+	args := []string{
+		"-o", "json", "--objects", filepath.Join(r.directory, "objects.json"),
+		"--rate", strconv.FormatFloat(r.options.Rate, 'f', -1, 64), "-d", r.options.Duration.String(),
+		"--standin-admin", r.standins, "--direct-share", "0.2", "--seed", strconv.FormatUint(r.options.Seed, 10),
+		"--fault-server", string(grayServer), "--fault", `{"stall":true}`,
+		"--fault-at", (r.options.Duration / 2).String(),
+	}
+	for _, h := range r.hosts {
+		args = append(args, "--entry", h.CallerAddress, "--daemon", h.admin)
+	}
+	out, err := r.processes.output(ctx, "usher-load", "usher-load", nil, args...)
+	var status *exec.ExitError
+	if err != nil && !(errors.As(err, &status) && status.ExitCode() == exitBroken) {
+		return nil, err
+	}
+	report := &loadgen.Report{}
+	if err := json.Unmarshal(out, report); err != nil {
+		return nil, &SetupError{Step: "report of usher-load", Err: err}
+	}
+	return report, nil
+}
+
+// exitBroken is the exit status of usher-load for a broken promise.
+const exitBroken = 3
+
+// await polls a URL until it answers with success.
+func (r *run) await(ctx context.Context, url string) error {
+	for {
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+		if err != nil {
+			return &SetupError{Step: "wait for " + url, Err: err}
+		}
+		err = succeed(req, "wait for "+url)
+		if err == nil {
+			return nil
+		}
+		if ended := r.processes.check(); ended != nil {
+			return ended
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(pollInterval):
+		}
+	}
+}
+
+// StatusError reports an HTTP answer that is not a success.
+type StatusError struct{ Status int }
+
+// Error implements error.
+func (e *StatusError) Error() string { return fmt.Sprintf("status %d", e.Status) }
+
+func succeed(req *http.Request, step string) error {
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return &SetupError{Step: step, Err: err}
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		return &SetupError{Step: step, Err: &StatusError{Status: resp.StatusCode}}
+	}
+	return nil
+}
--- /dev/null
+++ b/demo/summary.go
@@ -0,0 +1,62 @@
+package demo
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/agateusher/agateusher/loadgen"
+)
+
+// Kept reports that no promise was broken, that the gray failure was detected
+// and that all programs stopped cleanly.
+func (r Result) Kept() bool {
+	return r.Report != nil && r.Report.Kept() && r.Report.Checked && r.StopError == nil &&
+		r.Report.Fault != nil && r.Report.Fault.Detected
+}
+
+// WriteSummary writes the result for people.
+func (r Result) WriteSummary(w io.Writer) {
+	fmt.Fprintf(w, "%d daemons in %d data centres, %d backend servers\n", r.Hosts, len(dataCentres), r.Servers)
+	if r.Report != nil {
+		writeReport(w, r.Report)
+	}
+	if r.StopError != nil {
+		fmt.Fprintf(w, "NOT STOPPED CLEANLY: %v\n", r.StopError)
+	}
+	if r.Directory != "" {
+		fmt.Fprintf(w, "settings and logs: %s\n", r.Directory)
+	}
+}
+
+func writeReport(w io.Writer, report *loadgen.Report) {
+	c := report.Total.Classes
+	fmt.Fprintf(w, "requests           %d\n", report.Total.Requests)
+	fmt.Fprintf(w, "  answered         %d (and %d with the server's own error)\n", c[loadgen.ClassAnswered], c[loadgen.ClassServerError])
+	fmt.Fprintf(w, "  not run          %d\n", c[loadgen.ClassNotRun]+c[loadgen.ClassNoKey])
+	fmt.Fprintf(w, "  unknown          %d (and %d without any answer)\n", c[loadgen.ClassUnknown], c[loadgen.ClassLost])
+	for _, reason := range report.Reasons {
+		fmt.Fprintf(w, "    %s because of %q: %d\n", reason.Class, reason.Reason, reason.Count)
+	}
+	writeAdded(w, "before the fault", report.AddedCalm)
+	writeAdded(w, "whole run", report.Added)
+	if f := report.Fault; f != nil && f.Detected {
+		fmt.Fprintf(w, "gray failure       %s stalled; last new request after %.0f ms, %d requests hit it\n", f.Server, f.DetectionMs, f.Requests-f.Later)
+	} else {
+		fmt.Fprintln(w, "gray failure       NOT DETECTED")
+	}
+	if e := report.Ejections; e != nil {
+		fmt.Fprintf(w, "false ejections    %d %v\n", len(e.False), e.False)
+	}
+	if report.Kept() {
+		fmt.Fprintln(w, "no promise was broken")
+	}
+	for _, v := range report.Violations {
+		fmt.Fprintf(w, "BROKEN PROMISE     %s: %d, for example %v\n", v.Kind, v.Count, v.Examples[0])
+	}
+}
+
+func writeAdded(w io.Writer, when string, a *loadgen.AddedLatency) {
+	if a != nil {
+		fmt.Fprintf(w, "added latency      p50 %.2f ms, p99 %.2f ms against %d direct calls (%s)\n", a.P50Ms, a.P99Ms, a.Direct.Count, when)
+	}
+}
--- a/examples/examples.go
+++ b/examples/examples.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"embed"
 	"encoding/json"
 	"fmt"
 	"os"
@@ -37,11 +38,32 @@
 // ReadObjects reads an objects file: JSON with comments, unknown fields are
 // mistakes. Errors are *ObjectsError.
 func ReadObjects(path string) (snapshot.Objects, error) {
-	var objects snapshot.Objects
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return objects, &ObjectsError{Path: path, Err: err}
+		return snapshot.Objects{}, &ObjectsError{Path: path, Err: err}
+	}
+	return parse(path, data)
+}
+
+// Ridemark returns the objects of ridemark/objects.jsonc.
+func Ridemark() (snapshot.Objects, error) { return embedded("ridemark/objects.jsonc") }
+
+// Consortium returns the objects of consortium/objects.jsonc.
+func Consortium() (snapshot.Objects, error) { return embedded("consortium/objects.jsonc") }
+
+//go:embed ridemark/objects.jsonc consortium/objects.jsonc
+var files embed.FS
+
+func embedded(path string) (snapshot.Objects, error) {
+	data, err := files.ReadFile(path)
+	if err != nil {
+		return snapshot.Objects{}, &ObjectsError{Path: path, Err: err}
 	}
+	return parse(path, data)
+}
+
+func parse(path string, data []byte) (snapshot.Objects, error) {
+	var objects snapshot.Objects
 	standard, err := hujson.Standardize(data)
 	if err != nil {
 		return objects, &ObjectsError{Path: path, Err: err}
--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -16,19 +16,21 @@
 func TestExampleFiles(t *testing.T) {
 	tests := []struct {
 		file        string
+		embedded    func() (snapshot.Objects, error)
 		sizes       map[model.ServiceName]int
 		dataCentres int
 		connections int
 		policy      snapshot.Policy
 	}{
-		{"ridemark", map[model.ServiceName]int{"booking": 15, "ledger": 10}, 4, 330, snapshot.PolicyRidemark},
-		{"consortium", map[model.ServiceName]int{"wayleave-registry": 20, "route-atlas": 15}, 4, 400, snapshot.PolicyConsortium},
+		{"ridemark", Ridemark, map[model.ServiceName]int{"booking": 15, "ledger": 10}, 4, 330, snapshot.PolicyRidemark},
+		{"consortium", Consortium, map[model.ServiceName]int{"wayleave-registry": 20, "route-atlas": 15}, 4, 400, snapshot.PolicyConsortium},
 	}
 	for _, tt := range tests {
 		t.Run(tt.file, func(t *testing.T) {
 			g := NewWithT(t)
 			o, err := ReadObjects(filepath.Join(tt.file, "objects.jsonc"))
 			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(tt.embedded()).To(Equal(o))
 			sizes, ids, places := map[model.ServiceName]int{}, map[model.ServerID]bool{}, map[model.DataCentre]bool{}
 			addresses := map[string]bool{}
 			for _, s := range o.Servers {
--- a/standin/backend/behaviour_test.go
+++ b/standin/backend/behaviour_test.go
@@ -126,6 +126,7 @@
 		synctest.Wait()
 		w := do(t.Context(), s, "GET", "/x?cid=a")
 		g.Expect(w.Code).To(Equal(http.StatusOK))
+		g.Expect(w.Header().Get(HeaderRequestID)).To(Equal("a"))
 		a, err := CheckAnswer(w.Body.Bytes(), "a", DefaultPayloadBytes)
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(a.BusyUs).To(BeEquivalentTo(100_000))
--- a/standin/backend/request.go
+++ b/standin/backend/request.go
@@ -83,6 +83,7 @@
 		return
 	}
 	c := s.parse(r, arrived)
+	w.Header().Set(HeaderRequestID, string(c.id))
 	faults, _, _ := s.faults.active(arrived)
 	if s.draining.Load() || s.sampler.chance(faults.ShedRate) {
 		s.shed(w, c)
