--- a/standin/backend/behaviour_test.go
+++ b/standin/backend/behaviour_test.go
@@ -279,3 +279,46 @@
 		})
 	}
 }
+
+// Guards against a fault that has no effect, or another one than it says.
+func TestFaultsOfOneRequest(t *testing.T) {
+	const base = 10 * time.Millisecond
+	tests := []struct {
+		name   string
+		faults Faults
+		status int
+		end    End
+		took   time.Duration
+		// freed is when the slot is free again.
+		freed time.Duration
+	}{
+		{"none", Faults{}, 200, EndCompleted, base, base},
+		{"errors", Faults{ErrorRate: 1}, 500, EndError, base, base},
+		{"slow", Faults{LatencyFactor: 10}, 200, EndCompleted, 10 * base, 10 * base},
+		{"late", Faults{LateRate: 1, LateMs: 500}, 200, EndCompleted, base + 500*time.Millisecond, base},
+		{"sheds", Faults{ShedRate: 1}, 503, EndShed, 0, 0},
+		{"flapping, off", Faults{ErrorRate: 1, FlapOnMs: 20, FlapOffMs: 1000}, 200, EndCompleted, base, base},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				s := New(Options{ID: "s", Slots: 1, ServiceTime: fixed(base)})
+				g.Expect(s.SetFaults(tt.faults)).To(Succeed())
+				time.Sleep(50 * time.Millisecond)
+				begin := time.Now()
+				var w *httptest.ResponseRecorder
+				var wg sync.WaitGroup
+				wg.Go(func() { w = do(t.Context(), s, "GET", "/x") })
+				time.Sleep(tt.freed)
+				synctest.Wait()
+				g.Expect(s.Load().Busy).To(BeZero())
+				wg.Wait()
+				g.Expect(time.Since(begin)).To(Equal(tt.took))
+				g.Expect(w.Code).To(Equal(tt.status))
+				log, _ := s.Executions(time.Time{})
+				g.Expect(log[0].End).To(Equal(tt.end))
+			})
+		})
+	}
+}
