operator: keep a server's state when a change omits it

Applying a file that lists a drained server without a state would have returned it to service. An omitted state now keeps the current one; a new server is active.

--- a/operator/config_service.go
+++ b/operator/config_service.go
@@ -1,9 +1,11 @@
 package operator
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"errors"
+	"slices"
 
 	"connectrpc.com/connect"
 
@@ -69,45 +71,59 @@
 	return refs, nil
 }
 
-// apply checks the floor for changes that eject servers and hands the change to
-// the store. The check holds because the store accepts the change only at the
-// epoch that was checked.
+// apply resolves omitted server states, checks the floor for changes that eject
+// servers and hands the change to the store. Both hold because the store accepts
+// the change only at the epoch that was read.
 func (s *configService) apply(ctx context.Context, change snapshot.Change, expected model.Epoch) (model.Epoch, error) {
-	if hasEjection(change.Put) {
-		if err := s.checkEjections(ctx, change, expected); err != nil {
+	if needsCurrent(change.Put) {
+		current, err := s.store.Load(ctx)
+		if err != nil {
 			return 0, err
 		}
+		if current.Epoch < expected {
+			return 0, &ConflictError{Expected: expected, Current: current.Epoch}
+		}
+		change.Put = fillStates(change.Put, current.Objects)
+		// Epochs only increase. With a later one the store refuses the change
+		// and says who made the conflicting one.
+		if current.Epoch == expected {
+			if err := s.checkEjections(ctx, change, current.Objects); err != nil {
+				return 0, err
+			}
+		}
 	}
 	return s.store.Apply(ctx, change, expected)
 }
 
-func hasEjection(o snapshot.Objects) bool {
-	for _, server := range o.Servers {
-		if server.State == snapshot.ServerEjected {
-			return true
+func needsCurrent(put snapshot.Objects) bool {
+	return slices.ContainsFunc(put.Servers, func(s snapshot.Server) bool {
+		return s.State == snapshot.ServerEjected || s.State == ""
+	})
+}
+
+// fillStates gives servers without a state their current one, so that applying
+// a file does not undo a drain or an ejection that the file does not mention.
+func fillStates(put, current snapshot.Objects) snapshot.Objects {
+	states := map[model.ServerID]snapshot.ServerState{}
+	for _, s := range current.Servers {
+		states[s.ID] = s.State
+	}
+	put.Servers = slices.Clone(put.Servers)
+	for i := range put.Servers {
+		s := &put.Servers[i]
+		if s.State == "" {
+			s.State = cmp.Or(states[s.ID], snapshot.ServerActive)
 		}
 	}
-	return false
+	return put
 }
 
-func (s *configService) checkEjections(ctx context.Context, change snapshot.Change, expected model.Epoch) error {
-	current, err := s.store.Load(ctx)
-	if err != nil {
-		return err
-	}
-	switch {
-	case current.Epoch > expected:
-		// Epochs only increase, so the store refuses the change and says who
-		// made the conflicting one.
-		return nil
-	case current.Epoch < expected:
-		return &ConflictError{Expected: expected, Current: current.Epoch}
-	}
-	after := mergeChange(current.Objects, change.Put, change.Delete)
-	if len(ejectedPools(current.Objects, after)) == 0 {
+func (s *configService) checkEjections(ctx context.Context, change snapshot.Change, current snapshot.Objects) error {
+	after := mergeChange(current, change.Put, change.Delete)
+	if len(ejectedPools(current, after)) == 0 {
 		return nil
 	}
-	return checkFloor(current.Objects, after, s.ejectedByFleet(ctx))
+	return checkFloor(current, after, s.ejectedByFleet(ctx))
 }
 
 // ejectedByFleet returns the servers that pool owners have ejected. Hosts that
@@ -177,7 +193,7 @@
 	if err != nil {
 		return nil, toConnect(err)
 	}
-	diffs, err := diffObjects(current.Objects, put, deletes)
+	diffs, err := diffObjects(current.Objects, fillStates(put, current.Objects), deletes)
 	if err != nil {
 		return nil, toConnect(err)
 	}
--- a/operator/convert.go
+++ b/operator/convert.go
@@ -48,7 +48,7 @@
 // RefsToProto converts references.
 func RefsToProto(refs []snapshot.Ref) []*pb.Ref { return mapSlice(refs, RefToProto) }
 
-// ObjectsFromProto converts objects. An empty server state becomes active.
+// ObjectsFromProto converts objects.
 func ObjectsFromProto(o *pb.Objects) snapshot.Objects {
 	return snapshot.Objects{
 		Services:      mapSlice(o.GetServices(), serviceFromProto),
@@ -110,10 +110,6 @@
 }
 
 func serverFromProto(s *pb.Server) snapshot.Server {
-	state := snapshot.ServerState(s.GetState())
-	if state == "" {
-		state = snapshot.ServerActive
-	}
 	return snapshot.Server{
 		ID:          model.ServerID(s.GetId()),
 		Service:     model.ServiceName(s.GetService()),
@@ -121,7 +117,7 @@
 		Address:     s.GetAddress(),
 		Slots:       int(s.GetSlots()),
 		Connections: int(s.GetConnections()),
-		State:       state,
+		State:       snapshot.ServerState(s.GetState()),
 	}
 }
 
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -134,6 +134,23 @@
 	g.Expect(connect.CodeOf(err)).To(Equal(connect.CodeAborted))
 }
 
+// Guards against a file that mentions no state and undoes a drain.
+func TestApplyKeepsStateThatTheChangeOmits(t *testing.T) {
+	g, r := NewWithT(t), newRig(t, nil)
+	drained := booking(snapshot.Floor{}, 1)
+	drained.Servers[0].State = snapshot.ServerDraining
+	r.put(g, drained)
+	req := applyServer("b1", 1)
+	req.Msg.Put.Servers = append(req.Msg.Put.Servers, &pb.Server{Id: "b2", Service: "booking"})
+	_, err := r.config(aliceToken).Apply(ctx, req)
+	g.Expect(err).NotTo(HaveOccurred())
+	states := map[model.ServerID]snapshot.ServerState{}
+	for _, s := range r.store.current.Objects.Servers {
+		states[s.ID] = s.State
+	}
+	g.Expect(states).To(Equal(map[model.ServerID]snapshot.ServerState{"b1": snapshot.ServerDraining, "b2": snapshot.ServerActive}))
+}
+
 // Guards against two racing ejections that each respect the floor alone and
 // break it together.
 func TestRacingEjectionsCheckTheFloorAgain(t *testing.T) {
