cli: add usherctl

Sub-commands apply, diff, get, rollout, hosts, pools, drain, eject, readmit and report, with table and JSON output, one-line errors and stable exit codes.

--- /dev/null
+++ b/cli/cli.go
@@ -0,0 +1,176 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"connectrpc.com/connect"
+
+	"github.com/agateusher/agateusher/gen/agateusher/v1/agateusherv1connect"
+	"github.com/agateusher/agateusher/settings"
+)
+
+const (
+	// callTimeout bounds a call other than a report.
+	callTimeout = 30 * time.Second
+	// reportTimeout bounds a report.
+	reportTimeout = 10 * time.Minute
+	// maxAnswerBytes bounds one message from the API: a listing of the target
+	// scale's 710,000 workspaces takes some 30 MB.
+	maxAnswerBytes = 64 << 20
+)
+
+// Settings is the settings file of usherctl.
+type Settings struct {
+	// API is the base URL of usher-api.
+	API string `json:"api" validate:"omitempty,http_url"`
+	// Token is the operator's bearer token.
+	Token string `json:"token"`
+}
+
+// globalOptions are accepted by every sub-command.
+type globalOptions struct {
+	API      string `long:"api" env:"USHERCTL_API" value-name:"URL" description:"Base URL of usher-api, such as http://127.0.0.1:7070"`
+	Settings string `long:"settings" env:"USHERCTL_SETTINGS" value-name:"FILE" description:"Settings file: JSON with comments, keys api and token"`
+	Output   string `short:"o" long:"output" choice:"table" choice:"json" default:"table" description:"Form of the output"`
+}
+
+// Streams are the standard streams and the environment of a run.
+type Streams struct {
+	In       io.Reader
+	Out, Err io.Writer
+	// Getenv returns an environment variable, empty if it is not set.
+	Getenv func(string) string
+}
+
+// session is what a sub-command works with.
+type session struct {
+	Streams
+	config  agateusherv1connect.ConfigServiceClient
+	fleet   agateusherv1connect.FleetServiceClient
+	reports agateusherv1connect.ReportServiceClient
+	json    bool
+}
+
+// command is a sub-command. Its exported fields are its options.
+type command interface {
+	flags.Commander
+	run(ctx context.Context, s *session) error
+}
+
+// noExecute makes a type a flags.Commander whose work starts in run instead,
+// after the whole command line was checked.
+type noExecute struct{}
+
+// Execute implements flags.Commander.
+func (noExecute) Execute([]string) error { return nil }
+
+const longHelp = `Manages an agateusher fleet through usher-api.
+
+The token comes from the environment variable USHERCTL_TOKEN or the settings file.
+
+Examples:
+  $ usherctl --settings ctl.json apply -f change.json --wait
+  $ usherctl get servers
+  $ usherctl drain booking-07
+
+Exit codes: 0 success, 1 failure, 2 wrong command line or file, 3 conflict, 4 not found, 5 missing or unknown token, 6 unavailable, 7 wait timed out.`
+
+// Run executes one command line, without the program's name, and returns the
+// exit code.
+func Run(ctx context.Context, args []string, streams Streams) int {
+	err := run(ctx, args, streams)
+	if fe, ok := err.(*flags.Error); ok && fe.Type == flags.ErrHelp {
+		fmt.Fprintln(streams.Out, fe.Message)
+		return ExitOK
+	}
+	if err != nil {
+		printError(streams.Err, err)
+	}
+	return exitCode(err)
+}
+
+func run(ctx context.Context, args []string, streams Streams) error {
+	global := &globalOptions{}
+	var chosen command
+	parser := newParser(global)
+	parser.CommandHandler = func(c flags.Commander, rest []string) error {
+		if len(rest) > 0 {
+			return &UsageError{Problem: fmt.Sprintf("unexpected argument %q", rest[0])}
+		}
+		chosen, _ = c.(command)
+		return nil
+	}
+	if _, err := parser.ParseArgs(args); err != nil {
+		return err
+	}
+	s, err := newSession(global, streams)
+	if err != nil {
+		return err
+	}
+	return chosen.run(ctx, s)
+}
+
+func newParser(global *globalOptions) *flags.Parser {
+	parser := flags.NewNamedParser("usherctl", flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = longHelp
+	must(parser.AddGroup("Global options", "", global))
+	for _, c := range commands() {
+		must(parser.AddCommand(c.name, c.short, c.long, c.data))
+	}
+	return parser
+}
+
+// must panics on a malformed option tag, which is a programming error.
+func must[T any](_ T, err error) {
+	if err != nil {
+		panic(err)
+	}
+}
+
+func newSession(global *globalOptions, streams Streams) (*session, error) {
+	var file Settings
+	if global.Settings != "" {
+		if err := settings.Load(global.Settings, &file); err != nil {
+			return nil, err
+		}
+	}
+	if global.API != "" {
+		file.API = global.API
+	}
+	if token := streams.Getenv("USHERCTL_TOKEN"); token != "" {
+		file.Token = token
+	}
+	if file.API == "" {
+		return nil, &UsageError{Problem: "no API address: set --api, USHERCTL_API or the key api of the settings file"}
+	}
+	client := &http.Client{Transport: bearerTransport{token: file.Token, next: http.DefaultTransport}}
+	limit := connect.WithReadMaxBytes(maxAnswerBytes)
+	return &session{
+		Streams: streams,
+		config:  agateusherv1connect.NewConfigServiceClient(client, file.API, limit),
+		fleet:   agateusherv1connect.NewFleetServiceClient(client, file.API, limit),
+		reports: agateusherv1connect.NewReportServiceClient(client, file.API, limit),
+		json:    global.Output == "json",
+	}, nil
+}
+
+// bearerTransport adds the token to each request.
+type bearerTransport struct {
+	token string
+	next  http.RoundTripper
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t bearerTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	if t.token != "" {
+		r = r.Clone(r.Context())
+		r.Header.Set("Authorization", "Bearer "+t.token)
+	}
+	return t.next.RoundTrip(r)
+}
