--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"io"
-	"maps"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -27,7 +26,7 @@
 
 const token = "alice-secret-0123456789"
 
-// fakeStore holds servers and services, and remembers changes.
+// fakeStore is a ConfigStore in memory.
 type fakeStore struct {
 	mu      sync.Mutex
 	current snapshot.Snapshot
@@ -52,17 +51,11 @@
 	if expected != f.current.Epoch {
 		return 0, &operator.ConflictError{Expected: expected, Current: f.current.Epoch, Changes: f.changes[expected:]}
 	}
-	servers := map[model.ServerID]snapshot.Server{}
-	for _, s := range append(f.current.Objects.Servers, c.Put.Servers...) {
-		servers[s.ID] = s
+	next, err := f.current.Apply(c)
+	if err != nil {
+		return 0, err
 	}
-	f.current.Objects.Servers = nil
-	for s := range maps.Values(servers) {
-		f.current.Objects.Servers = append(f.current.Objects.Servers, s)
-	}
-	f.current.Objects.Services = append(f.current.Objects.Services, c.Put.Services...)
-	f.current.Objects.ReportLayouts = append(f.current.Objects.ReportLayouts, c.Put.ReportLayouts...)
-	f.current.Epoch++
+	f.current = *next
 	f.changes = append(f.changes, operator.ChangeSummary{Epoch: f.current.Epoch, ChangeID: c.ID, Author: c.Author})
 	if f.loseReplies > 0 {
 		f.loseReplies--
@@ -147,10 +140,10 @@
 
 const changeText = `{
   // One service and two servers.
-  "services": [{"name": "booking", "floor": {"share": 1}}],
+  "services": [{"name": "booking", "floor": {"share": 1}, "policy": "ridemark", "deadlineMs": 1000, "queueLimit": 9}],
   "servers": [
-    {"id": "b1", "service": "booking", "dataCentre": "lagos-1", "slots": 2},
-    {"id": "b2", "service": "booking", "dataCentre": "lagos-1", "slots": 2},
+    {"id": "b1", "service": "booking", "dataCentre": "lagos-1", "address": "127.0.0.1:9000", "slots": 2, "connections": 9},
+    {"id": "b2", "service": "booking", "dataCentre": "lagos-1", "address": "127.0.0.1:9001", "slots": 2, "connections": 9},
   ],
 }`
 
@@ -172,7 +165,8 @@
 		{"wrong file", nil, func(r *rig) []string { return []string{"diff", "-f", r.file("{\n\"servers\": [{\"slots\": true}]}")} }, ExitUsage, "change.jsonc:2: servers[0].slots: got true"},
 		{"conflict", nil, func(r *rig) []string { return []string{"apply", "--epoch", "0", "-f", r.file(changeText)} }, ExitConflict, "epoch 1 by setup"},
 		{"not found", nil, func(*rig) []string { return []string{"get", "server", "b9"} }, ExitNotFound, "Server b9 not found"},
-		{"floor", nil, func(*rig) []string { return []string{"eject", "b1"} }, ExitFailure, "floor of service booking in lagos-1"},
+		{"invalid objects", nil, func(r *rig) []string { return []string{"apply", "-f", r.file(`{"servers": [{"id": "b9"}]}`)} }, ExitFailure, "Server b9: address: got"},
+		{"floor", nil, func(*rig) []string { return []string{"eject", "b1"} }, ExitFailure, "floor of pool booking/lagos-1/0"},
 		{"bad token", func(r *rig) { r.env["USHERCTL_TOKEN"] = "wrong" }, func(*rig) []string { return []string{"drain", "b1"} }, ExitUnauthenticated, "token"},
 		{"no token", func(r *rig) { r.env = nil }, func(*rig) []string { return []string{"report", "--day", "2026-12-03", "--layout", "l"} }, ExitUnauthenticated, "token"},
 		{"object API down", func(r *rig) { r.store.err = objectapi.ErrUnavailable }, func(*rig) []string { return []string{"get", "servers"} }, ExitUnavailable, "unavailable"},
@@ -242,14 +236,14 @@
 	r.Expect(r.run("hosts").out).To(MatchRegexp(`h1 +lagos-1 +live +1 `))
 	r.Expect(r.run("pools").out).To(And(ContainSubstring("missing: h2"), MatchRegexp(`booking +lagos-1 +0 +h1 +0 +4 .* 5 timeouts`)))
 	r.Expect(r.run("drain", "b1").out).To(Equal("epoch 2\n"))
-	change := r.file(`{"servers": [{"id": "b1", "service": "booking", "dataCentre": "lagos-1", "slots": 3}]}`)
+	change := r.file(`{"servers": [{"id": "b1", "service": "booking", "dataCentre": "lagos-1", "address": "127.0.0.1:9000", "slots": 3, "connections": 9}]}`)
 	r.Expect(r.run("diff", "-f", change).out).To(Equal("against epoch 2\nreplace Server b1\n  slots: 2 -> 3\n"))
 }
 
 // Guards against a report whose bytes differ from what the layout produced.
 func TestReport(t *testing.T) {
 	r := newRig(t)
-	r.Expect(r.run("apply", "-f", r.file(`{"reportLayouts": [{"name": "daily"}]}`)).code).To(Equal(ExitOK))
+	r.Expect(r.run("apply", "-f", r.file(`{"reportLayouts": [{"name": "daily", "columns": [{"heading": "h", "field": "requests"}]}]}`)).code).To(Equal(ExitOK))
 	got := r.run("report", "--day", "2026-12-03", "--layout", "daily")
 	r.Expect(got).To(Equal(result{ExitOK, "service;requests\nbooking;7\n", "usherctl: warning: host h9: no data\n"}))
 	r.Expect(r.run("report", "--day", "yesterday", "--layout", "daily").code).To(Equal(ExitFailure))
--- a/cli/exit.go
+++ b/cli/exit.go
@@ -128,7 +128,7 @@
 }
 
 func oneLine(text string) string {
-	return strings.Join(strings.FieldsFunc(text, func(r rune) bool { return r == '\n' || r == '\r' }), " ")
+	return strings.Join(strings.FieldsFunc(text, func(r rune) bool { return r == '\n' || r == '\r' }), "; ")
 }
 
 // errFileTooLarge is wrapped by FileError for a file over MaxFileBytes.
--- a/operator/codes.go
+++ b/operator/codes.go
@@ -7,6 +7,7 @@
 	"connectrpc.com/connect"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/agateusher/agateusher/core/snapshot"
 	pb "github.com/agateusher/agateusher/gen/agateusher/v1"
 	"github.com/agateusher/agateusher/objectapi"
 )
@@ -31,7 +32,7 @@
 		return connect.CodeAborted
 	case is[*FloorError](err):
 		return connect.CodeFailedPrecondition
-	case is[*InvalidError](err), is[*RequestError](err):
+	case is[*snapshot.ValidationError](err), is[*RequestError](err):
 		return connect.CodeInvalidArgument
 	case is[*NotFoundError](err):
 		return connect.CodeNotFound
@@ -39,7 +40,7 @@
 		return connect.CodeUnauthenticated
 	case errors.Is(err, ErrNoReports):
 		return connect.CodeUnimplemented
-	case errors.Is(err, objectapi.ErrUnavailable):
+	case errors.Is(err, objectapi.ErrUnavailable), is[*objectapi.RateLimitedError](err):
 		return connect.CodeUnavailable
 	case errors.Is(err, objectapi.ErrTooLarge):
 		return connect.CodeResourceExhausted
@@ -62,14 +63,14 @@
 	}
 	if e, ok := errors.AsType[*FloorError](err); ok {
 		return &pb.FloorDetail{
-			Service: string(e.Service), DataCentre: string(e.DataCentre),
+			Service: string(e.Pool.Service), DataCentre: string(e.Pool.DataCentre), Shard: int32(e.Pool.Shard),
 			RemainingSlots: int32(e.RemainingSlots), RequiredSlots: int32(e.RequiredSlots),
 			RemainingServers: int32(e.RemainingServers), RequiredServers: int32(e.RequiredServers),
 		}
 	}
-	if e, ok := errors.AsType[*InvalidError](err); ok {
-		return &pb.InvalidDetail{Objects: mapSlice(e.Objects, func(o InvalidObject) *pb.InvalidObject {
-			return &pb.InvalidObject{Ref: RefToProto(o.Ref), Field: o.Field, Expected: o.Expected}
+	if e, ok := errors.AsType[*snapshot.ValidationError](err); ok {
+		return &pb.InvalidDetail{Objects: mapSlice(e.Mistakes, func(m snapshot.Mistake) *pb.InvalidObject {
+			return &pb.InvalidObject{Ref: RefToProto(m.Object), Field: m.Field, Value: m.Value, Expected: m.Expected}
 		})}
 	}
 	return nil
@@ -80,7 +81,7 @@
 		ExpectedEpoch: uint64(e.Expected),
 		CurrentEpoch:  uint64(e.Current),
 		Changes: mapSlice(e.Changes, func(c ChangeSummary) *pb.ChangeSummary {
-			return &pb.ChangeSummary{Epoch: uint64(c.Epoch), ChangeId: c.ChangeID, Author: c.Author, Objects: RefsToProto(c.Objects)}
+			return &pb.ChangeSummary{Epoch: uint64(c.Epoch), ChangeId: c.ChangeID, Author: c.Author, Objects: RefsToProto(c.Objects), ObjectCount: int64(c.ObjectCount)}
 		}),
 	}
 }
--- a/operator/config_service.go
+++ b/operator/config_service.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"crypto/rand"
-	"errors"
 	"slices"
 
 	"connectrpc.com/connect"
@@ -35,7 +34,7 @@
 }
 
 func changeFromProto(ctx context.Context, m *pb.ApplyRequest) (snapshot.Change, error) {
-	put, deletes, err := objectsOf(m)
+	deletes, err := refsFromProto(m.GetDelete())
 	if err != nil {
 		return snapshot.Change{}, err
 	}
@@ -43,20 +42,7 @@
 	if id == "" {
 		id = rand.Text()
 	}
-	return snapshot.Change{ID: id, Author: operatorName(ctx), Put: put, Delete: deletes}, nil
-}
-
-// objectsOf returns what a request creates or replaces and what it deletes.
-func objectsOf(m interface {
-	GetPut() *pb.Objects
-	GetDelete() []*pb.Ref
-}) (snapshot.Objects, []snapshot.Ref, error) {
-	deletes, err := refsFromProto(m.GetDelete())
-	if err != nil {
-		return snapshot.Objects{}, nil, err
-	}
-	put := ObjectsFromProto(m.GetPut())
-	return put, deletes, checkOnce(put, deletes)
+	return snapshot.Change{ID: id, Author: operatorName(ctx), Put: ObjectsFromProto(m.GetPut()), Delete: deletes}, nil
 }
 
 func refsFromProto(in []*pb.Ref) ([]snapshot.Ref, error) {
@@ -87,7 +73,7 @@
 		// Epochs only increase. With a later one the store refuses the change
 		// and says who made the conflicting one.
 		if current.Epoch == expected {
-			if err := s.checkEjections(ctx, change, current.Objects); err != nil {
+			if err := s.checkEjections(ctx, change, current); err != nil {
 				return 0, err
 			}
 		}
@@ -118,12 +104,15 @@
 	return put
 }
 
-func (s *configService) checkEjections(ctx context.Context, change snapshot.Change, current snapshot.Objects) error {
-	after := mergeChange(current, change.Put, change.Delete)
-	if len(ejectedPools(current, after)) == 0 {
+func (s *configService) checkEjections(ctx context.Context, change snapshot.Change, current snapshot.Snapshot) error {
+	next, err := current.Apply(change)
+	if err != nil {
+		return err
+	}
+	if len(newlyEjected(current.Objects, next.Objects)) == 0 {
 		return nil
 	}
-	return checkFloor(current, after, s.ejectedByFleet(ctx))
+	return checkFloor(current.Objects, next.Objects, s.ejectedByFleet(ctx))
 }
 
 // ejectedByFleet returns the servers that pool owners have ejected. Hosts that
@@ -152,40 +141,46 @@
 const maxStateAttempts = 4
 
 // setState sets a server's state as one change. A conflict with a change of
-// another object is resolved by reading the configuration and checking the
-// floor again; a conflict with a change of the same server is returned.
+// other objects is resolved by reading the configuration and checking the floor
+// again; if the server itself was changed, the conflict is returned.
 func (s *configService) setState(ctx context.Context, id model.ServerID, state snapshot.ServerState) (model.Epoch, error) {
-	ref := snapshot.Ref{Kind: snapshot.KindServer, Name: string(id)}
-	for attempt := 1; ; attempt++ {
-		epoch, err := s.trySetState(ctx, ref, state)
-		conflict, ok := errors.AsType[*ConflictError](err)
-		if !ok || conflict.touches(ref) || attempt == maxStateAttempts {
-			return epoch, err
+	current, server, err := s.findServer(ctx, id)
+	for attempt := 1; err == nil; attempt++ {
+		if server.State == state {
+			return current.Epoch, nil
+		}
+		epoch, applyErr := s.apply(ctx, stateChange(ctx, server, state), current.Epoch)
+		if !is[*ConflictError](applyErr) || attempt == maxStateAttempts {
+			return epoch, applyErr
+		}
+		seen := server
+		if current, server, err = s.findServer(ctx, id); err == nil && server != seen {
+			return 0, applyErr
 		}
 	}
+	return 0, err
 }
 
-func (s *configService) trySetState(ctx context.Context, ref snapshot.Ref, state snapshot.ServerState) (model.Epoch, error) {
+func (s *configService) findServer(ctx context.Context, id model.ServerID) (snapshot.Snapshot, snapshot.Server, error) {
 	current, err := s.store.Load(ctx)
 	if err != nil {
-		return 0, err
+		return snapshot.Snapshot{}, snapshot.Server{}, err
 	}
-	found, err := selectObject(current.Objects, ref)
+	found, err := selectObject(current.Objects, snapshot.Server{ID: id}.Ref())
 	if err != nil {
-		return 0, err
-	}
-	server := found.Servers[0]
-	if server.State == state {
-		return current.Epoch, nil
+		return snapshot.Snapshot{}, snapshot.Server{}, err
 	}
+	return current, found.Servers[0], nil
+}
+
+func stateChange(ctx context.Context, server snapshot.Server, state snapshot.ServerState) snapshot.Change {
 	server.State = state
-	change := snapshot.Change{ID: rand.Text(), Author: operatorName(ctx), Put: snapshot.Objects{Servers: []snapshot.Server{server}}}
-	return s.apply(ctx, change, current.Epoch)
+	return snapshot.Change{ID: rand.Text(), Author: operatorName(ctx), Put: snapshot.Objects{Servers: []snapshot.Server{server}}}
 }
 
 // Diff implements ConfigService.
 func (s *configService) Diff(ctx context.Context, req *connect.Request[pb.DiffRequest]) (*connect.Response[pb.DiffResponse], error) {
-	put, deletes, err := objectsOf(req.Msg)
+	change, err := changeFromProto(ctx, &pb.ApplyRequest{Put: req.Msg.GetPut(), Delete: req.Msg.GetDelete()})
 	if err != nil {
 		return nil, toConnect(err)
 	}
@@ -193,7 +188,12 @@
 	if err != nil {
 		return nil, toConnect(err)
 	}
-	diffs, err := diffObjects(current.Objects, fillStates(put, current.Objects), deletes)
+	change.Put = fillStates(change.Put, current.Objects).Normalized()
+	// A change that could not be applied has no meaningful difference.
+	if _, err := current.Apply(change); err != nil {
+		return nil, toConnect(err)
+	}
+	diffs, err := diffObjects(current.Objects, change.Put, change.Delete)
 	if err != nil {
 		return nil, toConnect(err)
 	}
--- a/operator/doc.go
+++ b/operator/doc.go
@@ -3,7 +3,7 @@
 // backend servers in and out of service and returns daily reports.
 //
 // Every call is authenticated by a bearer token, bounded in size and time, and
-// logged in one line. Failures are typed: see ConflictError, FloorError,
-// InvalidError and NotFoundError, which reach callers as connect errors with a
-// detail message.
+// logged in one line. Failures are typed: ConflictError, FloorError,
+// NotFoundError and snapshot.ValidationError reach callers as connect errors
+// with a detail message.
 package operator
--- a/operator/errors.go
+++ b/operator/errors.go
@@ -14,8 +14,11 @@
 	Epoch    model.Epoch
 	ChangeID string
 	Author   string
-	// Objects were created, replaced or deleted.
+	// Objects were created, replaced or deleted; only the first few of a large
+	// change.
 	Objects []snapshot.Ref
+	// ObjectCount is the number of all of them.
+	ObjectCount int
 }
 
 // ConflictError reports a change made against an epoch that is no longer the
@@ -32,43 +35,31 @@
 func (e *ConflictError) Error() string {
 	text := fmt.Sprintf("conflict: expected epoch %d, current epoch is %d", e.Expected, e.Current)
 	for _, c := range e.Changes {
-		text += fmt.Sprintf("; epoch %d by %s changed %s", c.Epoch, c.Author, joinRefs(c.Objects))
+		text += fmt.Sprintf("; epoch %d by %s changed %s", c.Epoch, c.Author, c.objectsText())
 	}
 	return text
 }
 
-// touches says whether one of the changes concerns the object.
-func (e *ConflictError) touches(ref snapshot.Ref) bool {
-	for _, c := range e.Changes {
-		for _, r := range c.Objects {
-			if r == ref {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // maxRefsInText bounds the objects that a one-line message names.
 const maxRefsInText = 5
 
-func joinRefs(refs []snapshot.Ref) string {
-	names := make([]string, 0, maxRefsInText+1)
-	for i, r := range refs {
-		if i == maxRefsInText {
-			names = append(names, fmt.Sprintf("%d more", len(refs)-i))
-			break
-		}
-		names = append(names, string(r.Kind)+" "+r.Name)
+func (c ChangeSummary) objectsText() string {
+	shown := c.Objects[:min(len(c.Objects), maxRefsInText)]
+	names := make([]string, len(shown))
+	for i, r := range shown {
+		names[i] = r.String()
 	}
-	return strings.Join(names, ", ")
+	text := strings.Join(names, ", ")
+	if more := c.ObjectCount - len(shown); more > 0 {
+		text += fmt.Sprintf(" and %d more", more)
+	}
+	return text
 }
 
 // FloorError reports a manual ejection that would leave a pool with less
 // healthy capacity than its floor. Nothing was changed.
 type FloorError struct {
-	Service    model.ServiceName
-	DataCentre model.DataCentre
+	Pool model.PoolID
 	// RemainingSlots and RemainingServers would be healthy after the ejection.
 	RemainingSlots, RemainingServers int
 	// RequiredSlots and RequiredServers are the pool's floor.
@@ -77,31 +68,8 @@
 
 // Error implements error.
 func (e *FloorError) Error() string {
-	return fmt.Sprintf("floor of service %s in %s: %d slots on %d servers would remain, %d slots and %d servers are required",
-		e.Service, e.DataCentre, e.RemainingSlots, e.RemainingServers, e.RequiredSlots, e.RequiredServers)
-}
-
-// InvalidObject is one mistake in one object of a change.
-type InvalidObject struct {
-	Ref   snapshot.Ref
-	Field string
-	// Expected says what the field must hold.
-	Expected string
-}
-
-// InvalidError reports a change that is not a valid configuration. Nothing was
-// changed.
-type InvalidError struct {
-	Objects []InvalidObject
-}
-
-// Error implements error.
-func (e *InvalidError) Error() string {
-	texts := make([]string, len(e.Objects))
-	for i, o := range e.Objects {
-		texts[i] = fmt.Sprintf("%s %s: %s: expected %s", o.Ref.Kind, o.Ref.Name, o.Field, o.Expected)
-	}
-	return "invalid change: " + strings.Join(texts, "; ")
+	return fmt.Sprintf("floor of pool %s: %d slots on %d servers would remain, %d slots and %d servers are required",
+		e.Pool, e.RemainingSlots, e.RemainingServers, e.RequiredSlots, e.RequiredServers)
 }
 
 // NotFoundError reports an object or report that does not exist.
@@ -110,7 +78,7 @@
 }
 
 // Error implements error.
-func (e *NotFoundError) Error() string { return fmt.Sprintf("%s %s not found", e.Ref.Kind, e.Ref.Name) }
+func (e *NotFoundError) Error() string { return e.Ref.String() + " not found" }
 
 // RequestError reports an argument that no change of the configuration could
 // make valid.
--- a/operator/fakes_test.go
+++ b/operator/fakes_test.go
@@ -19,7 +19,7 @@
 	"github.com/agateusher/agateusher/gen/agateusher/v1/agateusherv1connect"
 )
 
-// memoryStore is a ConfigStore that keeps servers and services only.
+// memoryStore is a ConfigStore in memory.
 type memoryStore struct {
 	mu       sync.Mutex
 	current  snapshot.Snapshot
@@ -50,14 +50,12 @@
 	if expected != m.current.Epoch {
 		return 0, &ConflictError{Expected: expected, Current: m.current.Epoch, Changes: m.accepted[expected:]}
 	}
-	layouts := m.current.Objects.ReportLayouts
-	m.current.Objects = mergeChange(m.current.Objects, c.Put, c.Delete)
-	m.current.Objects.ReportLayouts = append(layouts, c.Put.ReportLayouts...)
-	m.current.Epoch++
-	summary := ChangeSummary{Epoch: m.current.Epoch, ChangeID: c.ID, Author: c.Author, Objects: c.Delete}
-	for ref := range indexObjects(c.Put) {
-		summary.Objects = append(summary.Objects, ref)
+	next, err := m.current.Apply(c)
+	if err != nil {
+		return 0, err
 	}
+	m.current = *next
+	summary := ChangeSummary{Epoch: m.current.Epoch, ChangeID: c.ID, Author: c.Author, Objects: c.Refs(), ObjectCount: len(c.Refs())}
 	m.accepted = append(m.accepted, summary)
 	return m.current.Epoch, nil
 }
@@ -71,7 +69,7 @@
 func (f *fixedFleet) Status(context.Context) ([]HostStatus, error) { return f.status, nil }
 func (f *fixedFleet) Pools(context.Context) ([]HostPools, error)   { return f.pools, nil }
 
-func poolOf(states map[model.ServerID]adminapi.ServerState) HostPools {
+func ownerView(states map[model.ServerID]adminapi.ServerState) HostPools {
 	p := adminapi.Pool{Service: "booking", DataCentre: "lagos-1"}
 	for id, state := range states {
 		p.Servers = append(p.Servers, adminapi.Server{ID: id, State: state})
@@ -134,11 +132,13 @@
 
 // booking returns a service with a floor and n servers of two slots each.
 func booking(floor snapshot.Floor, n int) snapshot.Objects {
-	o := snapshot.Objects{Services: []snapshot.Service{{Name: "booking", Floor: floor}}}
+	o := snapshot.Objects{Services: []snapshot.Service{{
+		Name: "booking", Floor: floor, Policy: snapshot.PolicyRidemark, DeadlineMs: 1000, QueueLimit: 100,
+	}}}
 	for i := range n {
 		o.Servers = append(o.Servers, snapshot.Server{
 			ID: model.ServerID("b" + string(rune('1'+i))), Service: "booking", DataCentre: "lagos-1",
-			Slots: 2, State: snapshot.ServerActive,
+			Address: "127.0.0.1:900" + string(rune('1'+i)), Slots: 2, Connections: 10, State: snapshot.ServerActive,
 		})
 	}
 	return o
--- a/operator/floor.go
+++ b/operator/floor.go
@@ -1,122 +1,116 @@
 package operator
 
 import (
-	"math"
+	"github.com/cespare/xxhash/v2"
 
+	"github.com/agateusher/agateusher/core/floor"
 	"github.com/agateusher/agateusher/core/model"
 	"github.com/agateusher/agateusher/core/snapshot"
 )
 
-// poolKey names the servers of one service in one data centre. Shards are not
-// distinguished, because their members are chosen by the daemons.
-type poolKey struct {
-	service    model.ServiceName
-	dataCentre model.DataCentre
-}
-
-// shareTolerance keeps a share such as 0.7 of 10 slots, which is slightly more
-// than 7 in binary floating point, from being rounded up to 8.
-const shareTolerance = 1e-9
-
-// checkFloor returns a *FloorError if a server that the change ejects would
-// leave its pool below the floor. Servers that are draining or ejected count as
-// lost, and so do those in down, which the fleet itself has ejected.
+// checkFloor returns a *FloorError if a server that a change ejects would leave
+// its pool below the floor. Servers that are draining or ejected count as lost,
+// and so do those in down, which the fleet itself has ejected.
 func checkFloor(before, after snapshot.Objects, down map[model.ServerID]bool) error {
-	for key := range ejectedPools(before, after) {
-		if err := checkPool(key, after, down); err != nil {
+	ejected := newlyEjected(before, after)
+	if len(ejected) == 0 {
+		return nil
+	}
+	pools := poolInputs(after, down)
+	for _, s := range ejected {
+		id := poolOf(shardCounts(after), s)
+		if err := checkPool(id, pools[id]); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-// ejectedPools returns the pools in which a server becomes ejected. A server
-// that was already draining or is created ejected takes no capacity away.
-func ejectedPools(before, after snapshot.Objects) map[poolKey]bool {
+// newlyEjected returns the servers that become ejected. A server that was
+// already draining or is created ejected takes no capacity away.
+func newlyEjected(before, after snapshot.Objects) []snapshot.Server {
 	active := map[model.ServerID]bool{}
 	for _, s := range before.Servers {
-		active[s.ID] = isActive(s)
+		active[s.ID] = s.State == snapshot.ServerActive
 	}
-	pools := map[poolKey]bool{}
+	var list []snapshot.Server
 	for _, s := range after.Servers {
 		if s.State == snapshot.ServerEjected && active[s.ID] {
-			pools[poolKey{s.Service, s.DataCentre}] = true
+			list = append(list, s)
 		}
 	}
-	return pools
-}
-
-func isActive(s snapshot.Server) bool {
-	return s.State == snapshot.ServerActive || s.State == ""
+	return list
 }
 
-func checkPool(key poolKey, o snapshot.Objects, down map[model.ServerID]bool) error {
-	e := &FloorError{Service: key.service, DataCentre: key.dataCentre}
-	var slots, poolServers, serviceServers int
+// poolInputs returns the servers and the floor of every pool as owners see
+// them: the minimum count is divided evenly among the service's pools, rounded
+// up.
+func poolInputs(o snapshot.Objects, down map[model.ServerID]bool) map[model.PoolID]floor.Input {
+	shards := shardCounts(o)
+	pools := map[model.PoolID]floor.Input{}
+	counts := map[model.ServiceName]int{}
 	for _, s := range o.Servers {
-		if s.Service != key.service {
-			continue
-		}
-		serviceServers++
-		if s.DataCentre != key.dataCentre {
-			continue
-		}
-		poolServers++
-		slots += s.Slots
-		if isActive(s) && !down[s.ID] {
-			e.RemainingServers++
-			e.RemainingSlots += s.Slots
+		id := poolOf(shards, s)
+		in, known := pools[id]
+		if !known {
+			counts[s.Service]++
 		}
+		in.Servers = append(in.Servers, floor.Server{ID: s.ID, Slots: s.Slots, State: floorState(s, down)})
+		pools[id] = in
 	}
-	floor := serviceFloor(o, key.service)
-	e.RequiredSlots = int(math.Ceil(floor.Share*float64(slots) - shareTolerance))
-	e.RequiredServers = minServersPart(floor.MinServers, poolServers, serviceServers)
-	if e.RemainingSlots < e.RequiredSlots || e.RemainingServers < e.RequiredServers {
-		return e
+	floors := map[model.ServiceName]snapshot.Floor{}
+	for _, s := range o.Services {
+		floors[s.Name] = s.Floor
 	}
-	return nil
-}
-
-// minServersPart divides a service's minimum count among its pools in
-// proportion to their servers, rounded up.
-func minServersPart(minServers, poolServers, serviceServers int) int {
-	if serviceServers == 0 {
-		return 0
+	for id, in := range pools {
+		n, f := counts[id.Service], floors[id.Service]
+		in.Limits = floor.Limits{Share: f.Share, MinServers: (f.MinServers + n - 1) / n}
+		pools[id] = in
 	}
-	return (minServers*poolServers + serviceServers - 1) / serviceServers
+	return pools
 }
 
-func serviceFloor(o snapshot.Objects, name model.ServiceName) snapshot.Floor {
+func shardCounts(o snapshot.Objects) map[model.ServiceName]int {
+	shards := map[model.ServiceName]int{}
 	for _, s := range o.Services {
-		if s.Name == name {
-			return s.Floor
-		}
+		shards[s.Name] = s.Shards
 	}
-	return snapshot.Floor{}
+	return shards
 }
 
-// mergeChange returns the objects that the change would leave.
-func mergeChange(current snapshot.Objects, put snapshot.Objects, deletes []snapshot.Ref) snapshot.Objects {
-	gone := map[snapshot.Ref]bool{}
-	for ref := range indexObjects(put) {
-		gone[ref] = true
+// poolOf returns the pool of a server. It must fill shards as the daemon does.
+func poolOf(shards map[model.ServiceName]int, s snapshot.Server) model.PoolID {
+	id := model.PoolID{Service: s.Service, DataCentre: s.DataCentre}
+	if n := shards[s.Service]; n > 1 {
+		id.Shard = int(xxhash.Sum64String(string(s.ID)) % uint64(n))
 	}
-	for _, ref := range deletes {
-		gone[ref] = true
+	return id
+}
+
+func floorState(s snapshot.Server, down map[model.ServerID]bool) floor.State {
+	switch {
+	case s.State == snapshot.ServerEjected:
+		return floor.EjectedByOperator
+	case s.State == snapshot.ServerDraining:
+		return floor.Leaving
+	case down[s.ID]:
+		return floor.EjectedByHealth
 	}
-	var out snapshot.Objects
-	for _, s := range current.Services {
-		if !gone[snapshot.Ref{Kind: snapshot.KindService, Name: string(s.Name)}] {
-			out.Services = append(out.Services, s)
+	return floor.Serving
+}
+
+// checkPool checks the pool after the change.
+func checkPool(id model.PoolID, in floor.Input) error {
+	e := &FloorError{Pool: id}
+	e.RequiredSlots, e.RequiredServers = floor.Required(in)
+	for _, s := range in.Servers {
+		if s.State == floor.Serving {
+			e.RemainingServers++
+			e.RemainingSlots += s.Slots
 		}
 	}
-	for _, s := range current.Servers {
-		if !gone[snapshot.Ref{Kind: snapshot.KindServer, Name: string(s.ID)}] {
-			out.Servers = append(out.Servers, s)
-		}
+	if e.RemainingSlots < e.RequiredSlots || e.RemainingServers < e.RequiredServers {
+		return e
 	}
-	// The floor depends on services and servers only.
-	out.Services = append(out.Services, put.Services...)
-	out.Servers = append(out.Servers, put.Servers...)
-	return out
+	return nil
 }
--- a/operator/objects.go
+++ b/operator/objects.go
@@ -12,40 +12,30 @@
 	pb "github.com/agateusher/agateusher/gen/agateusher/v1"
 )
 
-// kindOrder is the order in which kinds are listed.
-var kindOrder = []snapshot.Kind{
-	snapshot.KindService, snapshot.KindServer, snapshot.KindRoute,
-	snapshot.KindWorkspace, snapshot.KindReportLayout,
-}
-
 func compareRefs(a, b snapshot.Ref) int {
 	return cmp.Or(
-		cmp.Compare(slices.Index(kindOrder, a.Kind), slices.Index(kindOrder, b.Kind)),
+		cmp.Compare(slices.Index(snapshot.Kinds, a.Kind), slices.Index(snapshot.Kinds, b.Kind)),
 		cmp.Compare(a.Name, b.Name),
 	)
 }
 
 // indexObjects returns each object under its reference.
 func indexObjects(o snapshot.Objects) map[snapshot.Ref]any {
-	index := map[snapshot.Ref]any{}
-	for _, s := range o.Services {
-		index[snapshot.Ref{Kind: snapshot.KindService, Name: string(s.Name)}] = s
-	}
-	for _, s := range o.Servers {
-		index[snapshot.Ref{Kind: snapshot.KindServer, Name: string(s.ID)}] = s
-	}
-	for _, r := range o.Routes {
-		index[snapshot.Ref{Kind: snapshot.KindRoute, Name: string(r.Name)}] = r
-	}
-	for _, w := range o.Workspaces {
-		index[snapshot.Ref{Kind: snapshot.KindWorkspace, Name: string(w.ID)}] = w
-	}
-	for _, l := range o.ReportLayouts {
-		index[snapshot.Ref{Kind: snapshot.KindReportLayout, Name: l.Name}] = l
-	}
+	index := make(map[snapshot.Ref]any, o.Len())
+	addAll(index, o.Services)
+	addAll(index, o.Servers)
+	addAll(index, o.Routes)
+	addAll(index, o.Workspaces)
+	addAll(index, o.ReportLayouts)
 	return index
 }
 
+func addAll[T interface{ Ref() snapshot.Ref }](index map[snapshot.Ref]any, objects []T) {
+	for _, o := range objects {
+		index[o.Ref()] = o
+	}
+}
+
 // selectKind returns only the objects of one kind.
 func selectKind(o snapshot.Objects, kind snapshot.Kind) snapshot.Objects {
 	switch kind {
@@ -92,16 +82,13 @@
 		}
 	}
 	for _, ref := range deletes {
-		if _, ok := before[ref]; !ok {
-			return nil, &NotFoundError{Ref: ref}
-		}
 		actions[ref] = pb.ObjectDiff_ACTION_DELETE
 	}
 	var diffs []*pb.ObjectDiff
 	for _, ref := range slices.SortedFunc(maps.Keys(actions), compareRefs) {
 		fields, err := diffFields(before[ref], after[ref])
 		if err != nil {
-			return nil, fmt.Errorf("compare %s %s: %w", ref.Kind, ref.Name, err)
+			return nil, fmt.Errorf("compare %s: %w", ref, err)
 		}
 		if len(fields) > 0 {
 			diffs = append(diffs, &pb.ObjectDiff{Ref: RefToProto(ref), Action: actions[ref], Fields: fields})
@@ -149,20 +136,3 @@
 	err = json.Unmarshal(data, &fields)
 	return fields, err
 }
-
-// checkOnce returns a *RequestError if a change names an object twice, or names
-// none.
-func checkOnce(put snapshot.Objects, deletes []snapshot.Ref) error {
-	count := len(put.Services) + len(put.Servers) + len(put.Routes) + len(put.Workspaces) + len(put.ReportLayouts) + len(deletes)
-	if count == 0 {
-		return &RequestError{Field: "put", Expected: "at least one object to create, replace or delete"}
-	}
-	named := indexObjects(put)
-	for _, ref := range deletes {
-		named[ref] = nil
-	}
-	if len(named) != count {
-		return &RequestError{Field: "put", Expected: "each object once"}
-	}
-	return nil
-}
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -24,10 +24,13 @@
 
 var ctx = context.Background()
 
+// applyServer is a change of one server that mentions no state.
 func applyServer(id string, expected uint64) *connect.Request[pb.ApplyRequest] {
 	return connect.NewRequest(&pb.ApplyRequest{
 		ExpectedEpoch: expected,
-		Put:           &pb.Objects{Servers: []*pb.Server{{Id: id, Service: "booking", Slots: 2}}},
+		Put: &pb.Objects{Servers: []*pb.Server{{
+			Id: id, Service: "booking", DataCentre: "lagos-1", Address: "127.0.0.1:900" + id[1:], Slots: 2, Connections: 10,
+		}}},
 	})
 }
 
@@ -35,14 +38,15 @@
 // and against a conflict that does not say who changed what.
 func TestApplyRefusesChangeAgainstOlderEpoch(t *testing.T) {
 	g, r := NewWithT(t), newRig(t, nil)
-	res, err := r.config(aliceToken).Apply(ctx, applyServer("b1", 0))
+	r.put(g, booking(snapshot.Floor{}, 0))
+	res, err := r.config(aliceToken).Apply(ctx, applyServer("b1", 1))
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(res.Msg.GetEpoch()).To(Equal(uint64(1)))
+	g.Expect(res.Msg.GetEpoch()).To(Equal(uint64(2)))
 
-	_, err = r.config(bobToken).Apply(ctx, applyServer("b2", 0))
+	_, err = r.config(bobToken).Apply(ctx, applyServer("b2", 1))
 	g.Expect(connect.CodeOf(err)).To(Equal(connect.CodeAborted))
 	d := detail[*pb.ConflictDetail](g, err)
-	g.Expect(d.GetCurrentEpoch()).To(Equal(uint64(1)))
+	g.Expect(d.GetCurrentEpoch()).To(Equal(uint64(2)))
 	g.Expect(d.GetChanges()).To(HaveLen(1))
 	g.Expect(d.GetChanges()[0].GetAuthor()).To(Equal("alice"))
 	g.Expect(d.GetChanges()[0].GetObjects()[0].GetName()).To(Equal("b1"))
@@ -102,7 +106,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			g, r := NewWithT(t), newRig(t, nil)
 			r.put(g, booking(c.floor, c.servers))
-			r.fleet.pools = []HostPools{poolOf(c.down)}
+			r.fleet.pools = []HostPools{ownerView(c.down)}
 			for _, id := range c.already {
 				_, err := r.fleetClient(aliceToken).Eject(ctx, connect.NewRequest(&pb.EjectRequest{Server: id}))
 				g.Expect(err).NotTo(HaveOccurred())
@@ -119,13 +123,32 @@
 	}
 }
 
+// Guards against a floor check that sees other pools than the daemons do.
+func TestFloorIsCheckedPerPool(t *testing.T) {
+	for _, c := range []struct {
+		minServers, shards int
+		allowed            bool
+	}{
+		{minServers: 2, shards: 1, allowed: true}, // one of the two in each data centre
+		{minServers: 3, shards: 1},                // two in each, rounded up
+		{minServers: 0, shards: 64},               // each server is a pool of its own
+	} {
+		g, r := NewWithT(t), newRig(t, nil)
+		o := booking(snapshot.Floor{Share: 0.4, MinServers: c.minServers}, 4)
+		o.Services[0].Shards = c.shards
+		o.Servers[2].DataCentre, o.Servers[3].DataCentre = "lagos-2", "lagos-2"
+		r.put(g, o)
+		_, err := r.fleetClient(aliceToken).Eject(ctx, connect.NewRequest(&pb.EjectRequest{Server: "b1"}))
+		g.Expect(err == nil).To(Equal(c.allowed), "%+v: %v", c, err)
+	}
+}
+
 // Guards against an ejection in an applied file that the floor check of Eject
 // does not see.
 func TestApplyChecksFloor(t *testing.T) {
 	g, r := NewWithT(t), newRig(t, nil)
 	r.put(g, booking(snapshot.Floor{Share: 1}, 2))
 	req := applyServer("b1", 1)
-	req.Msg.Put.Servers[0].DataCentre = "lagos-1"
 	req.Msg.Put.Servers[0].State = string(snapshot.ServerEjected)
 	_, err := r.config(aliceToken).Apply(ctx, req)
 	g.Expect(connect.CodeOf(err)).To(Equal(connect.CodeFailedPrecondition))
@@ -141,7 +164,7 @@
 	drained.Servers[0].State = snapshot.ServerDraining
 	r.put(g, drained)
 	req := applyServer("b1", 1)
-	req.Msg.Put.Servers = append(req.Msg.Put.Servers, &pb.Server{Id: "b2", Service: "booking"})
+	req.Msg.Put.Servers = append(req.Msg.Put.Servers, applyServer("b2", 1).Msg.Put.Servers...)
 	_, err := r.config(aliceToken).Apply(ctx, req)
 	g.Expect(err).NotTo(HaveOccurred())
 	states := map[model.ServerID]snapshot.ServerState{}
@@ -187,7 +210,7 @@
 	for code, err := range map[connect.Code]error{
 		connect.CodeUnavailable:      fmt.Errorf("read head: %w", objectapi.ErrUnavailable),
 		connect.CodeDeadlineExceeded: fmt.Errorf("read head: %w", context.DeadlineExceeded),
-		connect.CodeInvalidArgument:  &InvalidError{Objects: []InvalidObject{{Ref: snapshot.Ref{Kind: snapshot.KindRoute, Name: "r"}, Field: "service", Expected: "a service that exists"}}},
+		connect.CodeInvalidArgument:  &snapshot.ValidationError{Mistakes: []snapshot.Mistake{{Field: "service", Expected: "a service that exists"}}},
 		connect.CodeInternal:         io.ErrUnexpectedEOF,
 	} {
 		g, r := NewWithT(t), newRig(t, nil)
@@ -209,33 +232,32 @@
 	g, r := NewWithT(t), newRig(t, nil)
 	r.put(g, booking(snapshot.Floor{}, 2))
 	put := booking(snapshot.Floor{}, 3)
-	put.Services = nil
+	put.Servers = append(put.Servers[:1], put.Servers[2])
 	put.Servers[0].Slots = 4
 	res, err := r.config(aliceToken).Diff(ctx, connect.NewRequest(&pb.DiffRequest{
 		Put:    ObjectsToProto(put),
-		Delete: []*pb.Ref{{Kind: pb.Kind_KIND_SERVICE, Name: "booking"}},
+		Delete: []*pb.Ref{{Kind: pb.Kind_KIND_SERVER, Name: "b2"}},
 	}))
 	g.Expect(err).NotTo(HaveOccurred())
 	var got []string
 	for _, d := range res.Msg.GetObjects() {
 		got = append(got, fmt.Sprintf("%s %s %d", d.GetAction(), d.GetRef().GetName(), len(d.GetFields())))
 	}
-	g.Expect(got).To(HaveLen(3))
-	g.Expect(got[1]).To(Equal("ACTION_REPLACE b1 1"))
-	f := res.Msg.GetObjects()[1].GetFields()[0]
+	g.Expect(got).To(Equal([]string{"ACTION_REPLACE b1 1", "ACTION_DELETE b2 7", "ACTION_CREATE b3 7"}))
+	f := res.Msg.GetObjects()[0].GetFields()[0]
 	g.Expect([]string{f.GetField(), f.GetBefore(), f.GetAfter()}).To(Equal([]string{"slots", "2", "4"}))
-	g.Expect(got[2]).To(HavePrefix("ACTION_CREATE b3"))
 }
 
 // Guards against a change that names an object twice, of which one would be
 // lost without notice.
 func TestChangeNamesEachObjectOnce(t *testing.T) {
 	g, r := NewWithT(t), newRig(t, nil)
-	twice := applyServer("b1", 0)
+	r.put(g, booking(snapshot.Floor{}, 1))
+	twice := applyServer("b1", 1)
 	twice.Msg.Put.Servers = append(twice.Msg.Put.Servers, twice.Msg.Put.Servers[0])
-	both := applyServer("b1", 0)
+	both := applyServer("b1", 1)
 	both.Msg.Delete = []*pb.Ref{{Kind: pb.Kind_KIND_SERVER, Name: "b1"}}
-	for _, req := range []*connect.Request[pb.ApplyRequest]{twice, both, connect.NewRequest(&pb.ApplyRequest{})} {
+	for _, req := range []*connect.Request[pb.ApplyRequest]{twice, both, connect.NewRequest(&pb.ApplyRequest{ExpectedEpoch: 1})} {
 		_, err := r.config(aliceToken).Apply(ctx, req)
 		g.Expect(connect.CodeOf(err)).To(Equal(connect.CodeInvalidArgument))
 	}
@@ -313,7 +335,7 @@
 	g := NewWithT(t)
 	text := bytes.Repeat([]byte("0123456789"), reportPieceBytes/4)
 	r := newRig(t, func(o *Options) { o.Reports = bigReport{text} })
-	r.put(g, snapshot.Objects{ReportLayouts: []snapshot.ReportLayout{{Name: "daily"}}})
+	r.put(g, snapshot.Objects{ReportLayouts: []snapshot.ReportLayout{{Name: "daily", Columns: []snapshot.ReportColumn{{Heading: "h", Field: "requests"}}}}})
 	client := agateusherv1connect.NewReportServiceClient(&http.Client{Transport: bearer(aliceToken)}, r.url)
 	stream, err := client.GetDailyReport(ctx, connect.NewRequest(&pb.GetDailyReportRequest{Day: "2026-12-04", Layout: "daily"}))
 	g.Expect(err).NotTo(HaveOccurred())
--- a/operator/store.go
+++ b/operator/store.go
@@ -15,7 +15,7 @@
 // objectapi.ErrUnavailable or the context's error.
 type ConfigStore interface {
 	// Apply accepts the change if the current epoch is expected, and returns
-	// the new epoch. It returns *ConflictError or *InvalidError if the change
+	// the new epoch. It returns *ConflictError or *snapshot.ValidationError if the change
 	// was refused. A change whose ID was accepted before returns the epoch that
 	// it produced.
 	Apply(ctx context.Context, change snapshot.Change, expected model.Epoch) (model.Epoch, error)
