--- a/cmd/usher-api/main.go
+++ b/cmd/usher-api/main.go
@@ -1,15 +1,21 @@
-// Command usher-api is part of agateusher.
+// Command usher-api serves the RPCs that operators manage a fleet with.
 package main
 
 import (
-	"fmt"
-	"net"
+	"context"
 	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/agateusher/agateusher/operator/apiserver"
 )
 
-func main() {
-	if _, err := net.ResolveTCPAddr("tcp", "127.0.0.1:0"); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
+func main() { os.Exit(run()) }
+
+// run stops gracefully on the first SIGTERM or interrupt. Further ones change
+// nothing, so that a supervisor that repeats the signal interrupts no call.
+func run() int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	return apiserver.Main(ctx, os.Args[1:], os.Stdout, os.Stderr)
 }
