--- a/cmd/usher-api/main_test.go
+++ b/cmd/usher-api/main_test.go
@@ -18,6 +18,9 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/agateusher/agateusher/cli"
+	"github.com/agateusher/agateusher/core/model"
+	"github.com/agateusher/agateusher/objectapi"
+	"github.com/agateusher/agateusher/report"
 	"github.com/agateusher/agateusher/standin/platform"
 )
 
@@ -126,6 +129,28 @@
 	return res.StatusCode
 }
 
+// Guards against reports that the process does not read from the object API.
+func TestReport(t *testing.T) {
+	g := NewWithT(t)
+	p := start(t)
+	p.platform.SetHosts([]objectapi.Host{{ID: "h1", DataCentre: "lagos-1"}, {ID: "h2", DataCentre: "lagos-1"}})
+	code, text := p.usherctl(t, "apply", "-f", settingsFile(t, `{"reportLayouts": [{"name": "daily", "separator": ";",
+		"columns": [{"heading": "Service", "field": "service"}, {"heading": "N", "field": "requests", "format": "000"}]}]}`))
+	g.Expect(code).To(Equal(cli.ExitOK), text)
+
+	api, err := objectapi.NewClient(objectapi.ClientOptions{BaseURL: "http://127.0.0.1:1", Transport: p.platform.Transport()})
+	g.Expect(err).NotTo(HaveOccurred())
+	now := time.Date(2026, 12, 3, 12, 0, 0, 0, time.UTC)
+	recorder := report.NewRecorder(report.RecorderOptions{Host: "h1", Incarnation: "i1", Started: now})
+	recorder.Record(now, report.Sample{Key: report.Key{Service: "booking", Workspace: "desk"}, Outcome: model.Answered})
+	flusher := report.NewFlusher(report.FlusherOptions{Recorder: recorder, Store: api, Now: func() time.Time { return now }})
+	g.Expect(flusher.Flush(t.Context(), true)).To(Succeed())
+
+	code, text = p.usherctl(t, "report", "--day", "2026-12-03", "--layout", "daily")
+	g.Expect(code).To(Equal(cli.ExitOK), text)
+	g.Expect(text).To(Equal("Service;N\nbooking;001\nusherctl: warning: host h2: no data\n"))
+}
+
 // Guards against a stop that interrupts a running call, against a second signal
 // that ends the process at once, and against a server that still says that it is
 // ready while it stops.
--- a/operator/apiserver/server.go
+++ b/operator/apiserver/server.go
@@ -51,14 +51,19 @@
 	if err != nil {
 		return nil, err
 	}
+	hosts := hostLister(s.Hosts, api)
+	reports, err := newReports(s.Report, api, hosts)
+	if err != nil {
+		return nil, err
+	}
 	listener, err := net.Listen("tcp", s.Listener)
 	if err != nil {
 		return nil, fmt.Errorf("operator listener: %w", err)
 	}
 	v := &Server{settings: s, log: log, listener: listener, api: api}
-	v.fleet = operator.NewAdminFleet(hostLister(s.Hosts, api), s.Hosts.AdminTimeout.Std())
+	v.fleet = operator.NewAdminFleet(hosts, s.Hosts.AdminTimeout.Std())
 	v.http = &http.Server{
-		Handler:           operator.NewHandler(v.options()),
+		Handler:           operator.NewHandler(v.options(reports)),
 		ReadHeaderTimeout: s.Limits.HeaderTimeout.Std(),
 		ReadTimeout:       s.Limits.ReadTimeout.Std(),
 		IdleTimeout:       s.Limits.IdleTimeout.Std(),
@@ -66,10 +71,11 @@
 	return v, nil
 }
 
-func (v *Server) options() operator.Options {
+func (v *Server) options(reports operator.Reports) operator.Options {
 	return operator.Options{
 		Store:           operator.NewConfigStore(configstore.NewStore(v.api)),
 		Fleet:           v.fleet,
+		Reports:         reports,
 		Tokens:          v.settings.Tokens,
 		Log:             v.log,
 		MaxRequestBytes: v.settings.Limits.MaxRequestBytes,
