--- a/cli/apply.go
+++ b/cli/apply.go
@@ -5,12 +5,14 @@
 	"crypto/rand"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
 
 	"github.com/agateusher/agateusher/core/snapshot"
 	pb "github.com/agateusher/agateusher/gen/agateusher/v1"
+	"github.com/agateusher/agateusher/objectapi"
 	"github.com/agateusher/agateusher/operator"
 )
 
@@ -36,7 +38,7 @@
 		return err
 	}
 	req := &pb.ApplyRequest{ChangeId: rand.Text(), Put: operator.ObjectsToProto(file.Objects), Delete: operator.RefsToProto(file.Refs())}
-	if req.ExpectedEpoch, err = c.expected(ctx, s); err != nil {
+	if req.ExpectedEpoch, err = c.baseEpoch(ctx, s); err != nil {
 		return err
 	}
 	epoch, err := s.apply(ctx, req)
@@ -59,7 +61,7 @@
 	return ParseFile(path, data)
 }
 
-func (c *applyCommand) expected(ctx context.Context, s *session) (uint64, error) {
+func (c *applyCommand) baseEpoch(ctx context.Context, s *session) (uint64, error) {
 	if c.Epoch != nil {
 		return *c.Epoch, nil
 	}
@@ -122,7 +124,8 @@
 	return 0, false
 }
 
-// wait returns when no host is behind or silent, or a *WaitError.
+// wait returns when no host is behind or silent, or a *WaitError. A silent host
+// that the platform lists as leaving is taken to be gone.
 func (s *session) wait(ctx context.Context, epoch uint64, timeout time.Duration) error {
 	deadline := time.Now().Add(timeout)
 	for {
@@ -130,7 +133,7 @@
 		if err != nil && exitCode(err) != ExitUnavailable {
 			return err
 		}
-		if err == nil && len(res.GetBehind()) == 0 && len(res.GetSilent()) == 0 {
+		if err == nil && len(res.GetBehind()) == 0 && len(expected(res.GetSilent())) == 0 {
 			return s.printRollout(res)
 		}
 		if time.Until(deadline) <= 0 {
@@ -151,7 +154,14 @@
 	if err := s.printRollout(last); err != nil {
 		return err
 	}
-	return &WaitError{Epoch: epoch, Timeout: timeout, Behind: hostIDs(last.GetBehind()), Silent: hostIDs(last.GetSilent())}
+	return &WaitError{Epoch: epoch, Timeout: timeout, Behind: hostIDs(last.GetBehind()), Silent: hostIDs(expected(last.GetSilent()))}
+}
+
+// expected returns the hosts that should answer.
+func expected(silent []*pb.Host) []*pb.Host {
+	return slices.DeleteFunc(slices.Clone(silent), func(h *pb.Host) bool {
+		return h.GetListedState() == string(objectapi.HostLeaving)
+	})
 }
 
 func hostIDs(hosts []*pb.Host) []string {
--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -64,18 +64,24 @@
 	return f.current.Epoch, nil
 }
 
-// fakeFleet has two hosts: one runs the store's epoch, one a fixed one.
+// fakeFleet has two hosts: one runs the store's epoch, one a fixed one. A third
+// is silent, if its state is set.
 type fakeFleet struct {
-	store *fakeStore
-	slow  model.Epoch
+	store  *fakeStore
+	slow   model.Epoch
+	silent objectapi.HostState
 }
 
 func (f *fakeFleet) Status(ctx context.Context) ([]operator.HostStatus, error) {
 	current, _ := f.store.Load(ctx)
-	return []operator.HostStatus{
+	list := []operator.HostStatus{
 		{Host: operator.Host{ID: "h1", DataCentre: "lagos-1", State: objectapi.HostLive}, Status: adminapi.Status{Epoch: current.Epoch, StartedAt: time.Unix(0, 0)}},
 		{Host: operator.Host{ID: "h2", DataCentre: "lagos-2", State: objectapi.HostLive}, Status: adminapi.Status{Epoch: f.slow}},
-	}, nil
+	}
+	if f.silent != "" {
+		list = append(list, operator.HostStatus{Host: operator.Host{ID: "h3", State: f.silent}, Err: errors.New("connection refused")})
+	}
+	return list, nil
 }
 
 func (f *fakeFleet) Pools(context.Context) ([]operator.HostPools, error) {
@@ -206,10 +212,15 @@
 	r.Expect(got.err).To(Equal("usherctl: epoch 1 accepted but not in force everywhere after 100ms: h2 behind, none silent\n"))
 	r.Expect(got.out).To(ContainSubstring("1 in force, 1 behind, 0 silent"))
 
-	r.fleet.slow = 2
+	r.fleet.slow, r.fleet.silent = 2, objectapi.HostLive
+	got = r.run("apply", "-f", r.file(changeText), "--wait", "--timeout", "100ms")
+	r.Expect(got.code).To(Equal(ExitWaitTimeout))
+	r.Expect(got.err).To(ContainSubstring("none behind, h3 silent"))
+
+	r.fleet.slow, r.fleet.silent = 3, objectapi.HostLeaving
 	got = r.run("apply", "-f", r.file(changeText), "--wait", "--timeout", "5s")
 	r.Expect(got.code).To(Equal(ExitOK), got.err)
-	r.Expect(got.out).To(ContainSubstring("epoch 2: 2 in force"))
+	r.Expect(got.out).To(ContainSubstring("epoch 3: 2 in force, 0 behind, 1 silent"))
 }
 
 // Guards against a change that is reported as a conflict with itself, or applied
--- a/operator/apiserver/server.go
+++ b/operator/apiserver/server.go
@@ -15,6 +15,14 @@
 	"github.com/agateusher/agateusher/telemetry"
 )
 
+const (
+	// writeGrace is left for writing the error of a call that timed out. A
+	// caller that reads its response more slowly than that is cut off.
+	writeGrace = 5 * time.Second
+	// maxHeaderBytes is far above the headers of a call, some 500 bytes.
+	maxHeaderBytes = 32 << 10
+)
+
 // errStopping: the server no longer wants calls.
 var errStopping = errors.New("the server is stopping")
 
@@ -67,6 +75,8 @@
 		ReadHeaderTimeout: s.Limits.HeaderTimeout.Std(),
 		ReadTimeout:       s.Limits.ReadTimeout.Std(),
 		IdleTimeout:       s.Limits.IdleTimeout.Std(),
+		WriteTimeout:      max(s.Limits.CallTimeout, s.Limits.ReportTimeout).Std() + writeGrace,
+		MaxHeaderBytes:    maxHeaderBytes,
 	}
 	return v, nil
 }
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -325,7 +325,15 @@
 type bigReport struct{ text []byte }
 
 func (b bigReport) Daily(context.Context, string, snapshot.ReportLayout) ([]MissingHost, func(io.Writer) error, error) {
-	write := func(w io.Writer) error { _, err := w.Write(b.text); return err }
+	write := func(w io.Writer) error {
+		// One write over the size of a piece, and a rest below it.
+		for _, text := range [][]byte{b.text[:2*reportPieceBytes], b.text[2*reportPieceBytes:]} {
+			if _, err := w.Write(text); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
 	return []MissingHost{{Host: "h9", Problem: "no data"}}, write, nil
 }
 
@@ -342,6 +350,7 @@
 	var got []byte
 	var missing []string
 	for stream.Receive() {
+		g.Expect(len(stream.Msg().GetCsv())).To(BeNumerically("<=", reportPieceBytes))
 		got = append(got, stream.Msg().GetCsv()...)
 		for _, m := range stream.Msg().GetMissing() {
 			missing = append(missing, m.GetHost())
--- a/operator/report_service.go
+++ b/operator/report_service.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -65,14 +66,16 @@
 	return found.ReportLayouts[0], nil
 }
 
-// pieceWriter sends each write as one response.
+// pieceWriter sends what is written in responses of at most reportPieceBytes.
 type pieceWriter struct {
 	stream *connect.ServerStream[pb.GetDailyReportResponse]
 }
 
 func (w pieceWriter) Write(p []byte) (int, error) {
-	if err := w.stream.Send(&pb.GetDailyReportResponse{Csv: p}); err != nil {
-		return 0, err
+	for piece := range slices.Chunk(p, reportPieceBytes) {
+		if err := w.stream.Send(&pb.GetDailyReportResponse{Csv: piece}); err != nil {
+			return 0, err
+		}
 	}
 	return len(p), nil
 }
--- a/report/counters.go
+++ b/report/counters.go
@@ -17,11 +17,12 @@
 	// latencyDigits gives a relative error of at most 1%.
 	latencyDigits = 2
 
-	// MaxRows bounds the rows of one daemon and day. At about 2 KB a row they
-	// take some 8 MB of the 128 MB that a daemon's control plane may use.
-	// Requests of further workspaces are counted in OtherWorkspace.
-	MaxRows = 4096
-	// OtherWorkspace stands for the workspaces over MaxRows. No workspace can
+	// DefaultMaxRows bounds the rows of one daemon and day. At 3 KB a row
+	// (BenchmarkCopyPart) they take 12 MB of the 128 MB that a daemon's control
+	// plane may use. Requests of further workspaces are counted in
+	// OtherWorkspace, in one more row for each service.
+	DefaultMaxRows = 4096
+	// OtherWorkspace stands for the workspaces over the bound. No workspace can
 	// have this name.
 	OtherWorkspace model.WorkspaceID = "(other)"
 )
--- a/report/recorder.go
+++ b/report/recorder.go
@@ -30,6 +30,8 @@
 	Zone *time.Location
 	// Started is when the process started.
 	Started time.Time
+	// MaxRows bounds the rows of a day; zero: DefaultMaxRows.
+	MaxRows int
 }
 
 // Recorder counts for one process. It reads no clock, writes nothing and is
@@ -56,9 +58,11 @@
 // dayCounters holds the rows of a day in the order of their creation, which
 // decides their part.
 type dayCounters struct {
-	day   Day
-	index map[Key]int
-	rows  []*Row
+	day Day
+	// maxRows is that of the options.
+	maxRows int
+	index   map[Key]int
+	rows    []*Row
 	// changed counts the changes of each part, written those that are stored.
 	changed, written []uint64
 }
@@ -68,6 +72,9 @@
 	if o.Zone == nil {
 		o.Zone = time.UTC
 	}
+	if o.MaxRows == 0 {
+		o.MaxRows = DefaultMaxRows
+	}
 	return &Recorder{o: o, open: map[openKey]time.Time{}}
 }
 
@@ -147,7 +154,7 @@
 		return 0
 	})
 	if !found {
-		d := &dayCounters{day: day, index: map[Key]int{}, changed: []uint64{0}, written: []uint64{0}}
+		d := &dayCounters{day: day, maxRows: r.o.MaxRows, index: map[Key]int{}, changed: []uint64{0}, written: []uint64{0}}
 		r.days = slices.Insert(r.days, i, d)
 		r.dropOldest()
 		return d
@@ -166,8 +173,8 @@
 // row returns the row of a key for a change.
 func (d *dayCounters) row(k Key) *Row {
 	i, ok := d.index[k]
-	if !ok && len(d.rows) >= MaxRows {
-		k = overflowKey(k, len(d.rows))
+	if !ok && len(d.rows) >= d.maxRows {
+		k = d.overflowKey(k)
 		i, ok = d.index[k]
 	}
 	if !ok {
@@ -184,8 +191,8 @@
 
 // overflowKey keeps one row for each service, as long as there is room for
 // them.
-func overflowKey(k Key, rows int) Key {
-	if rows >= 2*MaxRows {
+func (d *dayCounters) overflowKey(k Key) Key {
+	if len(d.rows) >= 2*d.maxRows {
 		return Key{Service: model.ServiceName(OtherWorkspace), Workspace: OtherWorkspace}
 	}
 	return Key{Service: k.Service, Workspace: OtherWorkspace}
--- a/report/report_test.go
+++ b/report/report_test.go
@@ -78,9 +78,11 @@
 	}
 }
 
-func (r *rig) requests(d Day) uint64 {
+func (r *rig) requests(d Day) uint64 { return requestsIn(r.read(d)) }
+
+func requestsIn(d *Daily) uint64 {
 	var total uint64
-	for _, row := range r.read(d).Rows {
+	for _, row := range d.Rows {
 		total += row.Requests
 	}
 	return total
@@ -136,8 +138,8 @@
 // Guards against missing or stale data that a report does not mention.
 func TestMissingHosts(t *testing.T) {
 	r := newRig(t)
-	r.hosts = []model.HostID{"absent", "killed", "late", "new", "torn"}
-	killed, late, torn := r.host("killed", "k"), r.host("late", "l"), r.host("torn", "t")
+	r.hosts = []model.HostID{"absent", "killed", "late", "mute", "new", "torn"}
+	killed, late, mute, torn := r.host("killed", "k"), r.host("late", "l"), r.host("mute", "m"), r.host("torn", "t")
 	for i := range rowsPerPart + 1 {
 		r.answer(torn, Key{Service: "booking", Workspace: model.WorkspaceID(fmt.Sprint("w", i))}, 1)
 	}
@@ -147,10 +149,11 @@
 	second, err := r.store.Get(ctx, partKey(day, "torn", "t", 1))
 	r.Expect(err).NotTo(HaveOccurred())
 	r.Expect(r.store.Delete(ctx, second.Key, second.Version)).To(Succeed())
-	r.Expect(r.read(day).Missing).To(HaveLen(3), "absent, new and torn; the others are fresh")
+	r.Expect(r.read(day).Missing).To(HaveLen(4), "absent, mute, new and torn; the others are fresh")
 
 	r.now = time.Date(2026, 12, 5, 0, 0, 1, 0, lagos)
 	r.Expect(late.Flush(ctx, false)).To(Succeed())
+	r.Expect(mute.Flush(ctx, false)).To(Succeed())
 	r.Expect(r.host("new", "n").Flush(ctx, false)).To(Succeed())
 	_, err = r.store.Put(ctx, "reports/2026-12-04/odd/x/0", []byte("{"), 0)
 	r.Expect(err).NotTo(HaveOccurred())
@@ -162,6 +165,7 @@
 		"absent": "no data",
 		"killed": "no data after 2026-12-04T12:00:00+01:00",
 		"late":   "the end of the day is not written yet",
+		"mute":   "no data",
 		"odd":    "report object reports/2026-12-04/odd/x/0: unexpected end of JSON input",
 		"torn":   "1 of 2 parts are missing",
 	}))
@@ -222,8 +226,10 @@
 // memory that grows with the number of workspaces.
 func TestManyRows(t *testing.T) {
 	r := newRig(t)
+	const maxRows = 3 * rowsPerPart
+	const total = maxRows + 100
 	h := r.host("h1", "i1")
-	const total = MaxRows + 100
+	h.Recorder.o.MaxRows = maxRows
 	for i := range total {
 		r.answer(h, Key{Service: "booking", Workspace: model.WorkspaceID(fmt.Sprint("w", i))}, 1)
 	}
@@ -233,13 +239,96 @@
 	r.Expect(h.Flush(ctx, true)).To(Succeed())
 	r.Expect(r.platform.Calls().Puts-written).To(BeEquivalentTo(2), "the changed part and part 0")
 	daily := r.read(day)
-	r.Expect(daily.Rows).To(HaveLen(MaxRows + 1))
+	r.Expect(daily.Rows).To(HaveLen(maxRows + 1))
 	r.Expect(daily.Rows[0].Workspace).To(Equal(OtherWorkspace))
 	r.Expect(daily.Rows[0].Requests).To(Equal(uint64(100)))
-	r.Expect(r.requests(day)).To(Equal(uint64(total + 1)))
+	r.Expect(requestsIn(daily)).To(Equal(uint64(total + 1)))
 	r.Expect(daily.Missing).To(BeEmpty())
 }
 
+// Guards against a first part that says that the others cover more than was
+// written of them.
+func TestCoverageWaitsForAllParts(t *testing.T) {
+	r := newRig(t)
+	store := &faultyStore{objects: map[string]objectapi.Object{}}
+	rec := NewRecorder(RecorderOptions{Host: "h1", Incarnation: "i1", Zone: lagos, Started: noon})
+	f := NewFlusher(FlusherOptions{Recorder: rec, Store: store, WritesPerSecond: 1e9, Now: r.clock})
+	count := func() {
+		for i := range rowsPerPart + 1 {
+			rec.Record(r.now, Sample{Key: Key{Service: "booking", Workspace: model.WorkspaceID(fmt.Sprint("w", i))}})
+		}
+	}
+	count()
+	r.Expect(f.Flush(ctx, false)).To(Succeed())
+	r.now = noon.Add(time.Minute)
+	count()
+	store.faults = []fault{faultLostRequest, faultLostRequest, faultLostRequest}
+	r.Expect(f.Flush(ctx, false)).NotTo(Succeed())
+	covered := func() time.Time {
+		p, err := decodePart(partKey(day, "h1", "i1", 0), store.objects[partKey(day, "h1", "i1", 0)].Value)
+		r.Expect(err).NotTo(HaveOccurred())
+		return p.CoveredUntil
+	}
+	r.Expect(covered()).To(BeTemporally("==", noon))
+	r.Expect(f.Flush(ctx, false)).To(Succeed())
+	r.Expect(covered()).To(BeTemporally("==", r.now))
+}
+
+// Guards against counts that arrive during a write and are taken for written,
+// and against a dropped day whose objects are replaced by empty ones.
+func TestChangesDuringAFlush(t *testing.T) {
+	r := newRig(t)
+	store := &faultyStore{objects: map[string]objectapi.Object{}}
+	rec := NewRecorder(RecorderOptions{Host: "h1", Incarnation: "i1", Zone: lagos, Started: noon})
+	f := NewFlusher(FlusherOptions{Recorder: rec, Store: store, WritesPerSecond: 1e9, Now: r.clock})
+	count := func(at time.Time) {
+		for i := range rowsPerPart + 1 {
+			rec.Record(at, Sample{Key: Key{Service: "booking", Workspace: model.WorkspaceID(fmt.Sprint("w", i))}})
+		}
+	}
+	total := func() uint64 {
+		daily, err := NewReader(ReaderOptions{Store: store, Zone: lagos, Now: r.clock}).Day(ctx, day)
+		r.Expect(err).NotTo(HaveOccurred())
+		return requestsIn(daily)
+	}
+	count(noon)
+	store.onPut = func() { count(noon) }
+	r.Expect(f.Flush(ctx, false)).To(Succeed())
+	r.Expect(f.Flush(ctx, false)).To(Succeed())
+	r.Expect(total()).To(Equal(uint64(2 * (rowsPerPart + 1))))
+
+	r.now = noon.Add(time.Hour)
+	rec.Record(noon.AddDate(0, 0, -1), Sample{Key: bookA})
+	store.onPut = func() {
+		for days := range 3 {
+			rec.Record(noon.AddDate(0, 0, days+1), Sample{Key: bookA})
+		}
+	}
+	r.Expect(f.Flush(ctx, false)).To(MatchError(errDayDropped))
+	r.Expect(rec.LostDays()).To(Equal(uint64(2)))
+	r.Expect(total()).To(Equal(uint64(2 * (rowsPerPart + 1))))
+}
+
+// BenchmarkRecord measures what a request waits for its counting.
+func BenchmarkRecord(b *testing.B) {
+	rec := NewRecorder(RecorderOptions{Host: "h1", Incarnation: "i1", Zone: lagos, Started: noon})
+	for i := 0; b.Loop(); i++ {
+		rec.Record(noon, Sample{Key: bookA, Outcome: model.Answered, Latency: time.Duration(i%1000) * time.Millisecond})
+	}
+}
+
+// BenchmarkCopyPart measures how long a flush holds the lock for a full part.
+func BenchmarkCopyPart(b *testing.B) {
+	rec := NewRecorder(RecorderOptions{Host: "h1", Incarnation: "i1", Zone: lagos, Started: noon})
+	for i := range rowsPerPart * 1000 {
+		k := Key{Service: "booking", Workspace: model.WorkspaceID(fmt.Sprint("w", i%rowsPerPart))}
+		rec.Record(noon, Sample{Key: k, Outcome: model.Answered, Latency: time.Duration(i) * 17 * time.Microsecond})
+	}
+	for b.Loop() {
+		rec.copyPart(day, 0, noon)
+	}
+}
+
 // Guards against a stop that loses the counts since the last flush, and against
 // a flusher that writes more often than its interval.
 func TestDutyFlushesAtIntervalsAndOnStop(t *testing.T) {
--- a/report/stateful_test.go
+++ b/report/stateful_test.go
@@ -32,6 +32,8 @@
 	objects map[string]objectapi.Object
 	faults  []fault
 	delayed []func()
+	// onPut runs once, before the next write.
+	onPut func()
 }
 
 func (s *faultyStore) Get(_ context.Context, key string) (objectapi.Object, error) {
@@ -54,6 +56,10 @@
 }
 
 func (s *faultyStore) Put(_ context.Context, key string, value []byte, expected objectapi.Version) (objectapi.Version, error) {
+	if hook := s.onPut; hook != nil {
+		s.onPut = nil
+		hook()
+	}
 	next := faultNone
 	if len(s.faults) > 0 {
 		next, s.faults = s.faults[0], s.faults[1:]
