--- a/operator/config_service.go
+++ b/operator/config_service.go
@@ -1,9 +1,10 @@
 package operator
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
-	"errors"
+	"slices"
 
 	"connectrpc.com/connect"
 
@@ -33,7 +34,7 @@
 }
 
 func changeFromProto(ctx context.Context, m *pb.ApplyRequest) (snapshot.Change, error) {
-	put, deletes, err := objectsOf(m)
+	deletes, err := refsFromProto(m.GetDelete())
 	if err != nil {
 		return snapshot.Change{}, err
 	}
@@ -41,20 +42,7 @@
 	if id == "" {
 		id = rand.Text()
 	}
-	return snapshot.Change{ID: id, Author: operatorName(ctx), Put: put, Delete: deletes}, nil
-}
-
-// objectsOf returns what a request creates or replaces and what it deletes.
-func objectsOf(m interface {
-	GetPut() *pb.Objects
-	GetDelete() []*pb.Ref
-}) (snapshot.Objects, []snapshot.Ref, error) {
-	deletes, err := refsFromProto(m.GetDelete())
-	if err != nil {
-		return snapshot.Objects{}, nil, err
-	}
-	put := ObjectsFromProto(m.GetPut())
-	return put, deletes, checkOnce(put, deletes)
+	return snapshot.Change{ID: id, Author: operatorName(ctx), Put: ObjectsFromProto(m.GetPut()), Delete: deletes}, nil
 }
 
 func refsFromProto(in []*pb.Ref) ([]snapshot.Ref, error) {
@@ -69,45 +57,62 @@
 	return refs, nil
 }
 
-// apply checks the floor for changes that eject servers and hands the change to
-// the store. The check holds because the store accepts the change only at the
-// epoch that was checked.
+// apply resolves omitted server states, checks the floor for changes that eject
+// servers and hands the change to the store. Both hold because the store accepts
+// the change only at the epoch that was read.
 func (s *configService) apply(ctx context.Context, change snapshot.Change, expected model.Epoch) (model.Epoch, error) {
-	if hasEjection(change.Put) {
-		if err := s.checkEjections(ctx, change, expected); err != nil {
+	if needsCurrent(change.Put) {
+		current, err := s.store.Load(ctx)
+		if err != nil {
 			return 0, err
 		}
+		if current.Epoch < expected {
+			return 0, &ConflictError{Expected: expected, Current: current.Epoch}
+		}
+		change.Put = fillStates(change.Put, current.Objects)
+		// Epochs only increase. With a later one the store refuses the change
+		// and says who made the conflicting one.
+		if current.Epoch == expected {
+			if err := s.checkEjections(ctx, change, current); err != nil {
+				return 0, err
+			}
+		}
 	}
 	return s.store.Apply(ctx, change, expected)
 }
 
-func hasEjection(o snapshot.Objects) bool {
-	for _, server := range o.Servers {
-		if server.State == snapshot.ServerEjected {
-			return true
+func needsCurrent(put snapshot.Objects) bool {
+	return slices.ContainsFunc(put.Servers, func(s snapshot.Server) bool {
+		return s.State == snapshot.ServerEjected || s.State == ""
+	})
+}
+
+// fillStates gives servers without a state their current one, so that applying
+// a file does not undo a drain or an ejection that the file does not mention.
+func fillStates(put, current snapshot.Objects) snapshot.Objects {
+	states := map[model.ServerID]snapshot.ServerState{}
+	for _, s := range current.Servers {
+		states[s.ID] = s.State
+	}
+	put.Servers = slices.Clone(put.Servers)
+	for i := range put.Servers {
+		s := &put.Servers[i]
+		if s.State == "" {
+			s.State = cmp.Or(states[s.ID], snapshot.ServerActive)
 		}
 	}
-	return false
+	return put
 }
 
-func (s *configService) checkEjections(ctx context.Context, change snapshot.Change, expected model.Epoch) error {
-	current, err := s.store.Load(ctx)
+func (s *configService) checkEjections(ctx context.Context, change snapshot.Change, current snapshot.Snapshot) error {
+	next, err := current.Apply(change)
 	if err != nil {
 		return err
 	}
-	switch {
-	case current.Epoch > expected:
-		// Epochs only increase, so the store refuses the change and says who
-		// made the conflicting one.
-		return nil
-	case current.Epoch < expected:
-		return &ConflictError{Expected: expected, Current: current.Epoch}
-	}
-	after := mergeChange(current.Objects, change.Put, change.Delete)
-	if len(ejectedPools(current.Objects, after)) == 0 {
+	if len(newlyEjected(current.Objects, next.Objects)) == 0 {
 		return nil
 	}
-	return checkFloor(current.Objects, after, s.ejectedByFleet(ctx))
+	return checkFloor(current.Objects, next.Objects, s.ejectedByFleet(ctx))
 }
 
 // ejectedByFleet returns the servers that pool owners have ejected. Hosts that
@@ -136,40 +141,46 @@
 const maxStateAttempts = 4
 
 // setState sets a server's state as one change. A conflict with a change of
-// another object is resolved by reading the configuration and checking the
-// floor again; a conflict with a change of the same server is returned.
+// other objects is resolved by reading the configuration and checking the floor
+// again; if the server itself was changed, the conflict is returned.
 func (s *configService) setState(ctx context.Context, id model.ServerID, state snapshot.ServerState) (model.Epoch, error) {
-	ref := snapshot.Ref{Kind: snapshot.KindServer, Name: string(id)}
-	for attempt := 1; ; attempt++ {
-		epoch, err := s.trySetState(ctx, ref, state)
-		conflict, ok := errors.AsType[*ConflictError](err)
-		if !ok || conflict.touches(ref) || attempt == maxStateAttempts {
-			return epoch, err
+	current, server, err := s.findServer(ctx, id)
+	for attempt := 1; err == nil; attempt++ {
+		if server.State == state {
+			return current.Epoch, nil
+		}
+		epoch, applyErr := s.apply(ctx, stateChange(ctx, server, state), current.Epoch)
+		if !is[*ConflictError](applyErr) || attempt == maxStateAttempts {
+			return epoch, applyErr
+		}
+		seen := server
+		if current, server, err = s.findServer(ctx, id); err == nil && server != seen {
+			return 0, applyErr
 		}
 	}
+	return 0, err
 }
 
-func (s *configService) trySetState(ctx context.Context, ref snapshot.Ref, state snapshot.ServerState) (model.Epoch, error) {
+func (s *configService) findServer(ctx context.Context, id model.ServerID) (snapshot.Snapshot, snapshot.Server, error) {
 	current, err := s.store.Load(ctx)
 	if err != nil {
-		return 0, err
+		return snapshot.Snapshot{}, snapshot.Server{}, err
 	}
-	found, err := selectObject(current.Objects, ref)
+	found, err := selectObject(current.Objects, snapshot.Server{ID: id}.Ref())
 	if err != nil {
-		return 0, err
-	}
-	server := found.Servers[0]
-	if server.State == state {
-		return current.Epoch, nil
+		return snapshot.Snapshot{}, snapshot.Server{}, err
 	}
+	return current, found.Servers[0], nil
+}
+
+func stateChange(ctx context.Context, server snapshot.Server, state snapshot.ServerState) snapshot.Change {
 	server.State = state
-	change := snapshot.Change{ID: rand.Text(), Author: operatorName(ctx), Put: snapshot.Objects{Servers: []snapshot.Server{server}}}
-	return s.apply(ctx, change, current.Epoch)
+	return snapshot.Change{ID: rand.Text(), Author: operatorName(ctx), Put: snapshot.Objects{Servers: []snapshot.Server{server}}}
 }
 
 // Diff implements ConfigService.
 func (s *configService) Diff(ctx context.Context, req *connect.Request[pb.DiffRequest]) (*connect.Response[pb.DiffResponse], error) {
-	put, deletes, err := objectsOf(req.Msg)
+	change, err := changeFromProto(ctx, &pb.ApplyRequest{Put: req.Msg.GetPut(), Delete: req.Msg.GetDelete()})
 	if err != nil {
 		return nil, toConnect(err)
 	}
@@ -177,7 +188,12 @@
 	if err != nil {
 		return nil, toConnect(err)
 	}
-	diffs, err := diffObjects(current.Objects, put, deletes)
+	change.Put = fillStates(change.Put, current.Objects).Normalized()
+	// A change that could not be applied has no meaningful difference.
+	if _, err := current.Apply(change); err != nil {
+		return nil, toConnect(err)
+	}
+	diffs, err := diffObjects(current.Objects, change.Put, change.Delete)
 	if err != nil {
 		return nil, toConnect(err)
 	}
