Place requests by load reports, limit rates by demand, attach keys to lookups

A keyed request that is refused before its ledger was asked is now unknown, not 'not run': an earlier request with the key may have run.

--- a/daemon/catalog.go
+++ b/daemon/catalog.go
@@ -11,6 +11,7 @@
 	"github.com/agateusher/agateusher/core/routing"
 	"github.com/agateusher/agateusher/core/snapshot"
 	"github.com/agateusher/agateusher/entry"
+	"github.com/agateusher/agateusher/owner"
 )
 
 // Locator knows in which region a data centre is.
@@ -26,6 +27,7 @@
 	servers  map[model.PoolID][]snapshot.Server
 	pools    map[model.ServiceName][]entry.PoolChoice
 	weights  map[model.WorkspaceID]float64
+	rates    map[model.WorkspaceID]float64
 }
 
 // compile builds the catalogue of a snapshot for a host.
@@ -40,6 +42,7 @@
 		servers:  map[model.PoolID][]snapshot.Server{},
 		pools:    map[model.ServiceName][]entry.PoolChoice{},
 		weights:  map[model.WorkspaceID]float64{},
+		rates:    map[model.WorkspaceID]float64{},
 	}
 	for i := range s.Objects.Services {
 		c.services[s.Objects.Services[i].Name] = &s.Objects.Services[i]
@@ -62,6 +65,9 @@
 		if w.Weight != 1 && w.Weight > 0 {
 			c.weights[w.ID] = w.Weight
 		}
+		if w.RatePerSecond > 0 {
+			c.rates[w.ID] = w.RatePerSecond
+		}
 	}
 	return c, nil
 }
@@ -135,6 +141,19 @@
 	return 1
 }
 
+// Rates implements owner.Catalog.
+func (l *liveCatalog) Rates(w model.WorkspaceID, r model.RouteName) owner.Rates {
+	c := l.current.Load()
+	if c == nil {
+		return owner.Rates{}
+	}
+	rates := owner.Rates{Workspace: c.rates[w]}
+	if route, ok := c.Route(r); ok {
+		rates.Route = route.RatePerSecond
+	}
+	return rates
+}
+
 // PoolCount implements owner.Catalog.
 func (l *liveCatalog) PoolCount(name model.ServiceName) int {
 	if c := l.current.Load(); c != nil {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -57,6 +57,7 @@
 	live     liveCatalog
 	owner    *owner.Owner
 	entry    *entry.Entry
+	client   *fleet.Client
 	changes  *changeLog
 	leaving  atomic.Bool
 	servers  []*listener
@@ -144,6 +145,12 @@
 		return &kernel.ModuleError{ID: m.ModuleInfo().ID, Step: "provision", Err: kernel.ErrUnknownModule}
 	}
 	d.owner = owner.New(d.ownerOptions(factory))
+	d.client = &fleet.Client{
+		Transport:  fleet.NewTransport(fleet.TransportOptions{DialTimeout: dialTimeout, IdleTimeout: idleTimeout, MaxIdlePerHost: fleetIdleConns}),
+		Secrets:    secretBytes(d.settings.Fleet.Secrets),
+		Propagator: d.tracing.Propagator,
+		MaxBody:    d.settings.Limits.MaxResponseBytes,
+	}
 	d.entry = entry.New(d.entryOptions())
 	return nil
 }
@@ -167,17 +174,15 @@
 
 func (d *Daemon) entryOptions() entry.Options {
 	return entry.Options{
-		Host: d.settings.Host.ID, Catalog: d.live.entryCatalog, Directory: d.hosts, Local: d.owner,
-		Client: &fleet.Client{
-			Transport:  fleet.NewTransport(fleet.TransportOptions{DialTimeout: dialTimeout, IdleTimeout: idleTimeout, MaxIdlePerHost: fleetIdleConns}),
-			Secrets:    secretBytes(d.settings.Fleet.Secrets),
-			Propagator: d.tracing.Propagator,
-			MaxBody:    d.settings.Limits.MaxResponseBytes,
-		},
+		Host: d.settings.Host.ID, Catalog: d.live.entryCatalog, Directory: d.directory(), Local: d.owner,
+		Client:  d.client,
 		Tracing: d.tracing, Log: d.log, Scope: d.metrics.Scope, MaxBody: d.settings.Limits.MaxRequestBytes,
 	}
 }
 
+// directory returns what this daemon knows of other hosts.
+func (d *Daemon) directory() entry.Directory { return d.hosts }
+
 func (d *Daemon) setFollower() {
 	d.follower = configstore.NewFollower(configstore.FollowerOptions{
 		Store: configstore.NewStore(d.store), Holder: &d.holder,
@@ -225,6 +230,7 @@
 	duties := append(d.follower.Duties(),
 		kernel.Duty{Name: "host-list", Run: d.hosts.run},
 		kernel.Duty{Name: "events", Run: d.bus.Run},
+		kernel.Duty{Name: "demand", Run: d.runDemand},
 		kernel.Duty{Name: "stop", Run: func(work context.Context) error {
 			select {
 			case <-ctx.Done():
--- /dev/null
+++ b/daemon/demand.go
@@ -0,0 +1,58 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/agateusher/agateusher/fleet"
+	"github.com/agateusher/agateusher/owner"
+	"github.com/agateusher/agateusher/telemetry"
+)
+
+// demandTimeout bounds one report; a lost one is followed by the next.
+const demandTimeout = 500 * time.Millisecond
+
+// runDemand reports the demand of the owned pools to the owners of the same
+// services' other pools, so that they split fleet-wide rates.
+func (d *Daemon) runDemand(ctx context.Context) error {
+	ticker := time.NewTicker(owner.DemandInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			for _, p := range d.owner.ReportDemand(now) {
+				d.sendDemand(ctx, p)
+			}
+		}
+	}
+}
+
+func (d *Daemon) sendDemand(ctx context.Context, p owner.PoolDemand) {
+	c := d.live.current.Load()
+	if c == nil {
+		return
+	}
+	report := fleet.Demand{Service: p.Pool.Service, DataCentre: p.Pool.DataCentre, Shard: p.Pool.Shard, Requests: p.Requests}
+	for _, other := range c.Pools(p.Pool.Service) {
+		if other.Pool == p.Pool {
+			continue
+		}
+		for _, to := range d.directory().Owners(other.Pool, 1) {
+			go d.reportDemand(ctx, to, report)
+		}
+	}
+}
+
+func (d *Daemon) reportDemand(ctx context.Context, to fleet.Peer, report fleet.Demand) {
+	if to.Host == d.settings.Host.ID {
+		d.owner.SiblingDemand(time.Now(), report)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, demandTimeout)
+	defer cancel()
+	if err := d.client.Demand(ctx, to, report); err != nil {
+		d.log.WithFields(telemetry.Fields{"event": "demand_report_failed", "owner": to.Host}).WithError(err).Debug("demand report was not delivered")
+	}
+}
--- a/daemon/fleet_test.go
+++ b/daemon/fleet_test.go
@@ -34,7 +34,6 @@
 	url      string
 	backends *backend.Group
 	nodes    []*testNode
-	stop     context.CancelFunc
 }
 
 type testNode struct {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
@@ -54,14 +55,14 @@
 
 // Entry is the HTTP handler for callers.
 type Entry struct {
-	o     Options
-	peers *peers
-	loads *loadTable
+	o      Options
+	peers  *peers
+	places *placements
 }
 
 // New returns an entry. Close ends it.
 func New(o Options) *Entry {
-	return &Entry{o: o, peers: newPeers(o.Client, o.Log, o.Scope), loads: newLoadTable()}
+	return &Entry{o: o, peers: newPeers(o.Client, o.Log, o.Scope), places: newPlacements()}
 }
 
 // Close ends the background pings.
@@ -81,11 +82,16 @@
 		attribute.String("http.request.method", r.Method)))
 	defer span.End()
 
-	q, resp := e.prepare(r, id)
+	q, issueFor, resp := e.prepare(r, id)
 	deadline := defaultDeadline
 	if q != nil {
 		deadline = q.Budget
+		key := e.attachKey(ctx, issueFor, q.Workspace)
 		resp = e.serve(ctx, q, started.Add(deadline))
+		key.addTo(&resp)
+	}
+	if q == nil {
+		resp = withoutLedger(r, resp)
 	}
 	took := time.Since(started)
 	status := writeResponse(w, id, resp)
@@ -93,6 +99,16 @@
 	e.record(q, r, id, &resp, status, took, deadline, span)
 }
 
+// withoutLedger turns "not run" into "unknown" for a request with a key that
+// was refused before the key's ledger was asked: an earlier request with the
+// same key may have run.
+func withoutLedger(r *http.Request, resp fleet.Response) fleet.Response {
+	if r.Header.Get(fleet.HeaderKey) != "" && (resp.Reason == model.ReasonNoConfiguration || resp.Reason == model.ReasonNoRoute) {
+		resp.Outcome = model.Unknown
+	}
+	return resp
+}
+
 func (e *Entry) record(q *fleet.Request, r *http.Request, id model.RequestID, resp *fleet.Response, status int, took, deadline time.Duration, span trace.Span) {
 	e.o.Scope.Tagged(map[string]string{"outcome": resp.Outcome.String(), "reason": string(resp.Reason)}).Counter("requests").Inc(1)
 	e.o.Scope.Histogram("request_duration", telemetry.LatencyBuckets).RecordDuration(took)
@@ -113,23 +129,24 @@
 }
 
 // prepare matches and reads a request. If it is refused, the first result is
-// nil and the second says why.
-func (e *Entry) prepare(r *http.Request, id model.RequestID) (*fleet.Request, fleet.Response) {
+// nil and the last says why. The second names the route whose idempotency key
+// goes on the answer, if any.
+func (e *Entry) prepare(r *http.Request, id model.RequestID) (*fleet.Request, model.RouteName, fleet.Response) {
 	catalog := e.o.Catalog()
 	if catalog == nil {
-		return nil, fleet.NotRun(model.ReasonNoConfiguration, time.Second)
+		return nil, "", fleet.NotRun(model.ReasonNoConfiguration, time.Second)
 	}
 	route, ok := catalog.Match(r.Host, r.Method, r.URL.Path)
 	if !ok {
-		return nil, fleet.NotRun(model.ReasonNoRoute, 0)
+		return nil, "", fleet.NotRun(model.ReasonNoRoute, 0)
 	}
 	service, ok := catalog.Service(route.Service)
 	if !ok {
-		return nil, fleet.NotRun(model.ReasonNoRoute, 0)
+		return nil, "", fleet.NotRun(model.ReasonNoRoute, 0)
 	}
 	body, err := fleet.ReadBody(r.Body, r.ContentLength, e.o.MaxBody)
 	if err != nil {
-		return nil, fleet.NotRun(model.ReasonBadRequest, 0)
+		return nil, "", fleet.NotRun(model.ReasonBadRequest, 0)
 	}
 	q := &fleet.Request{
 		ID: id, Pool: model.PoolID{Service: service.Name}, Route: route.Name,
@@ -139,7 +156,7 @@
 		Method: r.Method, Target: r.URL.RequestURI(), Authority: r.Host,
 		Header: fleet.EndToEnd(r.Header), Body: body,
 	}
-	return q, fleet.Response{}
+	return q, route.IssueKeysFor, fleet.Response{}
 }
 
 func deadlineOf(s *snapshot.Service) time.Duration {
@@ -156,7 +173,8 @@
 		return e.serveOnce(ctx, q, deadline)
 	}
 	q.Key = ""
-	choices := e.loads.order(e.o.Catalog().Pools(q.Pool.Service))
+	place := e.places.of(q.Pool.Service)
+	choices := place.order(e.o.Catalog().Pools(q.Pool.Service))
 	if len(choices) == 0 {
 		return fleet.NotRun(model.ReasonNoServer, time.Second)
 	}
@@ -167,7 +185,10 @@
 		if err == nil && !worthAnotherPool(resp) {
 			return resp
 		}
-		sent = sent || err != nil && fleet.IsSent(err)
+		if err != nil {
+			sent = sent || fleet.IsSent(err)
+			place.unreachable(choice.Pool.DataCentre)
+		}
 		if ctx.Err() != nil {
 			return expired(sent)
 		}
@@ -219,12 +240,12 @@
 	q.Budget = max(0, time.Until(deadline)-hopMargin)
 	if to.Host == e.o.Host {
 		resp := e.o.Local.Do(ctx, q)
-		e.loads.update(q.Pool, resp.Load)
+		e.places.of(q.Pool.Service).report(q.Pool.DataCentre, resp.Load)
 		return resp, nil
 	}
 	resp, err := e.peers.forward(ctx, to, q, watch)
 	if err == nil {
-		e.loads.update(q.Pool, resp.Load)
+		e.places.of(q.Pool.Service).report(q.Pool.DataCentre, resp.Load)
 	}
 	return resp, err
 }
@@ -248,7 +269,10 @@
 	if !ok {
 		return fleet.Unknown(model.ReasonIssuerGone)
 	}
-	q.Pool.DataCentre = dc
+	q.Pool, ok = e.poolIn(q.Pool.Service, dc, q.Key)
+	if !ok {
+		return fleet.Unknown(model.ReasonNoServer)
+	}
 	resp, err := e.forwardTo(ctx, to, q, deadline, false)
 	switch {
 	case err == nil:
@@ -261,6 +285,21 @@
 	return fleet.Unknown(model.ReasonOwnerFailed)
 }
 
+// poolIn returns the service's pool in a data centre, chosen by the key among
+// its shards, so that all requests with one key meet in the same pool.
+func (e *Entry) poolIn(service model.ServiceName, dc model.DataCentre, key string) (model.PoolID, bool) {
+	var shards []model.PoolID
+	for _, c := range e.o.Catalog().Pools(service) {
+		if c.Pool.DataCentre == dc {
+			shards = append(shards, c.Pool)
+		}
+	}
+	if len(shards) == 0 {
+		return model.PoolID{}, false
+	}
+	return shards[xxhash.Sum64String(key)%uint64(len(shards))], true
+}
+
 // requestIDBytes is the size of a request ID; 128 random bits are unguessable.
 const requestIDBytes = 16
 
--- a/entry/keys.go
+++ b/entry/keys.go
@@ -118,3 +118,50 @@
 	}
 	return resp, err
 }
+
+// pendingKey is a key that is being issued while a lookup runs.
+type pendingKey struct{ key chan string }
+
+// attachKey starts to issue a key for the named route. The lookup does not wait
+// for it longer than for its own answer, since the caller can ask PathKeys.
+func (e *Entry) attachKey(ctx context.Context, route model.RouteName, workspace model.WorkspaceID) pendingKey {
+	if route == "" {
+		return pendingKey{}
+	}
+	r, ok := e.o.Catalog().Route(route)
+	if !ok || r.Repeatable {
+		return pendingKey{}
+	}
+	p := pendingKey{key: make(chan string, 1)}
+	choices := e.o.Catalog().Pools(r.Service)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), keysTimeout)
+		defer cancel()
+		resp, reason := e.keysFrom(ctx, choices, fleet.KeysRequest{Workspace: workspace, Route: route, Count: 1})
+		if reason == model.ReasonNone {
+			p.key <- resp.Keys[0]
+		}
+		close(p.key)
+	}()
+	return p
+}
+
+// attachWait is how long an answer is held back for its key.
+const attachWait = 50 * time.Millisecond
+
+// addTo puts the key on an answer.
+func (p pendingKey) addTo(r *fleet.Response) {
+	if p.key == nil || r.Outcome != model.Answered {
+		return
+	}
+	select {
+	case key, ok := <-p.key:
+		if ok {
+			if r.Header == nil {
+				r.Header = http.Header{}
+			}
+			r.Header.Set(fleet.HeaderKey, key)
+		}
+	case <-time.After(attachWait):
+	}
+}
--- a/fleet/client.go
+++ b/fleet/client.go
@@ -90,6 +90,11 @@
 	return out, err
 }
 
+// Demand reports demand to the owner of another pool.
+func (c *Client) Demand(ctx context.Context, to Peer, q Demand) error {
+	return c.call(ctx, to, PathDemand, q, nil)
+}
+
 // Ping checks that a daemon's fleet listener answers.
 func (c *Client) Ping(ctx context.Context, to Peer) error {
 	return c.call(ctx, to, PathPing, struct{}{}, nil)
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -12,6 +12,7 @@
 	PathForward = "/fleet/v1/forward"
 	PathKeys    = "/fleet/v1/keys"
 	PathPing    = "/fleet/v1/ping"
+	PathDemand  = "/fleet/v1/demand"
 )
 
 // Header names between our processes and towards callers and backend servers.
@@ -106,3 +107,13 @@
 func Unknown(reason model.Reason) Response {
 	return Response{Outcome: model.Unknown, Reason: reason}
 }
+
+// Demand tells the owner of another pool of the same service how many requests
+// under a rate limit this pool had in the last interval. The owners split the
+// fleet-wide rates in proportion.
+type Demand struct {
+	Service    model.ServiceName `json:"service"`
+	DataCentre model.DataCentre  `json:"dataCentre"`
+	Shard      int               `json:"shard"`
+	Requests   float64           `json:"requests"`
+}
--- a/owner/handler.go
+++ b/owner/handler.go
@@ -26,6 +26,12 @@
 	r.Post(fleet.PathKeys, func(rw http.ResponseWriter, req *http.Request) {
 		serveKeys(w, rw, req)
 	})
+	r.Post(fleet.PathDemand, func(rw http.ResponseWriter, req *http.Request) {
+		var d fleet.Demand
+		if readControl(rw, req, &d) {
+			w.SiblingDemand(time.Now(), d)
+		}
+	})
 	r.Post(fleet.PathPing, func(rw http.ResponseWriter, _ *http.Request) {
 		rw.WriteHeader(http.StatusOK)
 	})
@@ -49,13 +55,12 @@
 }
 
 func serveKeys(w *Owner, rw http.ResponseWriter, req *http.Request) {
-	body, err := fleet.ReadBody(req.Body, req.ContentLength, maxControlBody)
 	var q fleet.KeysRequest
-	if err == nil {
-		err = json.Unmarshal(body, &q)
+	if !readControl(rw, req, &q) {
+		return
 	}
-	if err != nil || q.Count < 1 {
-		http.Error(rw, "want a JSON object with workspace, route and a positive count", http.StatusBadRequest)
+	if q.Count < 1 {
+		http.Error(rw, "count must be positive", http.StatusBadRequest)
 		return
 	}
 	raw, err := json.Marshal(w.IssueKeys(q))
@@ -67,5 +72,17 @@
 	_, _ = rw.Write(raw)
 }
 
+// readControl decodes the JSON body of a control message, or answers with 400.
+func readControl(rw http.ResponseWriter, req *http.Request, dst any) bool {
+	body, err := fleet.ReadBody(req.Body, req.ContentLength, maxControlBody)
+	if err == nil {
+		err = json.Unmarshal(body, dst)
+	}
+	if err != nil {
+		http.Error(rw, err.Error(), http.StatusBadRequest)
+	}
+	return err == nil
+}
+
 // KeyLifetime returns how long a key lives from its issue.
 func (w *Owner) KeyLifetime() time.Duration { return w.o.KeyLimits.Lifetime }
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -35,6 +35,8 @@
 	PoolServers(id model.PoolID) []snapshot.Server
 	// Weight returns a workspace's weight; 1 if it is not configured.
 	Weight(id model.WorkspaceID) float64
+	// Rates returns the limits of a workspace and a route.
+	Rates(w model.WorkspaceID, r model.RouteName) Rates
 	// PoolCount returns how many pools the service has, over which its minimum
 	// server count is divided.
 	PoolCount(name model.ServiceName) int
@@ -74,6 +76,7 @@
 type ownedPool struct {
 	driver   *driver
 	exchange *httpExchange
+	rates    *rateLimits
 }
 
 // New returns an owner. Close ends it.
@@ -107,6 +110,9 @@
 		w.o.Log.WithFields(telemetry.Fields{"event": "pool_unavailable", "pool": q.Pool.String(), "request_id": q.ID}).WithError(err).Warn("cannot run the pool")
 		return fleet.NotRun(model.ReasonNoServer, time.Second)
 	}
+	if wait, ok := p.rates.allow(time.Now(), q, w.o.Catalog.Rates(q.Workspace, q.Route)); !ok {
+		return fleet.NotRun(model.ReasonRateLimited, wait)
+	}
 	c := &call{
 		request: q, weight: w.o.Catalog.Weight(q.Workspace), deadline: time.Now().Add(q.Budget),
 		trace: ctx, answer: make(chan fleet.Response, 1), attempts: map[model.AttemptID]*attemptState{},
@@ -208,7 +214,7 @@
 	}
 	x := &httpExchange{transport: w.o.Transport, tracing: w.o.Tracing, maxResponse: w.o.MaxResponse}
 	x.backends.Store(b)
-	p := &ownedPool{driver: newDriver(id, cfg, x, w.o.Log, w.o.Scope, w.o.Observer), exchange: x}
+	p := &ownedPool{driver: newDriver(id, cfg, x, w.o.Log, w.o.Scope, w.o.Observer), exchange: x, rates: newRateLimits()}
 	w.drivers[id] = p
 	w.wg.Add(1)
 	go func() {
