--- a/cmd/usher-api/main_test.go
+++ b/cmd/usher-api/main_test.go
@@ -129,7 +129,8 @@
 	return res.StatusCode
 }
 
-// Guards against reports that the process does not read from the object API.
+// Guards against reports that the process does not read from the object API, and
+// against layouts that are accepted and cannot be written.
 func TestReport(t *testing.T) {
 	g := NewWithT(t)
 	p := start(t)
@@ -138,6 +139,10 @@
 		"columns": [{"heading": "Service", "field": "service"}, {"heading": "N", "field": "requests", "format": "000"}]}]}`))
 	g.Expect(code).To(Equal(cli.ExitOK), text)
 
+	code, text = p.usherctl(t, "apply", "-f", settingsFile(t, `{"reportLayouts": [{"name": "wrong", "columns": [{"heading": "N", "field": "reqests"}]}]}`))
+	g.Expect(code).To(Equal(cli.ExitFailure))
+	g.Expect(text).To(ContainSubstring(`ReportLayout wrong: columns.0.field: got "reqests"`))
+
 	api, err := objectapi.NewClient(objectapi.ClientOptions{BaseURL: "http://127.0.0.1:1", Transport: p.platform.Transport()})
 	g.Expect(err).NotTo(HaveOccurred())
 	now := time.Date(2026, 12, 3, 12, 0, 0, 0, time.UTC)
--- a/operator/apiserver/reports.go
+++ b/operator/apiserver/reports.go
@@ -64,3 +64,17 @@
 	}
 	return missing, func(w io.Writer) error { return layout.WriteCSV(w, daily) }, nil
 }
+
+// checkLayout returns the first mistake of a layout.
+func checkLayout(l snapshot.ReportLayout) []snapshot.Mistake {
+	_, err := report.CompileLayout(l)
+	wrong, ok := errors.AsType[*report.LayoutError](err)
+	if !ok {
+		return nil
+	}
+	field := wrong.Part
+	if wrong.Column > 0 {
+		field = fmt.Sprintf("columns.%d.%s", wrong.Column-1, wrong.Part)
+	}
+	return []snapshot.Mistake{{Object: l.Ref(), Field: field, Value: wrong.Value, Expected: wrong.Expected}}
+}
--- a/operator/apiserver/server.go
+++ b/operator/apiserver/server.go
@@ -86,6 +86,7 @@
 		Store:           operator.NewConfigStore(configstore.NewStore(v.api)),
 		Fleet:           v.fleet,
 		Reports:         reports,
+		CheckLayout:     checkLayout,
 		Tokens:          v.settings.Tokens,
 		Log:             v.log,
 		MaxRequestBytes: v.settings.Limits.MaxRequestBytes,
--- a/operator/config_service.go
+++ b/operator/config_service.go
@@ -16,13 +16,14 @@
 
 // configService implements ConfigService.
 type configService struct {
-	store ConfigStore
-	fleet Fleet
+	store       ConfigStore
+	fleet       Fleet
+	checkLayout func(snapshot.ReportLayout) []snapshot.Mistake
 }
 
 // Apply implements ConfigService.
 func (s *configService) Apply(ctx context.Context, req *connect.Request[pb.ApplyRequest]) (*connect.Response[pb.ApplyResponse], error) {
-	change, err := changeFromProto(ctx, req.Msg)
+	change, err := s.change(ctx, req.Msg)
 	if err != nil {
 		return nil, toConnect(err)
 	}
@@ -33,7 +34,8 @@
 	return connect.NewResponse(&pb.ApplyResponse{Epoch: uint64(epoch), ChangeId: change.ID}), nil
 }
 
-func changeFromProto(ctx context.Context, m *pb.ApplyRequest) (snapshot.Change, error) {
+// change returns the request's change by the operator who sent it.
+func (s *configService) change(ctx context.Context, m *pb.ApplyRequest) (snapshot.Change, error) {
 	deletes, err := refsFromProto(m.GetDelete())
 	if err != nil {
 		return snapshot.Change{}, err
@@ -42,7 +44,20 @@
 	if id == "" {
 		id = rand.Text()
 	}
-	return snapshot.Change{ID: id, Author: operatorName(ctx), Put: ObjectsFromProto(m.GetPut()), Delete: deletes}, nil
+	change := snapshot.Change{ID: id, Author: operatorName(ctx), Put: ObjectsFromProto(m.GetPut()), Delete: deletes}
+	return change, s.checkLayouts(change.Put)
+}
+
+// checkLayouts refuses layouts with fields or formats that no report can have.
+func (s *configService) checkLayouts(put snapshot.Objects) error {
+	var mistakes []snapshot.Mistake
+	for _, l := range put.ReportLayouts {
+		mistakes = append(mistakes, s.checkLayout(l)...)
+	}
+	if len(mistakes) > 0 {
+		return &snapshot.ValidationError{Mistakes: mistakes}
+	}
+	return nil
 }
 
 func refsFromProto(in []*pb.Ref) ([]snapshot.Ref, error) {
@@ -180,7 +195,7 @@
 
 // Diff implements ConfigService.
 func (s *configService) Diff(ctx context.Context, req *connect.Request[pb.DiffRequest]) (*connect.Response[pb.DiffResponse], error) {
-	change, err := changeFromProto(ctx, &pb.ApplyRequest{Put: req.Msg.GetPut(), Delete: req.Msg.GetDelete()})
+	change, err := s.change(ctx, &pb.ApplyRequest{Put: req.Msg.GetPut(), Delete: req.Msg.GetDelete()})
 	if err != nil {
 		return nil, toConnect(err)
 	}
--- a/operator/server.go
+++ b/operator/server.go
@@ -9,6 +9,7 @@
 	"connectrpc.com/connect"
 	"github.com/go-chi/chi/v5"
 
+	"github.com/agateusher/agateusher/core/snapshot"
 	"github.com/agateusher/agateusher/gen/agateusher/v1/agateusherv1connect"
 	"github.com/agateusher/agateusher/telemetry"
 )
@@ -43,6 +44,9 @@
 	// CallTimeout and ReportTimeout bound a call; zero: the defaults.
 	CallTimeout   time.Duration
 	ReportTimeout time.Duration
+	// CheckLayout returns the mistakes of a report layout that is applied, nil if
+	// there are none; nil: layouts are checked when a report is asked for.
+	CheckLayout func(snapshot.ReportLayout) []snapshot.Mistake
 	// Ready says whether the service accepts calls; nil: always.
 	Ready func(context.Context) error
 }
@@ -57,6 +61,9 @@
 	if o.ReportTimeout == 0 {
 		o.ReportTimeout = DefaultReportTimeout
 	}
+	if o.CheckLayout == nil {
+		o.CheckLayout = func(snapshot.ReportLayout) []snapshot.Mistake { return nil }
+	}
 	if o.Ready == nil {
 		o.Ready = func(context.Context) error { return nil }
 	}
@@ -85,7 +92,7 @@
 			return connect.NewError(connect.CodeInternal, ErrPanic)
 		}),
 	}
-	config := &configService{store: o.Store, fleet: o.Fleet}
+	config := &configService{store: o.Store, fleet: o.Fleet, checkLayout: o.CheckLayout}
 	mount := func(timeout time.Duration, path string, h http.Handler) {
 		r.Handle(path+"*", withTimeout(timeout, h))
 	}
--- a/report/format.go
+++ b/report/format.go
@@ -38,7 +38,7 @@
 }
 
 // formatPattern matches digits before and after the sign, and the percent sign.
-var formatPattern = regexp.MustCompile(`^([#,]*[0,]*)(?:\.(0*#*))?(%?)$`)
+var formatPattern = regexp.MustCompile(`^([#,]*[0,]*)(?:\.(0+#*|#+))?(%?)$`)
 
 // parseFormat returns false for text that is not a number format. The empty
 // format writes the number as it is.
@@ -51,7 +51,7 @@
 		return f, true
 	}
 	m := formatPattern.FindStringSubmatch(text)
-	if m == nil || strings.Trim(text, "%") == "" || !validGroups(m[1]) {
+	if m == nil || !strings.ContainsAny(text, "0#") || !validGroups(m[1]) {
 		return f, false
 	}
 	f.minDigits = strings.Count(m[1], "0")
--- a/report/report_test.go
+++ b/report/report_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/big"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -398,6 +399,29 @@
 	}
 }
 
+// Guards against formats that write a digit too many or too few.
+func TestNumberFormats(t *testing.T) {
+	for _, c := range []struct{ format, decimal, value, want string }{
+		{"", "", "1234.5", "1234.5"}, {"", ",", "1234.5", "1234,5"}, {"", "", "1/3", "0.333333"}, {"", "", "0", "0"},
+		{"0", "", "2.5", "3"}, {"0", "", "2.4", "2"}, {"000", "", "7", "007"}, {"0.00", "", "7", "7.00"},
+		{"0.0#", "", "1.25", "1.25"}, {"0.0#", "", "1.2", "1.2"}, {"#.##", "", "0.5", ".5"}, {"#", "", "0", "0"},
+		{"#,##0", "", "999", "999"}, {"#,##0", "", "1000", "1,000"}, {"#,##0.00", ",", "1234567.891", "1.234.567,89"},
+		{"0,000", "", "5", "0,005"}, {"0%", "", "0.125", "13%"}, {"0.0%", ",", "0.125", "12,5%"},
+		{"0", "", "18446744073709551615", "18446744073709551615"},
+	} {
+		g := NewWithT(t)
+		f, ok := parseFormat(c.format, c.decimal)
+		g.Expect(ok).To(BeTrue(), c.format)
+		value, ok := new(big.Rat).SetString(c.value)
+		g.Expect(ok).To(BeTrue())
+		g.Expect(f.format(number{value: value})).To(Equal(c.want), "%+v", c)
+	}
+	for _, wrong := range []string{"0,0", ",000", "0.0.0", "0#", "%", "0%0", "x", "0.#0", "#,,000", ".", "0.", ","} {
+		_, ok := parseFormat(wrong, "")
+		NewWithT(t).Expect(ok).To(BeFalse(), wrong)
+	}
+}
+
 // Guards against percentiles that are off by more than the documented error
 // after flushing and merging.
 func TestLatencyPercentiles(t *testing.T) {
