--- a/experiment/pooltrial/cmd/main.go
+++ b/experiment/pooltrial/cmd/main.go
@@ -32,6 +32,7 @@
 	printFairness(w, length, opts.Seed)
 	printOverload(w, length, opts.Seed)
 	printRetries(w, length, opts.Seed)
+	printStalls(w, length, opts.Seed)
 }
 
 // loadAfter is the load after the overload.
@@ -88,6 +89,15 @@
 	flush(w)
 }
 
+func printStalls(w *tabwriter.Writer, length time.Duration, seed uint64) {
+	fmt.Fprintln(w, "stalled servers, not ejected\tanswered lookups\tp99 of lookups\tanswered postings\tunknown postings")
+	for _, stalled := range []int{0, 1, 2, 4} {
+		s := pooltrial.MeasureStall(stalled, 0.7, length, seed)
+		fmt.Fprintf(w, "%d\t%.2f%%\t%s\t%.2f%%\t%.2f%%\n", stalled, 100*s.Lookups, ms(s.P99), 100*s.Postings, 100*s.Unknown)
+	}
+	flush(w)
+}
+
 func flush(w *tabwriter.Writer) {
 	fmt.Fprintln(w)
 	w.Flush()
--- a/experiment/pooltrial/owner.go
+++ b/experiment/pooltrial/owner.go
@@ -28,8 +28,9 @@
 	wake     *Event
 	wakeAt   time.Time
 	measured bool
-	// unconfirmed: see OwnerConfig.
+	// unconfirmed and stalled: see OwnerConfig.
 	unconfirmed bool
+	stalled     map[model.ServerID]bool
 	// Waits from arrival to the first dispatch.
 	Waits Samples
 	// Dispatched counts attempts, First those that were the request's first.
@@ -53,6 +54,8 @@
 	// Change adapts the pool's configuration; nil: none.
 	Change func(*pool.Config)
 	Seed   uint64
+	// Stalled is the number of servers that never answer or confirm.
+	Stalled int
 	// Unconfirmed servers never confirm a cancellation.
 	Unconfirmed bool
 }
@@ -64,11 +67,14 @@
 		running:  make(map[model.AttemptID]*Event),
 		requests: make(map[model.RequestID]*openRequest),
 		accounts: make(map[model.WorkspaceID]*Account),
+		stalled:  make(map[model.ServerID]bool),
 		measured: true, unconfirmed: cfg.Unconfirmed,
 	}
 	pc := pool.Config{Detector: healthy{}, Plan: func(floor.Input) floor.Result { return floor.Result{} }}
 	for i := range Servers {
-		pc.Servers = append(pc.Servers, pool.Server{ID: model.ServerID("s" + strconv.Itoa(i)), Slots: Slots})
+		id := model.ServerID("s" + strconv.Itoa(i))
+		pc.Servers = append(pc.Servers, pool.Server{ID: id, Slots: Slots})
+		o.stalled[id] = i < cfg.Stalled
 	}
 	if cfg.Change != nil {
 		cfg.Change(&pc)
@@ -155,6 +161,10 @@
 	if o.random.Float64() < o.failures {
 		kind = pool.FailedAfterSend
 	}
+	if o.stalled[d.Server] {
+		o.running[d.Attempt] = &Event{}
+		return
+	}
 	o.running[d.Attempt] = o.clock.After(o.service(o.random), func() { o.finish(d.Attempt, kind) })
 }
 
@@ -172,7 +182,7 @@
 	event.Cancel()
 	delete(o.running, a)
 	o.clock.After(0, func() { o.finish(a, pool.TimedOut) })
-	if o.unconfirmed {
+	if o.unconfirmed || event.run == nil {
 		return
 	}
 	o.clock.After(confirmDelay, func() { o.apply(o.pool.CancelConfirmed(o.clock.Now(), a)) })
--- a/experiment/pooltrial/scenarios.go
+++ b/experiment/pooltrial/scenarios.go
@@ -157,6 +157,39 @@
 	return c.Now().Sub(end)
 }
 
+// Stall is what callers see while servers stall and no detector ejects them.
+type Stall struct {
+	// Stalled counts servers that never answer.
+	Stalled int
+	// Lookups is the share of the lookups that are answered, P99 their latency.
+	Lookups float64
+	P99     time.Duration
+	// Postings is the share of the postings that are answered, Unknown the share
+	// whose outcome is unknown.
+	Postings, Unknown float64
+}
+
+// MeasureStall runs lookups and a quarter of postings at a load.
+func MeasureStall(stalled int, load float64, length time.Duration, seed uint64) Stall {
+	c := NewClock()
+	o := NewOwner(c, OwnerConfig{Service: Exponential, Stalled: stalled, Seed: seed})
+	random := newRand(seed, 1)
+	Arrivals(c, random, Constant(load*Capacity), func() {
+		if random.IntN(4) == 0 {
+			o.Submit("postings", false, limit)
+		} else {
+			o.Submit("lookups", true, limit)
+		}
+	})
+	c.RunUntil(c.Now().Add(length))
+	lookups, postings := o.Account("lookups"), o.Account("postings")
+	return Stall{
+		Stalled: stalled, Lookups: lookups.answeredShare(), P99: lookups.Latency.Percentile(0.99),
+		Postings: postings.answeredShare(),
+		Unknown:  float64(postings.Unknown) / float64(postings.Answered+postings.NotRun+postings.Unknown),
+	}
+}
+
 // Retries is the work that a pool adds when attempts fail.
 type Retries struct {
 	// Failures is the share of attempts that fail after they were sent.
--- a/experiment/pooltrial/workload.go
+++ b/experiment/pooltrial/workload.go
@@ -80,3 +80,8 @@
 	// Latency from arrival to the answer, of answered requests.
 	Latency Samples
 }
+
+// answeredShare is the share of the finished requests that were answered.
+func (a *Account) answeredShare() float64 {
+	return float64(a.Answered) / float64(a.Answered+a.NotRun+a.Unknown)
+}
