--- a/experiment/detection/cmd/main.go
+++ b/experiment/detection/cmd/main.go
@@ -93,6 +93,37 @@
 	return nil
 }
 
+type curveCommand struct {
+	common
+	Thresholds []float64 `long:"threshold" description:"nats; default 6 to 28"`
+	Seeds      int       `long:"seeds" default:"300" description:"trials for each detection time"`
+	ServerDays float64   `long:"server-days" default:"50" description:"simulated time for each threshold"`
+	CSV        string    `long:"csv" default:"docs/detection-curve.csv"`
+	Plot       string    `long:"plot" default:"docs/detection-curve.svg" description:".svg or .png"`
+}
+
+// Execute implements flags.Commander.
+func (c *curveCommand) Execute([]string) error {
+	thresholds := c.Thresholds
+	if len(thresholds) == 0 {
+		thresholds = []float64{6, 7, 8, 9, 10, 11.51, 13, 15, 18, 21, 25.33, 28}
+	}
+	points := detection.Curve(detection.CurveConfig{
+		Thresholds: thresholds, Seeds: c.Seeds, ServerDays: c.ServerDays, First: c.Seed, Workers: c.Workers})
+	file, err := os.Create(c.CSV)
+	if err != nil {
+		return fmt.Errorf("curve: %w", err)
+	}
+	if err := detection.WriteCurve(file, points); err != nil {
+		_ = file.Close() // the first error matters
+		return err
+	}
+	if err := file.Close(); err != nil {
+		return fmt.Errorf("curve: %w", err)
+	}
+	return detection.PlotCurve(c.Plot, points)
+}
+
 func main() {
 	parser := flags.NewParser(nil, flags.Default)
 	add := func(name, short string, c flags.Commander) {
@@ -103,6 +134,7 @@
 	}
 	add("table", "Detection times and false ejections for all faults", &tableCommand{})
 	add("longrun", "False ejections of healthy servers over a long time", &longrunCommand{})
+	add("curve", "Detection time against false ejections as the threshold varies", &curveCommand{})
 	if _, err := parser.Parse(); err != nil {
 		var f *flags.Error
 		if errors.As(err, &f) && f.Type == flags.ErrHelp {
