--- a/demo/api.go
+++ b/demo/api.go
@@ -1,10 +1,25 @@
 package demo
 
-// daemonArguments returns the command line of usherd.
-func daemonArguments(settings string) []string { return []string{"--settings", settings} }
+import (
+	"time"
 
-// apiArguments returns the command line of usher-api.
-func apiArguments(settings string) []string { return []string{"--settings", settings} }
+	"github.com/agateusher/agateusher/operator"
+	"github.com/agateusher/agateusher/operator/apiserver"
+	"github.com/agateusher/agateusher/settings"
+)
+
+// apiNotice is how long usher-api goes on serving after SIGTERM.
+const apiNotice = 100 * time.Millisecond
 
 // apiSettings returns the settings of usher-api.
-func (r *run) apiSettings() any { return nil }
+func (r *run) apiSettings() apiserver.Settings {
+	s := apiserver.Default()
+	s.Listener = r.api
+	s.Platform.URL = "http://" + r.platform
+	s.Tokens = []operator.Token{{Name: "demo", Secret: r.secrets.token}}
+	s.Stop.Notice = settings.Duration(apiNotice)
+	for _, h := range r.hosts {
+		s.Hosts.List = append(s.Hosts.List, apiserver.ListedHost{ID: h.ID, DataCentre: h.DataCentre, AdminAddress: h.admin})
+	}
+	return s
+}
--- a/demo/layout.go
+++ b/demo/layout.go
@@ -86,7 +86,7 @@
 
 // daemonSettings returns the settings of one usherd.
 func daemonSettings(h host, platform string, s secrets) daemon.Settings {
-	d := daemon.Default()
+	d := daemon.DefaultSettings()
 	d.Host = daemon.HostSettings{ID: h.ID, DataCentre: h.DataCentre, Region: h.Region}
 	d.Listeners = daemon.ListenerSettings{Caller: h.CallerAddress, Fleet: h.FleetAddress, Peer: h.PeerAddress, Admin: h.admin}
 	d.Platform.URL = "http://" + platform
--- a/demo/run.go
+++ b/demo/run.go
@@ -223,7 +223,7 @@
 		if err != nil {
 			return err
 		}
-		if _, err := r.processes.start(string(h.ID), "usherd", daemonArguments(path)...); err != nil {
+		if _, err := r.processes.start(string(h.ID), "usherd", "--settings", path); err != nil {
 			return err
 		}
 	}
@@ -245,7 +245,7 @@
 	if err != nil {
 		return err
 	}
-	if _, err := r.processes.start("usher-api", "usher-api", apiArguments(path)...); err != nil {
+	if _, err := r.processes.start("usher-api", "usher-api", "--settings", path); err != nil {
 		return err
 	}
 	return r.await(ctx, "http://"+r.api+operator.ReadyPath)
