--- a/daemon/admin.go
+++ b/daemon/admin.go
@@ -84,7 +84,7 @@
 		}
 		for _, s := range v.Servers {
 			p.Servers = append(p.Servers, adminapi.Server{
-				ID: s.ID, State: serverState(s.Status), Evidence: evidenceText(s), Since: d.changes.since(s.ID, d.startedAt),
+				ID: s.ID, State: serverState(s.Status), Evidence: evidenceText(s), Since: d.observer.changes.since(s.ID, d.startedAt),
 				Slots: s.Slots, BusySlots: s.InUse,
 			})
 		}
--- a/daemon/changes.go
+++ b/daemon/changes.go
@@ -8,8 +8,7 @@
 	"github.com/agateusher/agateusher/core/pool"
 )
 
-// changeLog remembers when each backend server last changed state. It
-// implements owner.Observer.
+// changeLog remembers when each backend server last changed state.
 type changeLog struct {
 	mu sync.Mutex
 	at map[model.ServerID]time.Time
@@ -17,8 +16,7 @@
 
 func newChangeLog() *changeLog { return &changeLog{at: map[model.ServerID]time.Time{}} }
 
-// ServerChanged implements owner.Observer.
-func (c *changeLog) ServerChanged(now time.Time, _ model.PoolID, change pool.ServerChanged) {
+func (c *changeLog) note(now time.Time, change pool.ServerChanged) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if change.To == pool.Gone {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"github.com/agateusher/agateusher/modules/detector"
 	"github.com/agateusher/agateusher/objectapi"
 	"github.com/agateusher/agateusher/owner"
+	"github.com/agateusher/agateusher/report"
 	"github.com/agateusher/agateusher/telemetry"
 
 	_ "github.com/agateusher/agateusher/modules/exporter" // registers the trace exporters
@@ -58,7 +59,8 @@
 	owner    *owner.Owner
 	entry    *entry.Entry
 	client   *fleet.Client
-	changes  *changeLog
+	observer *observer
+	flusher  *report.Flusher
 	leaving  atomic.Bool
 	servers  []*listener
 }
@@ -81,8 +83,11 @@
 	if err != nil {
 		return nil, &StartError{Part: "log", Err: err}
 	}
-	d := &Daemon{settings: s, incarnation: model.Incarnation(rand.Text()), startedAt: time.Now(), logger: logger, changes: newChangeLog(), metrics: telemetry.NewMetrics(metricsPrefix)}
+	d := &Daemon{settings: s, incarnation: model.Incarnation(rand.Text()), startedAt: time.Now(), logger: logger, metrics: telemetry.NewMetrics(metricsPrefix)}
 	d.log = logger.WithField("host", s.Host.ID)
+	d.observer = &observer{changes: newChangeLog(), recorder: report.NewRecorder(report.RecorderOptions{
+		Host: s.Host.ID, Incarnation: d.incarnation, Started: d.startedAt,
+	})}
 	for _, part := range []struct {
 		name string
 		set  func() error
@@ -95,6 +100,7 @@
 		}
 	}
 	d.setFollower()
+	d.flusher = report.NewFlusher(report.FlusherOptions{Recorder: d.observer.recorder, Store: d.store, Log: d.log})
 	return d, nil
 }
 
@@ -163,7 +169,7 @@
 			DialTimeout: dialTimeout, IdleTimeout: idleTimeout,
 			MaxConnsPerHost: l.ServerConnections, MaxIdlePerHost: l.ServerConnections,
 		}),
-		Tracing: d.tracing, Log: d.log, Scope: d.metrics.Scope, Observer: d.changes,
+		Tracing: d.tracing, Log: d.log, Scope: d.metrics.Scope, Observer: d.observer,
 		KeySecrets: secretBytes(k.Secrets),
 		KeyLimits: idempotency.Limits{
 			Lifetime: k.Lifetime.Std(), MaxKeys: k.MaxKeys, MaxBytes: k.MaxBytes, MaxRecordBytes: k.MaxRecordBytes,
@@ -177,6 +183,7 @@
 		Host: d.settings.Host.ID, Catalog: d.live.entryCatalog, Directory: d.directory(), Local: d.owner,
 		Client:  d.client,
 		Tracing: d.tracing, Log: d.log, Scope: d.metrics.Scope, MaxBody: d.settings.Limits.MaxRequestBytes,
+		Observer: d.observer,
 	}
 }
 
@@ -231,6 +238,7 @@
 		kernel.Duty{Name: "host-list", Run: d.hosts.run},
 		kernel.Duty{Name: "events", Run: d.bus.Run},
 		kernel.Duty{Name: "demand", Run: d.runDemand},
+		d.flusher.Duty(),
 		kernel.Duty{Name: "stop", Run: func(work context.Context) error {
 			select {
 			case <-ctx.Done():
--- a/owner/driver.go
+++ b/owner/driver.go
@@ -175,6 +175,9 @@
 func (d *driver) dispatch(ctx context.Context, x pool.Dispatch) {
 	c := d.calls[x.Request]
 	attemptCtx, stop := context.WithDeadline(context.WithoutCancel(c.trace), x.Deadline)
+	if len(c.attempts) > 0 {
+		d.observer.Retried(d.id, c.request.Workspace)
+	}
 	a := &attemptState{call: c, server: x.Server, stop: stop}
 	c.attempts[x.Attempt] = a
 	d.attempts[x.Attempt] = a
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -25,6 +25,8 @@
 // pools' goroutines and must not block.
 type Observer interface {
 	ServerChanged(now time.Time, id model.PoolID, change pool.ServerChanged)
+	// Retried reports an attempt beyond a request's first: a retry or a hedge.
+	Retried(id model.PoolID, workspace model.WorkspaceID)
 }
 
 // Catalog gives the configuration in force.
