--- a/Makefile
+++ b/Makefile
@@ -1,25 +1,35 @@
 # Targets that a contributor needs. Everything a target builds goes to bin/.
 GO ?= go
 BIN := $(CURDIR)/bin
+GOFILES = $(shell git ls-files '*.go')
 
-.PHONY: build test check lint demo soak bench capacity generate tools clean
+.PHONY: build demo test soak bench capacity lint tools generate clean
 
+## build: build all programs into bin/
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
 
+## demo: start stand-ins and a small fleet, run a load with one gray failure
+demo: build
+	$(BIN)/usher-demo
+
+## test: run all tests in their short forms
 test:
-	$(GO) test ./...
+	$(GO) test -timeout 300s ./...
 
+## lint: formatter, go vet and staticcheck
 lint: tools
-	test -z "$$(gofmt -l $$(git ls-files '*.go'))" || { gofmt -l $$(git ls-files '*.go'); exit 1; }
+	@test -z "$$(gofmt -l $(GOFILES))" || { gofmt -l $(GOFILES); exit 1; }
 	$(GO) vet ./...
 	$(BIN)/tools/staticcheck ./...
 
+## tools: build the tools that lint needs
 tools: $(BIN)/tools/staticcheck
 
 $(BIN)/tools/staticcheck: tools/go.mod
 	cd tools && $(GO) build -o $(BIN)/tools/ honnef.co/go/tools/cmd/staticcheck
 
+## generate: generate the operator RPC code from proto/
 generate:
 	cd tools && $(GO) build -o $(BIN)/tools/ github.com/bufbuild/buf/cmd/buf connectrpc.com/connect/cmd/protoc-gen-connect-go
 	$(GO) build -o $(BIN)/tools/ google.golang.org/protobuf/cmd/protoc-gen-go
--- a/daemon/fleet_test.go
+++ b/daemon/fleet_test.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync"
@@ -21,6 +20,7 @@
 	"github.com/agateusher/agateusher/fleet"
 	"github.com/agateusher/agateusher/objectapi"
 	"github.com/agateusher/agateusher/settings"
+	"github.com/agateusher/agateusher/standin"
 	"github.com/agateusher/agateusher/standin/backend"
 	"github.com/agateusher/agateusher/standin/platform"
 )
@@ -117,14 +117,12 @@
 	return s
 }
 
-// freeAddress returns a loopback address that was free a moment ago.
 func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := standin.FreeAddress()
 	if err != nil {
 		panic(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return address
 }
 
 func (f *testFleet) objects() snapshot.Objects {
--- a/demo/layout.go
+++ b/demo/layout.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 	"time"
@@ -12,6 +11,7 @@
 	"github.com/agateusher/agateusher/daemon"
 	"github.com/agateusher/agateusher/objectapi"
 	"github.com/agateusher/agateusher/settings"
+	"github.com/agateusher/agateusher/standin"
 )
 
 // The fleet of the demo: two daemons in each data centre of one region.
@@ -49,17 +49,15 @@
 	fleet, keys, token string
 }
 
-// freeAddresses returns loopback addresses with ports that were free a moment
-// ago. All are held until the last is chosen, so that none is chosen twice.
+// freeAddresses returns loopback addresses that nothing listens on.
 func freeAddresses(n int) ([]string, error) {
 	addresses := make([]string, n)
 	for i := range addresses {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		address, err := standin.FreeAddress()
 		if err != nil {
 			return nil, &SetupError{Step: "choose a port", Err: err}
 		}
-		defer ln.Close()
-		addresses[i] = ln.Addr().String()
+		addresses[i] = address
 	}
 	return addresses, nil
 }
