standin/platform: wait for the hung call before the outage ends in TestUnavailable

The test failed now and then over real HTTP: the client had given up, but the server had not seen it yet when the outage was cleared, so the hanging write took effect late. That is allowed for a store.

--- a/standin/platform/platform_test.go
+++ b/standin/platform/platform_test.go
@@ -92,9 +92,8 @@
 				g := NewWithT(t)
 				p := platform.New(platform.Options{})
 				o := objectapi.ClientOptions{BaseURL: "http://platform", Transport: p.Transport(), Timeout: 50 * time.Millisecond}
+				server := httptest.NewServer(p)
 				if real {
-					server := httptest.NewServer(p)
-					defer server.Close()
 					o.BaseURL, o.Transport = server.URL, nil
 				}
 				c, err := objectapi.NewClient(o)
@@ -103,8 +102,11 @@
 				p.SetFaults(tc.faults)
 				_, err = c.Put(t.Context(), "k", []byte("v"), 0)
 				g.Expect(err).To(MatchError(objectapi.ErrUnavailable))
+				// Waits until the server has seen that its client went away: a
+				// call that still hangs when the outage ends takes effect late.
+				server.Close()
 				p.SetFaults(platform.Faults{})
-				_, err = c.Get(t.Context(), "k")
+				_, err = newStore(t, p.Endpoint).Get(t.Context(), "k")
 				g.Expect(err == nil).To(Equal(tc.effect))
 			})
 		}
