--- a/daemon/fleet_test.go
+++ b/daemon/fleet_test.go
@@ -28,7 +28,7 @@
 // testFleet is a stand-in platform, stand-in backend servers and daemons, all
 // in this process and on loopback.
 type testFleet struct {
-	t        *testing.T
+	t        testing.TB
 	platform *platform.Platform
 	store    *configstore.Store
 	url      string
@@ -47,7 +47,12 @@
 
 // newTestFleet starts hosts daemons in the data centre lagos-1, where the
 // service booking has the given number of servers.
-func newTestFleet(t *testing.T, hosts, servers int, tune func(*Settings)) *testFleet {
+func newTestFleet(t testing.TB, hosts, servers int, tune func(*Settings)) *testFleet {
+	t.Helper()
+	return newTimedFleet(t, hosts, servers, backend.Distribution{Kind: backend.Exponential, Mean: 5 * time.Millisecond}, tune)
+}
+
+func newTimedFleet(t testing.TB, hosts, servers int, service backend.Distribution, tune func(*Settings)) *testFleet {
 	t.Helper()
 	g := NewWithT(t)
 	f := &testFleet{t: t, platform: platform.New(platform.Options{HostLag: -1})}
@@ -57,17 +62,17 @@
 	client, err := objectapi.NewClient(objectapi.ClientOptions{BaseURL: server.URL})
 	g.Expect(err).NotTo(HaveOccurred())
 	f.store = configstore.NewStore(client)
-	f.startBackends(servers)
+	f.startBackends(servers, service)
 	f.startNodes(hosts, tune)
 	f.apply(f.objects())
 	g.Eventually(func() bool { return f.ready() }).WithTimeout(5 * time.Second).Should(BeTrue())
 	return f
 }
 
-func (f *testFleet) startBackends(n int) {
+func (f *testFleet) startBackends(n int, service backend.Distribution) {
 	options := make([]backend.Options, n)
 	for i := range options {
-		options[i] = backend.Options{ID: model.ServerID(fmt.Sprintf("booking-%d", i)), QueueLimit: 4, ServiceTime: backend.Distribution{Kind: backend.Exponential, Mean: 5 * time.Millisecond}, Seed: uint64(i + 1)}
+		options[i] = backend.Options{ID: model.ServerID(fmt.Sprintf("booking-%d", i)), QueueLimit: 4, ServiceTime: service, Seed: uint64(i + 1)}
 	}
 	group, err := backend.NewGroup("127.0.0.1:0", options)
 	NewWithT(f.t).Expect(err).NotTo(HaveOccurred())
@@ -99,7 +104,7 @@
 	}
 }
 
-func (n *testNode) start(t *testing.T) {
+func (n *testNode) start(t testing.TB) {
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
 	go func() { n.done <- n.daemon.Run(ctx); close(n.done) }()
@@ -188,7 +193,7 @@
 	return callResult{status: resp.StatusCode, outcome: resp.Header.Get(fleet.HeaderOutcome), reason: resp.Header.Get(fleet.HeaderReason), body: content}, err
 }
 
-func issueKeys(t *testing.T, address string, n int) []string {
+func issueKeys(t testing.TB, address string, n int) []string {
 	t.Helper()
 	r, err := send("POST", address, "/.well-known/agateusher/keys", "", fmt.Appendf(nil, `{"method":"POST","path":"/payments","count":%d}`, n))
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
