--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -21,6 +21,7 @@
 	"github.com/agateusher/agateusher/fleet"
 	"github.com/agateusher/agateusher/kernel"
 	"github.com/agateusher/agateusher/modules/detector"
+	"github.com/agateusher/agateusher/modules/dispatch"
 	"github.com/agateusher/agateusher/objectapi"
 	"github.com/agateusher/agateusher/owner"
 	"github.com/agateusher/agateusher/report"
@@ -59,6 +60,9 @@
 	owner    *owner.Owner
 	entry    *entry.Entry
 	client   *fleet.Client
+
+	dispatcher dispatch.Dispatcher
+
 	observer *observer
 	flusher  *report.Flusher
 	leaving  atomic.Bool
@@ -150,6 +154,9 @@
 	if !ok {
 		return &kernel.ModuleError{ID: m.ModuleInfo().ID, Step: "provision", Err: kernel.ErrUnknownModule}
 	}
+	if d.dispatcher, err = loadDispatcher(d.settings.Dispatch); err != nil {
+		return err
+	}
 	d.owner = owner.New(d.ownerOptions(factory))
 	d.client = &fleet.Client{
 		Transport:  fleet.NewTransport(fleet.TransportOptions{DialTimeout: dialTimeout, IdleTimeout: idleTimeout, MaxIdlePerHost: fleetIdleConns}),
@@ -161,6 +168,18 @@
 	return nil
 }
 
+func loadDispatcher(s ModuleSettings) (dispatch.Dispatcher, error) {
+	m, err := kernel.Load(kernel.ModuleID(s.Module), s.Options)
+	if err != nil {
+		return nil, err
+	}
+	dispatcher, ok := m.(dispatch.Dispatcher)
+	if !ok {
+		return nil, &kernel.ModuleError{ID: m.ModuleInfo().ID, Step: "provision", Err: kernel.ErrUnknownModule}
+	}
+	return dispatcher, nil
+}
+
 func (d *Daemon) ownerOptions(factory detector.Factory) owner.Options {
 	k, l := d.settings.Keys, d.settings.Limits
 	return owner.Options{
@@ -187,8 +206,12 @@
 	}
 }
 
-// directory returns what this daemon knows of other hosts.
-func (d *Daemon) directory() entry.Directory { return d.hosts }
+// directory returns what this daemon knows of other hosts, seen through the
+// chosen way of dispatch.
+func (d *Daemon) directory() entry.Directory {
+	self := fleet.Peer{Host: d.settings.Host.ID, Address: d.settings.Listeners.Fleet}
+	return d.dispatcher.Directory(d.hosts, self)
+}
 
 func (d *Daemon) setFollower() {
 	d.follower = configstore.NewFollower(configstore.FollowerOptions{
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/uber-go/tally/v4"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
@@ -58,11 +59,18 @@
 	o      Options
 	peers  *peers
 	places *placements
+
+	requests *telemetry.Counters
+	duration tally.Histogram
 }
 
 // New returns an entry. Close ends it.
 func New(o Options) *Entry {
-	return &Entry{o: o, peers: newPeers(o.Client, o.Log, o.Scope), places: newPlacements()}
+	return &Entry{
+		o: o, peers: newPeers(o.Client, o.Log, o.Scope), places: newPlacements(),
+		requests: telemetry.NewCounters(o.Scope, "requests", "outcome", "reason"),
+		duration: o.Scope.Histogram("request_duration", telemetry.LatencyBuckets),
+	}
 }
 
 // Close ends the background pings.
@@ -110,8 +118,8 @@
 }
 
 func (e *Entry) record(q *fleet.Request, r *http.Request, id model.RequestID, resp *fleet.Response, status int, took, deadline time.Duration, span trace.Span) {
-	e.o.Scope.Tagged(map[string]string{"outcome": resp.Outcome.String(), "reason": string(resp.Reason)}).Counter("requests").Inc(1)
-	e.o.Scope.Histogram("request_duration", telemetry.LatencyBuckets).RecordDuration(took)
+	e.requests.Inc(resp.Outcome.String(), string(resp.Reason))
+	e.duration.RecordDuration(took)
 	if q != nil && e.o.Observer != nil {
 		e.o.Observer.RequestDone(q.Pool.Service, q.Workspace, resp, took)
 	}
--- a/owner/driver.go
+++ b/owner/driver.go
@@ -69,6 +69,7 @@
 	log      telemetry.Logger
 	scope    telemetry.Scope
 	observer Observer
+	outcomes *telemetry.Counters
 	ring     *kernel.Ring[event]
 
 	calls    map[model.RequestID]*call
@@ -88,6 +89,7 @@
 		calls:    map[model.RequestID]*call{},
 		attempts: map[model.AttemptID]*attemptState{},
 	}
+	d.outcomes = telemetry.NewCounters(d.scope, "pool_requests", "outcome", "")
 	d.load.Store(&fleet.Load{})
 	return d
 }
@@ -211,7 +213,7 @@
 		return
 	}
 	delete(d.calls, id)
-	d.scope.Tagged(map[string]string{"outcome": r.Outcome.String()}).Counter("pool_requests").Inc(1)
+	d.outcomes.Inc(r.Outcome.String(), "")
 	d.reply(c, r)
 }
 
--- /dev/null
+++ b/telemetry/counters.go
@@ -0,0 +1,52 @@
+package telemetry
+
+import (
+	"sync"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// Counters is a counter with two labels. It keeps the counter of each pair of
+// values, because tally builds and looks up a key for each Tagged call, which
+// showed in the allocations of every request.
+type Counters struct {
+	scope  Scope
+	name   string
+	labels [2]string
+
+	mu     sync.RWMutex
+	values map[[2]string]tally.Counter
+}
+
+// NewCounters returns a counter. The second label may be empty. Values must
+// come from a small fixed set.
+func NewCounters(s Scope, name, first, second string) *Counters {
+	return &Counters{scope: s, name: name, labels: [2]string{first, second}, values: map[[2]string]tally.Counter{}}
+}
+
+// Inc adds one for a pair of label values.
+func (c *Counters) Inc(first, second string) {
+	key := [2]string{first, second}
+	c.mu.RLock()
+	counter, ok := c.values[key]
+	c.mu.RUnlock()
+	if !ok {
+		counter = c.add(key)
+	}
+	counter.Inc(1)
+}
+
+func (c *Counters) add(key [2]string) tally.Counter {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if counter, ok := c.values[key]; ok {
+		return counter
+	}
+	tags := map[string]string{c.labels[0]: key[0]}
+	if c.labels[1] != "" {
+		tags[c.labels[1]] = key[1]
+	}
+	counter := c.scope.Tagged(tags).Counter(c.name)
+	c.values[key] = counter
+	return counter
+}
