--- a/configstore/apply.go
+++ b/configstore/apply.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"time"
 
 	"github.com/agateusher/agateusher/core/model"
@@ -109,10 +110,11 @@
 	if err != nil {
 		return Head{}, nil, err
 	}
-	manifest, chunks, err := snapshot.Split(next.Objects, base.Chunks)
+	manifest, chunks, err := snapshot.Resplit(next.Objects, base.Chunks, c.Refs())
 	if err != nil {
 		return Head{}, nil, &NotAcceptedError{ChangeID: c.ID, Err: err}
 	}
+	maps.Copy(chunks, s.known(manifest))
 	head, err := base.next(c, next, manifest)
 	if err != nil {
 		return Head{}, nil, &NotAcceptedError{ChangeID: c.ID, Err: err}
--- a/configstore/follower_test.go
+++ b/configstore/follower_test.go
@@ -44,6 +44,30 @@
 	})
 }
 
+// Guards against a replay that goes wrong when a change alters the number of
+// chunks.
+func TestReplayAcrossBuckets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		p := platform.New(platform.Options{})
+		s := newStore(t, p.Endpoint)
+		mustApply(t, s, firstChange(2048), 0)
+		h := newHost(newStore(t, p.Endpoint), true)
+		defer h.run(t)()
+		h.next(t)
+		for e, c := range []snapshot.Change{drain("grow", 3000), {ID: "shrink", Author: "a", Delete: []snapshot.Ref{server(7).Ref(), server(3000).Ref()}}} {
+			before := p.Calls().Gets
+			mustApply(t, s, c, model.Epoch(e+1))
+			h.next(t)
+			g.Expect(p.Calls().Gets-before).To(Equal(int64(1)), "only the writer reads the head")
+			loaded, err := newStore(t, p.Endpoint).Load(t.Context())
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(loaded.Head.Chunks[snapshot.KindServer]).To(HaveLen(2))
+			g.Expect(h.holder.Load()).To(Equal(loaded.Snapshot))
+		}
+	})
+}
+
 // Guards against a fresh host that stays empty, takes a lower epoch than its
 // peers have, or calls itself confirmed while the object API is away; and
 // against one that is not confirmed afterwards.
--- a/configstore/state.go
+++ b/configstore/state.go
@@ -113,6 +113,7 @@
 		return nil
 	}
 	snap := current.snapshot
+	var changed []snapshot.Ref
 	for _, a := range changes {
 		if a.Change == nil || a.Epoch != snap.Epoch+1 {
 			return nil
@@ -122,14 +123,27 @@
 			return nil
 		}
 		snap = next
+		changed = append(changed, a.Change.Refs()...)
 	}
-	manifest, chunks, err := snapshot.Split(snap.Objects, head.Chunks)
-	if err != nil || !equalManifests(manifest, head.Chunks) {
+	chunks, ok := resplit(current, snap.Objects, head.Chunks, changed)
+	if !ok {
 		return nil
 	}
 	return &configuration{head: head, raw: raw, chunks: chunks, snapshot: snap}
 }
 
+// resplit returns the chunks of the objects. It reports false if those are not
+// the ones of the manifest.
+func resplit(current *configuration, o snapshot.Objects, want snapshot.Manifest, changed []snapshot.Ref) (snapshot.Chunks, bool) {
+	manifest, encoded, err := snapshot.Resplit(o, current.head.Chunks, changed)
+	if err != nil || !equalManifests(manifest, want) {
+		return nil, false
+	}
+	chunks := selected(want, current.chunks)
+	maps.Copy(chunks, encoded)
+	return chunks, len(missingChunks(want, chunks)) == 0
+}
+
 func equalManifests(a, b snapshot.Manifest) bool {
 	return maps.EqualFunc(a, b, func(x, y []snapshot.ChunkName) bool {
 		if len(x) != len(y) {
--- a/core/snapshot/apply.go
+++ b/core/snapshot/apply.go
@@ -1,6 +1,9 @@
 package snapshot
 
-import "slices"
+import (
+	"cmp"
+	"slices"
+)
 
 // Validate checks the change by itself: its ID, author, objects and
 // references. The error is a *ValidationError with all mistakes.
@@ -53,7 +56,7 @@
 		return nil, err
 	}
 	next := &Snapshot{Epoch: s.Epoch + 1, ChangeID: c.ID, Objects: s.Objects.merge(c.Put, refSet(c.Delete))}
-	m.references(next.Objects)
+	m.changedReferences(next.Objects, c)
 	if err := m.err(); err != nil {
 		return nil, err
 	}
@@ -62,17 +65,35 @@
 
 // existing reports deletions of objects that do not exist.
 func (m *mistakes) existing(o Objects, deleted []Ref) {
-	if len(deleted) == 0 {
-		return
-	}
-	present := refSet(o.Refs())
 	for _, r := range deleted {
 		m.object = r
-		m.require(present[r], "delete", r.Name, "an existing object")
+		m.require(o.has(r), "delete", r.Name, "an existing object")
 	}
 	m.object = Ref{}
 }
 
+// has reports whether the objects, ordered by name, include one.
+func (o Objects) has(r Ref) bool {
+	switch r.Kind {
+	case KindService:
+		return hasName(o.Services, r.Name)
+	case KindServer:
+		return hasName(o.Servers, r.Name)
+	case KindRoute:
+		return hasName(o.Routes, r.Name)
+	case KindWorkspace:
+		return hasName(o.Workspaces, r.Name)
+	case KindReportLayout:
+		return hasName(o.ReportLayouts, r.Name)
+	}
+	return false
+}
+
+func hasName[T object](objects []T, name string) bool {
+	_, ok := slices.BinarySearchFunc(objects, name, func(o T, name string) int { return cmp.Compare(o.Ref().Name, name) })
+	return ok
+}
+
 // merge returns o with the put objects created or replaced and others removed.
 // Both must be ordered by name.
 func (o Objects) merge(put Objects, remove map[Ref]bool) Objects {
--- /dev/null
+++ b/core/snapshot/bench_test.go
@@ -0,0 +1,67 @@
+package snapshot
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/agateusher/agateusher/core/model"
+)
+
+// targetScale returns as many objects as the target scale names.
+func targetScale(b *testing.B) *Snapshot {
+	const services, servers, routes, workspaces = 5_000, 160_000, 170_000, 710_000
+	var o Objects
+	for i := range services {
+		s := validObjects().Services[0]
+		s.Name = model.ServiceName(fmt.Sprintf("service-%04d", i))
+		o.Services = append(o.Services, s)
+	}
+	o.Servers = manyServers(servers)
+	for i := range o.Servers {
+		o.Servers[i].Service = o.Services[i%services].Name
+	}
+	for i := range routes {
+		o.Routes = append(o.Routes, Route{Name: model.RouteName(fmt.Sprintf("route-%06d", i)), Host: "api.example", PathPrefix: fmt.Sprintf("/r%d", i), Methods: []string{"GET"}, Service: o.Services[i%services].Name, Repeatable: true})
+	}
+	for i := range workspaces {
+		o.Workspaces = append(o.Workspaces, Workspace{ID: model.WorkspaceID(fmt.Sprintf("workspace-%06d", i)), Weight: 1})
+	}
+	s, err := (*Snapshot)(nil).Apply(Change{ID: "c0", Author: "a", Put: o})
+	if err != nil {
+		b.Fatal(err)
+	}
+	return s
+}
+
+// BenchmarkTargetScale measures what one change of one server costs a host at
+// the target scale.
+func BenchmarkTargetScale(b *testing.B) {
+	s := targetScale(b)
+	m, _, err := Split(s.Objects, nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	change := Change{ID: "c1", Author: "a", Put: Objects{Servers: []Server{s.Objects.Servers[77]}}}
+	change.Put.Servers[0].State = ServerDraining
+	b.Run("apply", func(b *testing.B) {
+		for b.Loop() {
+			if _, err := s.Apply(change); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+	b.Run("resplit", func(b *testing.B) {
+		for b.Loop() {
+			if _, _, err := Resplit(s.Objects, m, change.Refs()); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+	b.Run("split", func(b *testing.B) {
+		for b.Loop() {
+			if _, _, err := Split(s.Objects, m); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
--- a/core/snapshot/chunks.go
+++ b/core/snapshot/chunks.go
@@ -7,6 +7,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -136,37 +138,99 @@
 	return int(xxhash.Sum64String(name) % uint64(buckets))
 }
 
+// encodeBuckets encodes the objects into n buckets.
 func encodeBuckets[T object](m Manifest, c Chunks, k Kind, objects []T, n int) error {
-	buckets := make([][]T, n)
+	all := make(map[int]bool, n)
+	for i := range n {
+		all[i] = true
+	}
+	return encodeSome(m, c, k, objects, make([]ChunkName, n), all)
+}
+
+// encodeSome encodes the buckets in which, and takes the names of the others
+// from names.
+func encodeSome[T object](m Manifest, c Chunks, k Kind, objects []T, names []ChunkName, which map[int]bool) error {
+	buckets := make([][]T, len(names))
 	for _, o := range objects {
-		b := bucketOf(o.Ref().Name, n)
-		buckets[b] = append(buckets[b], o)
+		if b := bucketOf(o.Ref().Name, len(names)); which[b] {
+			buckets[b] = append(buckets[b], o)
+		}
 	}
-	names, encoded := make([]ChunkName, n), Chunks{}
-	for i, bucket := range buckets {
-		if len(bucket) == 0 {
+	encoded := Chunks{}
+	for i := range which {
+		names[i] = ""
+		if len(buckets[i]) == 0 {
 			continue
 		}
-		data, err := json.Marshal(bucket)
-		if err == nil && len(data) > MaxChunkBytes {
-			err = ErrChunkTooLarge
-		}
+		data, err := encodeBucket(k, buckets[i])
 		if err != nil {
 			return &ChunkError{Kind: k, Bucket: i, Err: err}
 		}
-		// The kind is part of the data, so that chunks of two kinds never
-		// share a name.
-		data = append([]byte(string(k)+"\n"), data...)
 		names[i] = ChunkNameOf(data)
 		encoded[names[i]] = data
 	}
 	m[k] = names
-	for name, data := range encoded {
-		c[name] = data
-	}
+	maps.Copy(c, encoded)
 	return nil
 }
 
+// encodeBucket returns the data of a chunk. It starts with the kind, so that
+// chunks of two kinds never share a name.
+func encodeBucket[T object](k Kind, bucket []T) ([]byte, error) {
+	data, err := json.Marshal(bucket)
+	if err != nil {
+		return nil, err
+	}
+	if len(data) > MaxChunkBytes {
+		return nil, ErrChunkTooLarge
+	}
+	return append([]byte(string(k)+"\n"), data...), nil
+}
+
+// Resplit gives the same manifest as Split for objects that differ from those
+// of the previous manifest only in the changed ones, and encodes only the
+// chunks that hold those. The chunks that it returns are the encoded ones.
+func Resplit(o Objects, previous Manifest, changed []Ref) (Manifest, Chunks, error) {
+	m, c := Manifest{}, Chunks{}
+	names := map[Kind][]string{}
+	for _, r := range changed {
+		names[r.Kind] = append(names[r.Kind], r.Name)
+	}
+	steps := []func() error{
+		func() error { return resplitKind(m, c, KindService, o.Services, previous, names) },
+		func() error { return resplitKind(m, c, KindServer, o.Servers, previous, names) },
+		func() error { return resplitKind(m, c, KindRoute, o.Routes, previous, names) },
+		func() error { return resplitKind(m, c, KindWorkspace, o.Workspaces, previous, names) },
+		func() error { return resplitKind(m, c, KindReportLayout, o.ReportLayouts, previous, names) },
+	}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			return nil, nil, err
+		}
+	}
+	return m, c, nil
+}
+
+func resplitKind[T object](m Manifest, c Chunks, k Kind, objects []T, previous Manifest, names map[Kind][]string) error {
+	n := len(previous[k])
+	if n == 0 || len(objects) == 0 || bucketCount(len(objects), n) != n {
+		return splitKind(m, c, k, objects, previous)
+	}
+	if len(names[k]) == 0 {
+		m[k] = previous[k]
+		return nil
+	}
+	which := map[int]bool{}
+	for _, name := range names[k] {
+		which[bucketOf(name, n)] = true
+	}
+	err := encodeSome(m, c, k, objects, slices.Clone(previous[k]), which)
+	if errors.Is(err, ErrChunkTooLarge) {
+		return splitKind(m, c, k, objects, previous)
+	}
+	return err
+}
+
 // Join decodes the objects of a manifest. Data is checked against the names.
 // The error is a *ChunkError. The objects are not validated as a whole.
 func Join(m Manifest, c Chunks) (Objects, error) {
--- a/core/snapshot/snapshot_test.go
+++ b/core/snapshot/snapshot_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"reflect"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -42,6 +43,7 @@
 			g.Expect(err).NotTo(HaveOccurred())
 			g.Expect(next.Objects).To(Equal(to))
 			g.Expect(next.Epoch).To(BeEquivalentTo(2))
+			resplit(g, from, to, d)
 		}
 		buckets := 1 << rapid.IntRange(0, 4).Draw(rt, "buckets")
 		m, c := Manifest{}, Chunks{}
@@ -54,6 +56,21 @@
 	})
 }
 
+// resplit checks that encoding only the changed chunks gives the same result
+// as encoding all.
+func resplit(g *WithT, from, to Objects, d Delta) {
+	m := Manifest{}
+	g.Expect(encodeBuckets(m, Chunks{}, KindServer, from.Servers, 1)).To(Succeed())
+	want, all, err := Split(to, m)
+	g.Expect(err).NotTo(HaveOccurred())
+	got, some, err := Resplit(to, m, append(d.Put.Refs(), d.Delete...))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(got).To(Equal(want))
+	for name, data := range some {
+		g.Expect(data).To(Equal(all[name]))
+	}
+}
+
 func manyServers(n int) []Server {
 	servers := make([]Server, n)
 	for i := range servers {
@@ -80,6 +97,10 @@
 		}
 	}
 	g.Expect(written).To(Equal(1))
+	again, some, err := Resplit(o, m, []Ref{o.Servers[77].Ref()})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(again).To(Equal(m2))
+	g.Expect(some).To(HaveLen(1))
 	n := len(m2[KindServer])
 	for objects := 4096; objects < n*maxObjectsPerBucket; objects += 512 {
 		g.Expect(bucketCount(objects, n)).To(Equal(n), "%d objects", objects)
@@ -88,6 +109,18 @@
 	g.Expect(bucketCount(n*minObjectsPerBucket-1, n)).To(Equal(n / 2))
 }
 
+// Guards against a bucket that keeps its chunk when its last object is gone.
+func TestEmptiedBucket(t *testing.T) {
+	g := NewWithT(t)
+	servers := manyServers(4)
+	names, gone := []ChunkName{"a", "b"}, bucketOf(string(servers[0].ID), 2)
+	kept := slices.DeleteFunc(servers, func(s Server) bool { return bucketOf(string(s.ID), 2) == gone })
+	m := Manifest{}
+	g.Expect(encodeSome(m, Chunks{}, KindServer, kept, names, map[int]bool{gone: true})).To(Succeed())
+	g.Expect(m[KindServer][gone]).To(BeEmpty())
+	g.Expect(m[KindServer][1-gone]).NotTo(BeEmpty())
+}
+
 // Guards against a chunk that the object API would refuse as too large, and
 // against a number of buckets that differs between the writer and a host that
 // computes the chunks again.
--- a/core/snapshot/whole.go
+++ b/core/snapshot/whole.go
@@ -18,58 +18,103 @@
 // references checks that services and routes exist that others refer to, and
 // that no two servers or routes claim the same thing.
 func (m *mistakes) references(o Objects) {
+	m.serverReferences(o)
+	m.routeReferences(o)
+	m.object = Ref{}
+}
+
+// changedReferences is references for objects that were valid before the
+// change: kinds whose references it cannot have broken are left out.
+func (m *mistakes) changedReferences(o Objects, c Change) {
+	changed := map[Kind]bool{}
+	for _, r := range c.Refs() {
+		changed[r.Kind] = true
+	}
+	if changed[KindService] || changed[KindServer] {
+		m.serverReferences(o)
+	}
+	if changed[KindService] || changed[KindRoute] {
+		m.routeReferences(o)
+	}
+	m.object = Ref{}
+}
+
+func (o Objects) serviceNames() map[model.ServiceName]bool {
 	services := make(map[model.ServiceName]bool, len(o.Services))
 	for _, s := range o.Services {
 		services[s.Name] = true
 	}
-	m.serverReferences(o.Servers, services)
-	m.routeReferences(o.Routes, services)
-	m.object = Ref{}
+	return services
 }
 
-func (m *mistakes) serverReferences(servers []Server, services map[model.ServiceName]bool) {
-	byAddress := make(map[string]model.ServerID, len(servers))
-	for _, s := range servers {
-		m.object = s.Ref()
-		m.require(services[s.Service], "service", s.Service, "an existing service")
+// serverReferences runs over all servers at every change of one; it avoids
+// the conversions that require's arguments cost for objects without mistakes.
+func (m *mistakes) serverReferences(o Objects) {
+	services := o.serviceNames()
+	byAddress := make(map[string]model.ServerID, len(o.Servers))
+	for i := range o.Servers {
+		s := &o.Servers[i]
+		if !services[s.Service] {
+			m.object = s.Ref()
+			m.require(false, "service", s.Service, "an existing service")
+		}
 		// Two servers with one address would exceed its slots.
-		other, taken := byAddress[s.Address]
-		m.require(!taken, "address", s.Address, "an address of its own; server "+string(other)+" has it")
+		if other, taken := byAddress[s.Address]; taken {
+			m.object = s.Ref()
+			m.require(false, "address", s.Address, "an address of its own; server "+string(other)+" has it")
+		}
 		byAddress[s.Address] = s.ID
 	}
 }
 
-func (m *mistakes) routeReferences(routes []Route, services map[model.ServiceName]bool) {
-	byName := make(map[model.RouteName]Route, len(routes))
-	for _, r := range routes {
-		byName[r.Name] = r
+func (m *mistakes) routeReferences(o Objects) {
+	services := o.serviceNames()
+	byName := make(map[model.RouteName]*Route, len(o.Routes))
+	for i := range o.Routes {
+		byName[o.Routes[i].Name] = &o.Routes[i]
 	}
-	matches := make(map[string]model.RouteName, len(routes))
-	for _, r := range routes {
+	matches := make(map[match]model.RouteName, len(o.Routes))
+	for i := range o.Routes {
+		r := &o.Routes[i]
 		m.object = r.Ref()
-		m.require(services[r.Service], "service", r.Service, "an existing service")
+		if !services[r.Service] {
+			m.require(false, "service", r.Service, "an existing service")
+		}
 		if r.IssueKeysFor != "" {
-			target, ok := byName[r.IssueKeysFor]
-			m.require(ok, "issueKeysFor", r.IssueKeysFor, "an existing route")
-			m.require(!ok || !target.Repeatable, "issueKeysFor", r.IssueKeysFor, "a route that is not repeatable")
-			// The owner that answers the lookup issues the key, and only a
-			// pool of the same service has the same owner.
-			m.require(!ok || target.Service == r.Service, "issueKeysFor", r.IssueKeysFor, "a route of the same service")
+			m.keyRoute(r, byName[r.IssueKeysFor])
 		}
 		m.ambiguity(r, matches)
 	}
 }
 
+// keyRoute checks the route that r issues keys for, nil if it does not exist.
+func (m *mistakes) keyRoute(r, target *Route) {
+	m.require(target != nil, "issueKeysFor", r.IssueKeysFor, "an existing route")
+	if target == nil {
+		return
+	}
+	m.require(!target.Repeatable, "issueKeysFor", r.IssueKeysFor, "a route that is not repeatable")
+	// The owner that answers the lookup issues the key, and only a pool of the
+	// same service has the same owner.
+	m.require(target.Service == r.Service, "issueKeysFor", r.IssueKeysFor, "a route of the same service")
+}
+
+// match is what a route matches with one method.
+type match struct{ method, host, path string }
+
+var anyMethod = []string{"*"}
+
 // ambiguity reports a route that matches exactly what an earlier one does.
-func (m *mistakes) ambiguity(r Route, matches map[string]model.RouteName) {
+func (m *mistakes) ambiguity(r *Route, matches map[match]model.RouteName) {
 	methods := r.Methods
 	if len(methods) == 0 {
-		methods = []string{"*"}
+		methods = anyMethod
 	}
 	for _, method := range methods {
-		key := method + " " + r.Host + strings.TrimSuffix(r.PathPrefix, "/")
-		other, taken := matches[key]
-		m.require(!taken || other == r.Name, "pathPrefix", r.PathPrefix, "a host, path and method that route "+string(other)+" does not match")
+		key := match{method, r.Host, strings.TrimSuffix(r.PathPrefix, "/")}
+		if other, taken := matches[key]; taken && other != r.Name {
+			m.require(false, "pathPrefix", r.PathPrefix, "a host, path and method that route "+string(other)+" does not match")
+		}
 		matches[key] = r.Name
 	}
 }
