core/pool: timeouts of young attempts are no evidence against a server

A caller with a short time limit, or a request that waited long, made healthy servers look sick. A timeout counts as a failure from two hedge delays on; stalls are still seen by the detector through the age of the attempt. One timeout also no longer multiplies the mean slot time, and early refusal uses the same bound as the check at dispatch, so that requests with short limits are not refused whenever anything waits.

--- a/core/pool/attempts.go
+++ b/core/pool/attempts.go
@@ -13,6 +13,14 @@
 // slot time: a change is followed within some tens of attempts.
 const serviceSmoothing = 0.05
 
+// timeoutDelays times the hedge delay is the age from which a timeout is
+// evidence. With one delay, an overloaded pool would count the few percent of
+// its slowest attempts as failures of healthy servers.
+const timeoutDelays = 2
+
+// maxSample bounds a sample of the mean slot time, in hedge delays.
+const maxSample = 4
+
 // holdDelays times the hedge delay is the default hold of slots. With servers
 // that never confirm, a hold of 2 s lowered the goodput at 3x load to 38-53%,
 // 4 delays to 82-87%, and 2 delays to 92-94% (pooltrial).
@@ -64,7 +72,7 @@
 func (p *Pool) finishLive(now time.Time, a *attempt, res AttemptResult) {
 	r := a.request
 	a.drop()
-	p.detector.Finished(now, a.server.id, a.id, detector.Result{Kind: evidenceKind(res), Latency: res.Latency})
+	p.detector.Finished(now, a.server.id, a.id, detector.Result{Kind: p.evidence(res), Latency: res.Latency})
 	p.observe(res.Kind, res.Latency)
 	switch res.Kind {
 	case TimedOut:
@@ -73,7 +81,9 @@
 	default:
 		p.release(now, a)
 	}
-	p.settle(now, a.server, res)
+	if p.evidence(res) != detector.Cancelled {
+		p.settle(now, a.server, res)
+	}
 	if res.Kind == FailedBeforeSend || res.Kind == Shed {
 		r.unrun++
 	}
@@ -113,20 +123,30 @@
 func (p *Pool) abandonAll(now time.Time, r *request, timedOut bool) {
 	for _, a := range slices.Clone(r.live) {
 		a.drop()
-		kind := detector.Cancelled
+		kind, age := detector.Cancelled, now.Sub(a.started)
 		if timedOut {
-			kind = detector.Failure
+			kind = p.evidence(AttemptResult{Kind: TimedOut, Latency: age})
 		}
-		p.detector.Finished(now, a.server.id, a.id, detector.Result{Kind: kind, Latency: now.Sub(a.started)})
+		p.detector.Finished(now, a.server.id, a.id, detector.Result{Kind: kind, Latency: age})
 		p.hold(now, a)
 		p.emit(Abandon{Attempt: a.id})
-		if timedOut {
+		if kind == detector.Failure {
 			p.settle(now, a.server, AttemptResult{Kind: TimedOut})
 		}
-		p.hedgeDelay.Observe(now.Sub(a.started))
+		p.hedgeDelay.Observe(age)
 	}
 }
 
+// evidence translates the end of an attempt for the detector. A timeout of an
+// attempt younger than timeoutDelays hedge delays says nothing about the server:
+// the caller's time limit was short, or its request waited long.
+func (p *Pool) evidence(res AttemptResult) detector.Kind {
+	if res.Kind == TimedOut && res.Latency < timeoutDelays*p.hedgeDelay.Delay() {
+		return detector.Cancelled
+	}
+	return evidenceKind(res)
+}
+
 // hold keeps the slot of an attempt that this side ended.
 func (p *Pool) hold(now time.Time, a *attempt) {
 	a.ended = true
@@ -156,12 +176,14 @@
 	p.retire(a.server)
 }
 
-// observe updates the estimate of the slot time.
+// observe updates the estimate of the slot time. A sample counts for at most
+// maxSample hedge delays, because one timeout of a stalled attempt would
+// otherwise multiply the mean.
 func (p *Pool) observe(kind ResultKind, latency time.Duration) {
 	if kind == FailedBeforeSend || kind == Shed {
 		return
 	}
-	delta := float64(latency - p.meanService)
+	delta := float64(min(latency, maxSample*p.hedgeDelay.Delay()) - p.meanService)
 	p.meanService += time.Duration(serviceSmoothing * delta)
 	p.hedgeDelay.Observe(latency)
 	p.limitQueue()
--- a/core/pool/dispatch.go
+++ b/core/pool/dispatch.go
@@ -28,7 +28,7 @@
 		return model.ReasonNoServer, p.cfg.Readmission.Hold, false
 	}
 	wait := p.queueWait(r.Workspace, r.Weight, capacity)
-	if !now.Before(r.Deadline) || (wait > 0 && now.Add(wait+p.hedgeDelay.Delay()).After(r.Deadline)) {
+	if !now.Before(r.Deadline) || (wait > 0 && r.Deadline.Sub(now)-wait < p.needed(r)) {
 		return model.ReasonDeadline, wait, false
 	}
 	return model.ReasonNone, 0, true
@@ -97,11 +97,16 @@
 }
 
 // tooLate reports whether a request waited so long that a slot would probably
-// be wasted on it. Half of its time is left to it in any case, so that requests
-// with short deadlines are not all dropped.
+// be wasted on it. Requests with short deadlines are not all dropped: half of
+// their time may pass in the queue in any case.
 func (p *Pool) tooLate(now time.Time, r *request) bool {
-	needed := min(p.hedgeDelay.Delay(), r.Deadline.Sub(r.Arrival)/2)
-	return r.Deadline.Sub(now) < needed
+	return r.Deadline.Sub(now) < p.needed(r.Request)
+}
+
+// needed returns the time that an attempt of the request probably needs, but no
+// more than half of the request's whole time.
+func (p *Pool) needed(r Request) time.Duration {
+	return min(p.hedgeDelay.Delay(), r.Deadline.Sub(r.Arrival)/2)
 }
 
 // freeSlots says where there are free slots.
--- a/core/pool/health_test.go
+++ b/core/pool/health_test.go
@@ -6,6 +6,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/agateusher/agateusher/core/detector"
 	"github.com/agateusher/agateusher/core/model"
 	"github.com/agateusher/agateusher/core/pool"
 	"github.com/agateusher/agateusher/core/snapshot"
@@ -163,3 +164,27 @@
 	g.Expect(pick[pool.Complete](out)).To(HaveLen(1))
 	g.Expect(pick[pool.ServerChanged](out)).To(ConsistOf(pool.ServerChanged{Server: d.Server, From: pool.Leaving, To: pool.Gone}))
 }
+
+// Guards against callers with short time limits that get healthy servers
+// ejected, and against timeouts of stalled attempts that are not counted.
+func TestTimeoutEvidence(t *testing.T) {
+	for _, c := range []struct {
+		limit int
+		want  detector.Kind
+	}{{30, detector.Cancelled}, {1000, detector.Failure}} {
+		for _, byDriver := range []bool{false, true} {
+			g := NewWithT(t)
+			f := newFixture(1, 1, nil)
+			r := posting("a", 0)
+			r.Deadline = at(c.limit)
+			d := pick[pool.Dispatch](f.pool.Submit(at(0), r))[0]
+			if byDriver {
+				f.pool.Finish(at(c.limit), pool.AttemptResult{Attempt: d.Attempt, Kind: pool.TimedOut})
+			} else {
+				f.pool.Tick(at(c.limit))
+			}
+			latency := time.Duration(c.limit) * time.Millisecond
+			g.Expect(f.detector.results[d.Server]).To(ConsistOf(detector.Result{Kind: c.want, Latency: latency}))
+		}
+	}
+}
