loadgen: keep hedged requests out of the added latency

The comparison now uses requests with one attempt in the execution logs, reports the whole times beside it, and reports the ratio of extra attempts.

--- a/demo/run.go
+++ b/demo/run.go
@@ -266,7 +266,7 @@
 	args := []string{
 		"-o", "json", "--objects", filepath.Join(r.directory, "objects.json"),
 		"--rate", strconv.FormatFloat(r.options.Rate, 'f', -1, 64), "-d", r.options.Duration.String(),
-		"--standin-admin", r.standins, "--direct-share", "0.2", "--seed", strconv.FormatUint(r.options.Seed, 10),
+		"--standin-admin", r.standins, "--direct-share", "0.5", "--seed", strconv.FormatUint(r.options.Seed, 10),
 		"--fault-server", string(grayServer), "--fault", `{"stall":true}`,
 		"--fault-at", (r.options.Duration / 2).String(),
 	}
--- a/demo/summary.go
+++ b/demo/summary.go
@@ -35,8 +35,9 @@
 	fmt.Fprintf(w, "  not run          %d\n", c[loadgen.ClassNotRun]+c[loadgen.ClassNoKey])
 	fmt.Fprintf(w, "  unknown          %d (and %d without any answer)\n", c[loadgen.ClassUnknown], c[loadgen.ClassLost])
 	for _, reason := range report.Reasons {
-		fmt.Fprintf(w, "    %s because of %q: %d\n", reason.Class, reason.Reason, reason.Count)
+		fmt.Fprintf(w, "    %s %s because of %q: %d\n", reason.Operation, reason.Class, reason.Reason, reason.Count)
 	}
+	fmt.Fprintf(w, "extra attempts     %.1f%% of the requests (hedges, retries, shed)\n", 100*report.ExtraAttempts)
 	writeAdded(w, "before the fault", report.AddedCalm)
 	writeAdded(w, "whole run", report.Added)
 	if f := report.Fault; f != nil && f.Detected {
@@ -57,6 +58,7 @@
 
 func writeAdded(w io.Writer, when string, a *loadgen.AddedLatency) {
 	if a != nil {
-		fmt.Fprintf(w, "added latency      p50 %.2f ms, p99 %.2f ms against %d direct calls (%s)\n", a.P50Ms, a.P99Ms, a.Direct.Count, when)
+		fmt.Fprintf(w, "added latency      p50 %.2f ms, p99 %.2f ms for single attempts, p50 %.2f ms, p99 %.2f ms with hedges and retries, against %d direct calls (%s)\n",
+			a.P50Ms, a.P99Ms, a.WholeP50Ms, a.WholeP99Ms, a.Direct.Count, when)
 	}
 }
--- a/loadgen/client.go
+++ b/loadgen/client.go
@@ -146,6 +146,7 @@
 		r.class = ClassAnswered
 		answer, err := backend.CheckAnswer(body, r.id, c.config.Bytes)
 		r.problem = err
-		r.outside = time.Since(r.started()) - time.Duration(answer.BusyUs)*time.Microsecond
+		r.sinceStart = time.Since(r.started())
+		r.outside = r.sinceStart - time.Duration(answer.BusyUs)*time.Microsecond
 	}
 }
--- a/loadgen/direct.go
+++ b/loadgen/direct.go
@@ -14,9 +14,10 @@
 
 // directResult is one direct call to a backend server.
 type directResult struct {
-	intended time.Time
-	outside  time.Duration
-	failed   bool
+	intended   time.Time
+	sinceStart time.Duration
+	outside    time.Duration
+	failed     bool
 }
 
 // callDirectly makes one call to a backend server of the run, never the one
@@ -29,7 +30,8 @@
 	d := directResult{intended: intended, failed: true}
 	if answer, err := r.directAnswer(ctx, server.Address, op, directPrefix+id); err == nil {
 		d.failed = false
-		d.outside = time.Since(started) - time.Duration(answer.BusyUs)*time.Microsecond
+		d.sinceStart = time.Since(started)
+		d.outside = d.sinceStart - time.Duration(answer.BusyUs)*time.Microsecond
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/loadgen/loadgen_test.go
+++ b/loadgen/loadgen_test.go
@@ -43,6 +43,10 @@
 			g.Expect(kinds).To(ConsistOf(tt.want))
 			g.Expect(report.Kept()).To(Equal(tt.want == nil))
 			g.Expect(report.Checked).To(BeTrue())
+			if tt.name == "right" {
+				g.Expect(report.ExtraAttempts).To(BeZero())
+				g.Expect(report.Added.Fleet.Count).To(BeEquivalentTo(report.Total.Requests))
+			}
 			var out bytes.Buffer
 			g.Expect(report.WriteTable(&out, true)).To(Succeed())
 			if tt.want != nil {
@@ -52,6 +56,16 @@
 	}
 }
 
+// Guards against hedged and retried requests that count as single attempts.
+func TestExtraAttempts(t *testing.T) {
+	g := NewWithT(t)
+	report := newRig(t, func(f *fakeFleet) { f.runTwice = true }, backend.Options{}).run(t)
+	twice := report.Operations[1].Requests
+	g.Expect(report.ExtraAttempts).To(BeNumerically("~", float64(twice)/float64(report.Total.Requests), 1e-9))
+	g.Expect(report.Added.Fleet.Count).To(BeEquivalentTo(report.Total.Requests - twice))
+	g.Expect(report.Added.WholeFleet.Count).To(BeEquivalentTo(report.Total.Requests))
+}
+
 // Guards against answers that no server ran and that still count as right.
 func TestInventedAnswers(t *testing.T) {
 	g := NewWithT(t)
--- a/loadgen/oracle.go
+++ b/loadgen/oracle.go
@@ -90,6 +90,19 @@
 	}
 }
 
+// countAttempts fills in how often each request arrived at a server.
+func countAttempts(results []result, logs map[model.ServerID]backend.LogReport) {
+	arrivals := map[string]int{}
+	for _, report := range logs {
+		for _, e := range report.Executions {
+			arrivals[e.ClientID]++
+		}
+	}
+	for i := range results {
+		results[i].attempts = arrivals[results[i].id]
+	}
+}
+
 // checkExecutions compares the outcomes told to callers with the execution
 // logs.
 func (v *verdict) checkExecutions(results []result, operations []Operation, logs map[model.ServerID]backend.LogReport) {
--- a/loadgen/report.go
+++ b/loadgen/report.go
@@ -28,28 +28,40 @@
 	P99Ms float64 `json:"p99Ms"`
 }
 
-// AddedLatency compares requests through the fleet with direct calls. Both
-// sides count the time outside the answering server, so that service times do
-// not blur the comparison, and from the start of the request, so that the
-// generator's own lateness (LagP99Ms) does not.
+// AddedLatency compares requests through the fleet with direct calls, from the
+// start of the request on both sides, so that the generator's own lateness
+// (LagP99Ms) does not blur the comparison.
 type AddedLatency struct {
+	// Fleet and Direct count the time outside the answering server. Fleet leaves
+	// out requests that were hedged or retried, for which that time includes an
+	// earlier attempt.
 	Fleet  Latencies `json:"fleet"`
 	Direct Latencies `json:"direct"`
-	// P50Ms and P99Ms are the differences of the quantiles, in milliseconds.
+	// P50Ms and P99Ms are the differences of these quantiles, in milliseconds.
 	P50Ms float64 `json:"p50Ms"`
 	P99Ms float64 `json:"p99Ms"`
+	// WholeFleet and WholeDirect count the whole time of all answered requests,
+	// the differences in milliseconds. Hedging may make them negative.
+	WholeFleet  Latencies `json:"wholeFleet"`
+	WholeDirect Latencies `json:"wholeDirect"`
+	WholeP50Ms  float64   `json:"wholeP50Ms"`
+	WholeP99Ms  float64   `json:"wholeP99Ms"`
 }
 
-// ReasonCount counts the requests that were given one reason.
+// ReasonCount counts the requests of one operation that were given one reason.
 type ReasonCount struct {
-	Class  Class        `json:"class"`
-	Reason model.Reason `json:"reason"`
-	Count  int          `json:"count"`
+	Operation string       `json:"operation"`
+	Class     Class        `json:"class"`
+	Reason    model.Reason `json:"reason"`
+	Count     int          `json:"count"`
 }
 
 // Report is the result of a run.
 type Report struct {
 	Started time.Time `json:"started"`
+	// ExtraAttempts is the ratio of hedges, retries and shed attempts to
+	// requests, from the execution logs.
+	ExtraAttempts float64 `json:"extraAttempts"`
 	// DurationMs is the time from the start to the last answer.
 	DurationMs float64       `json:"durationMs"`
 	Seed       uint64        `json:"seed"`
@@ -90,6 +102,7 @@
 		if err != nil {
 			return nil, err
 		}
+		countAttempts(r.results, logs)
 		v.checkExecutions(r.results, r.config.Operations, logs)
 		report.Checked = true
 		if f := r.config.Fault; f != nil && !r.fault.began.IsZero() {
@@ -124,6 +137,7 @@
 		report.Workspaces = append(report.Workspaces, r.group(string(w.ID), func(x result) bool { return x.workspace == i }))
 	}
 	report.Reasons = r.reasons()
+	report.ExtraAttempts = r.extraAttempts()
 	report.Added = r.added(time.Time{})
 	if !r.fault.began.IsZero() {
 		report.AddedCalm = r.added(r.fault.began)
@@ -166,7 +180,7 @@
 		if x.class == ClassAnswered {
 			continue
 		}
-		key := ReasonCount{Class: x.class, Reason: x.reason}
+		key := ReasonCount{Operation: r.config.Operations[x.operation].String(), Class: x.class, Reason: x.reason}
 		if counts[key]++; counts[key] == 1 {
 			out = append(out, key)
 		}
@@ -181,26 +195,47 @@
 // all calls. It returns nil if there is nothing to compare.
 func (r *runner) added(before time.Time) *AddedLatency {
 	counts := func(t time.Time) bool { return before.IsZero() || t.Before(before) }
-	fleet, direct := newHistogram(), newHistogram()
+	fleet, direct, wholeFleet, wholeDirect := newHistogram(), newHistogram(), newHistogram(), newHistogram()
 	for _, x := range r.results {
-		if x.class == ClassAnswered && x.problem == nil && counts(x.intended) {
+		if x.class != ClassAnswered || x.problem != nil || !counts(x.intended) {
+			continue
+		}
+		wholeFleet.add(x.sinceStart)
+		if x.attempts == 1 {
 			fleet.add(x.outside)
 		}
 	}
 	for _, d := range r.direct {
 		if !d.failed && counts(d.intended) {
+			wholeDirect.add(d.sinceStart)
 			direct.add(d.outside)
 		}
 	}
 	if fleet.TotalCount() == 0 || direct.TotalCount() == 0 {
 		return nil
 	}
-	a := &AddedLatency{Fleet: fleet.summary(), Direct: direct.summary()}
-	a.P50Ms = a.Fleet.P50Ms - a.Direct.P50Ms
-	a.P99Ms = a.Fleet.P99Ms - a.Direct.P99Ms
+	a := &AddedLatency{
+		Fleet: fleet.summary(), Direct: direct.summary(),
+		WholeFleet: wholeFleet.summary(), WholeDirect: wholeDirect.summary(),
+	}
+	a.P50Ms, a.P99Ms = a.Fleet.P50Ms-a.Direct.P50Ms, a.Fleet.P99Ms-a.Direct.P99Ms
+	a.WholeP50Ms, a.WholeP99Ms = a.WholeFleet.P50Ms-a.WholeDirect.P50Ms, a.WholeFleet.P99Ms-a.WholeDirect.P99Ms
 	return a
 }
 
+// extraAttempts returns the ratio of attempts beyond the first to requests that
+// reached a server.
+func (r *runner) extraAttempts() float64 {
+	reached, extra := 0, 0
+	for _, x := range r.results {
+		if x.attempts > 0 {
+			reached++
+			extra += x.attempts - 1
+		}
+	}
+	return float64(extra) / float64(max(reached, 1))
+}
+
 func (r *runner) seconds() []Second {
 	last := 0
 	bySecond := map[int][]result{}
--- a/loadgen/result.go
+++ b/loadgen/result.go
@@ -50,10 +50,14 @@
 	// the generator started it.
 	intended time.Time
 	lag      time.Duration
-	// latency counts from intended. outside counts from the start and leaves out
-	// the time at the answering server.
-	latency time.Duration
-	outside time.Duration
+	// latency counts from intended. sinceStart counts from the start, and outside
+	// leaves out the time at the answering server as well.
+	latency    time.Duration
+	sinceStart time.Duration
+	outside    time.Duration
+	// attempts counts the request's arrivals at servers, sheds included; zero
+	// without execution logs.
+	attempts int
 	// problem is set when an answer presented as complete is wrong.
 	problem error
 }
--- a/loadgen/table.go
+++ b/loadgen/table.go
@@ -60,10 +60,13 @@
 func (r *Report) writeFindings(w io.Writer) {
 	fmt.Fprintln(w)
 	for _, c := range r.Reasons {
-		fmt.Fprintf(w, "%s because of %q: %d\n", c.Class, c.Reason, c.Count)
+		fmt.Fprintf(w, "%s %s because of %q: %d\n", c.Operation, c.Class, c.Reason, c.Count)
 	}
 	writeAdded(w, "added latency, whole run", r.Added)
 	writeAdded(w, "added latency, before the fault", r.AddedCalm)
+	if r.Checked {
+		fmt.Fprintf(w, "hedges, retries and shed attempts: %.1f%% of the requests\n", 100*r.ExtraAttempts)
+	}
 	if r.DirectFailures > 0 {
 		fmt.Fprintf(w, "direct calls that failed: %d\n", r.DirectFailures)
 	}
@@ -81,8 +84,10 @@
 	if a == nil {
 		return
 	}
-	fmt.Fprintf(w, "%s: p50 %.2f ms, p99 %.2f ms (fleet %.2f / %.2f, direct %.2f / %.2f, %d direct calls)\n", title,
-		a.P50Ms, a.P99Ms, a.Fleet.P50Ms, a.Fleet.P99Ms, a.Direct.P50Ms, a.Direct.P99Ms, a.Direct.Count)
+	fmt.Fprintf(w, "%s: p50 %.2f ms, p99 %.2f ms (single attempts outside the server: fleet %.2f / %.2f, direct %.2f / %.2f, %d direct calls)\n",
+		title, a.P50Ms, a.P99Ms, a.Fleet.P50Ms, a.Fleet.P99Ms, a.Direct.P50Ms, a.Direct.P99Ms, a.Direct.Count)
+	fmt.Fprintf(w, "%s, whole time: p50 %.2f ms, p99 %.2f ms (fleet %.2f / %.2f, direct %.2f / %.2f)\n",
+		title, a.WholeP50Ms, a.WholeP99Ms, a.WholeFleet.P50Ms, a.WholeFleet.P99Ms, a.WholeDirect.P50Ms, a.WholeDirect.P99Ms)
 }
 
 func writeFault(w io.Writer, f *FaultReport) {
