--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -21,8 +21,10 @@
 	"github.com/agateusher/agateusher/fleet"
 	"github.com/agateusher/agateusher/kernel"
 	"github.com/agateusher/agateusher/modules/detector"
+	"github.com/agateusher/agateusher/modules/dispatch"
 	"github.com/agateusher/agateusher/objectapi"
 	"github.com/agateusher/agateusher/owner"
+	"github.com/agateusher/agateusher/report"
 	"github.com/agateusher/agateusher/telemetry"
 
 	_ "github.com/agateusher/agateusher/modules/exporter" // registers the trace exporters
@@ -57,7 +59,12 @@
 	live     liveCatalog
 	owner    *owner.Owner
 	entry    *entry.Entry
-	changes  *changeLog
+	client   *fleet.Client
+
+	dispatcher dispatch.Dispatcher
+
+	observer *observer
+	flusher  *report.Flusher
 	leaving  atomic.Bool
 	servers  []*listener
 }
@@ -80,8 +87,11 @@
 	if err != nil {
 		return nil, &StartError{Part: "log", Err: err}
 	}
-	d := &Daemon{settings: s, incarnation: model.Incarnation(rand.Text()), startedAt: time.Now(), logger: logger, changes: newChangeLog(), metrics: telemetry.NewMetrics(metricsPrefix)}
+	d := &Daemon{settings: s, incarnation: model.Incarnation(rand.Text()), startedAt: time.Now(), logger: logger, metrics: telemetry.NewMetrics(metricsPrefix)}
 	d.log = logger.WithField("host", s.Host.ID)
+	d.observer = &observer{changes: newChangeLog(), recorder: report.NewRecorder(report.RecorderOptions{
+		Host: s.Host.ID, Incarnation: d.incarnation, Started: d.startedAt,
+	})}
 	for _, part := range []struct {
 		name string
 		set  func() error
@@ -94,6 +104,7 @@
 		}
 	}
 	d.setFollower()
+	d.flusher = report.NewFlusher(report.FlusherOptions{Recorder: d.observer.recorder, Store: d.store, Log: d.log})
 	return d, nil
 }
 
@@ -143,11 +154,32 @@
 	if !ok {
 		return &kernel.ModuleError{ID: m.ModuleInfo().ID, Step: "provision", Err: kernel.ErrUnknownModule}
 	}
+	if d.dispatcher, err = loadDispatcher(d.settings.Dispatch); err != nil {
+		return err
+	}
 	d.owner = owner.New(d.ownerOptions(factory))
+	d.client = &fleet.Client{
+		Transport:  fleet.NewTransport(fleet.TransportOptions{DialTimeout: dialTimeout, IdleTimeout: idleTimeout, MaxIdlePerHost: fleetIdleConns}),
+		Secrets:    secretBytes(d.settings.Fleet.Secrets),
+		Propagator: d.tracing.Propagator,
+		MaxBody:    d.settings.Limits.MaxResponseBytes,
+	}
 	d.entry = entry.New(d.entryOptions())
 	return nil
 }
 
+func loadDispatcher(s ModuleSettings) (dispatch.Dispatcher, error) {
+	m, err := kernel.Load(kernel.ModuleID(s.Module), s.Options)
+	if err != nil {
+		return nil, err
+	}
+	dispatcher, ok := m.(dispatch.Dispatcher)
+	if !ok {
+		return nil, &kernel.ModuleError{ID: m.ModuleInfo().ID, Step: "provision", Err: kernel.ErrUnknownModule}
+	}
+	return dispatcher, nil
+}
+
 func (d *Daemon) ownerOptions(factory detector.Factory) owner.Options {
 	k, l := d.settings.Keys, d.settings.Limits
 	return owner.Options{
@@ -156,7 +188,7 @@
 			DialTimeout: dialTimeout, IdleTimeout: idleTimeout,
 			MaxConnsPerHost: l.ServerConnections, MaxIdlePerHost: l.ServerConnections,
 		}),
-		Tracing: d.tracing, Log: d.log, Scope: d.metrics.Scope, Observer: d.changes,
+		Tracing: d.tracing, Log: d.log, Scope: d.metrics.Scope, Observer: d.observer,
 		KeySecrets: secretBytes(k.Secrets),
 		KeyLimits: idempotency.Limits{
 			Lifetime: k.Lifetime.Std(), MaxKeys: k.MaxKeys, MaxBytes: k.MaxBytes, MaxRecordBytes: k.MaxRecordBytes,
@@ -167,17 +199,20 @@
 
 func (d *Daemon) entryOptions() entry.Options {
 	return entry.Options{
-		Host: d.settings.Host.ID, Catalog: d.live.entryCatalog, Directory: d.hosts, Local: d.owner,
-		Client: &fleet.Client{
-			Transport:  fleet.NewTransport(fleet.TransportOptions{DialTimeout: dialTimeout, IdleTimeout: idleTimeout, MaxIdlePerHost: fleetIdleConns}),
-			Secrets:    secretBytes(d.settings.Fleet.Secrets),
-			Propagator: d.tracing.Propagator,
-			MaxBody:    d.settings.Limits.MaxResponseBytes,
-		},
+		Host: d.settings.Host.ID, Catalog: d.live.entryCatalog, Directory: d.directory(), Local: d.owner,
+		Client:  d.client,
 		Tracing: d.tracing, Log: d.log, Scope: d.metrics.Scope, MaxBody: d.settings.Limits.MaxRequestBytes,
+		Observer: d.observer,
 	}
 }
 
+// directory returns what this daemon knows of other hosts, seen through the
+// chosen way of dispatch.
+func (d *Daemon) directory() entry.Directory {
+	self := fleet.Peer{Host: d.settings.Host.ID, Address: d.settings.Listeners.Fleet}
+	return d.dispatcher.Directory(d.hosts, self)
+}
+
 func (d *Daemon) setFollower() {
 	d.follower = configstore.NewFollower(configstore.FollowerOptions{
 		Store: configstore.NewStore(d.store), Holder: &d.holder,
@@ -225,6 +260,8 @@
 	duties := append(d.follower.Duties(),
 		kernel.Duty{Name: "host-list", Run: d.hosts.run},
 		kernel.Duty{Name: "events", Run: d.bus.Run},
+		kernel.Duty{Name: "demand", Run: d.runDemand},
+		d.flusher.Duty(),
 		kernel.Duty{Name: "stop", Run: func(work context.Context) error {
 			select {
 			case <-ctx.Done():
