--- a/cmd/usher-demo/main.go
+++ b/cmd/usher-demo/main.go
@@ -34,7 +34,7 @@
 	Duration time.Duration `short:"d" long:"duration" default:"8s" description:"how long requests are sent"`
 	Seed     uint64        `long:"seed" default:"1" description:"seed of arrivals and service times"`
 	Fault    string        `long:"fault" default:"{\"stall\":true}" description:"fault of one backend server in the second half, as the stand-in's JSON"`
-	Keep     bool          `long:"keep" description:"keep settings and logs"`
+	Keep     bool          `long:"keep" description:"keep settings, logs and the report"`
 	LogLevel string        `long:"log-level" default:"info" choice:"error" choice:"warn" choice:"info" choice:"debug" description:"lowest level that is logged"`
 }
 
--- a/demo/run.go
+++ b/demo/run.go
@@ -53,7 +53,8 @@
 	// Fault of one backend server in the second half, as the stand-in's JSON.
 	// Default: it stalls.
 	Fault string
-	// Keep leaves settings and logs of the programs in the temporary directory.
+	// Keep leaves settings and logs of the programs and the report of usher-load
+	// in the temporary directory.
 	Keep bool
 	Log  telemetry.Logger
 }
@@ -289,6 +290,9 @@
 	if err != nil && !(errors.As(err, &status) && status.ExitCode() == exitBroken) {
 		return nil, err
 	}
+	if err := os.WriteFile(filepath.Join(r.directory, "report.json"), out, settingsPermissions); err != nil {
+		return nil, &SetupError{Step: "report of usher-load", Err: err}
+	}
 	report := &loadgen.Report{}
 	if err := json.Unmarshal(out, report); err != nil {
 		return nil, &SetupError{Step: "report of usher-load", Err: err}
--- a/demo/summary.go
+++ b/demo/summary.go
@@ -26,7 +26,7 @@
 		fmt.Fprintf(w, "NOT STOPPED CLEANLY: %v\n", r.StopError)
 	}
 	if r.Directory != "" {
-		fmt.Fprintf(w, "settings and logs: %s\n", r.Directory)
+		fmt.Fprintf(w, "settings, logs and report: %s\n", r.Directory)
 	}
 }
 
@@ -42,6 +42,7 @@
 	fmt.Fprintf(w, "extra attempts     %.1f%% of the requests (hedges, retries, shed)\n", 100*report.ExtraAttempts)
 	writeAdded(w, "before the fault", report.AddedCalm)
 	writeAdded(w, "whole run", report.Added)
+	fmt.Fprintf(w, "generator          p99 %.2f ms late; latencies are reliable only if this is small against them\n", report.LagP99Ms)
 	if f := report.Fault; f != nil && f.Detected {
 		fmt.Fprintf(w, "gray failure       %s; last new request after %.0f ms, %d requests hit it\n", f.Server, f.DetectionMs, f.Requests-f.Later)
 	} else {
