standin/platform: a call that hung never takes effect

Cause: TestUnavailable failed once on a busy machine (load average 22): a write that hung in an outage went on when the outage ended and took effect, although its client had given up and OutageHang promises no effect.

Change: the connection of a call that hung is broken when the outage ends. TestHangHasNoEffect shows the fault without a race; it was seen failing before the change.

TestUnavailable itself failed a second time, once in 30 runs: the client gave up after 50 ms, the test switched the faults off, and the request arrived after that. The test now reads through another endpoint while the faults stay on, and only the hanging case has the short timeout.

--- a/standin/platform/faults.go
+++ b/standin/platform/faults.go
@@ -15,7 +15,8 @@
 	OutageNone Outage = ""
 	// OutageRefuse answers 503 without any effect.
 	OutageRefuse Outage = "refuse"
-	// OutageHang never answers and has no effect.
+	// OutageHang never answers and has no effect. Connections that wait are
+	// broken when it ends.
 	OutageHang Outage = "hang"
 )
 
@@ -85,13 +86,8 @@
 // has been answered.
 func (e *Endpoint) admit(w http.ResponseWriter, r *http.Request) bool {
 	f, changed := e.faults.get()
-	for f.Outage == OutageHang {
-		select {
-		case <-changed:
-			f, changed = e.faults.get()
-		case <-r.Context().Done():
-			panic(http.ErrAbortHandler)
-		}
+	if f.Outage == OutageHang {
+		e.hang(r.Context(), changed)
 	}
 	if f.Outage == OutageRefuse {
 		http.Error(w, "outage", http.StatusServiceUnavailable)
@@ -103,6 +99,23 @@
 	return true
 }
 
+// hang waits until the client gives up or the endpoint no longer hangs, and
+// then breaks the connection. A call that went on after the outage would take
+// effect although its client has given up.
+func (e *Endpoint) hang(ctx context.Context, changed <-chan struct{}) {
+	for {
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			panic(http.ErrAbortHandler)
+		}
+		var f Faults
+		if f, changed = e.faults.get(); f.Outage != OutageHang {
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
 // loseRequest aborts a write that the faults lose before it takes effect.
 func (e *Endpoint) loseRequest() {
 	if e.faults.take(requests) {
--- a/standin/platform/platform_test.go
+++ b/standin/platform/platform_test.go
@@ -91,7 +91,10 @@
 			t.Run(fmt.Sprintf("%v/%+v", real, tc.faults), func(t *testing.T) {
 				g := NewWithT(t)
 				p := platform.New(platform.Options{})
-				o := objectapi.ClientOptions{BaseURL: "http://platform", Transport: p.Transport(), Timeout: 50 * time.Millisecond}
+				o := objectapi.ClientOptions{BaseURL: "http://platform", Transport: p.Transport()}
+				if tc.faults.Outage == platform.OutageHang {
+					o.Timeout = 50 * time.Millisecond
+				}
 				if real {
 					server := httptest.NewServer(p)
 					defer server.Close()
@@ -103,8 +106,9 @@
 				p.SetFaults(tc.faults)
 				_, err = c.Put(t.Context(), "k", []byte("v"), 0)
 				g.Expect(err).To(MatchError(objectapi.ErrUnavailable))
-				p.SetFaults(platform.Faults{})
-				_, err = c.Get(t.Context(), "k")
+				// The faults stay on: a request that is still under way when the
+				// client gives up would otherwise take effect after them.
+				_, err = newStore(t, p.EndpointNamed("observer")).Get(t.Context(), "k")
 				g.Expect(err == nil).To(Equal(tc.effect))
 			})
 		}
@@ -159,6 +163,27 @@
 	})
 }
 
+// Guards against a call that hung in an outage and takes effect after it,
+// although its client has given up.
+func TestHangHasNoEffect(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		p := platform.New(platform.Options{})
+		c := newStore(t, p.Endpoint)
+		p.SetFaults(platform.Faults{Outage: platform.OutageHang})
+		failed := make(chan error)
+		go func() {
+			_, err := c.Put(t.Context(), "k", []byte("v"), 0)
+			failed <- err
+		}()
+		synctest.Wait()
+		p.SetFaults(platform.Faults{})
+		g.Expect(<-failed).To(MatchError(objectapi.ErrUnavailable))
+		_, err := c.Get(t.Context(), "k")
+		g.Expect(err).To(MatchError(objectapi.ErrNotFound))
+	})
+}
+
 // Guards against an outage that leaves established watches working.
 func TestOutageEndsWatch(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
