configstore: encode chunks for peers when they are asked for

Cause: every host held the encoded chunks besides the objects.

Chunks that it cannot reproduce, because a newer program wrote fields that this one does not know, are kept as they were read, so that peers can still pass them on during an upgrade. Chunks that a change replaced are kept up to 16.

--- a/configstore/follower_test.go
+++ b/configstore/follower_test.go
@@ -1,7 +1,9 @@
 package configstore_test
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"sync"
 	"testing"
@@ -187,6 +189,34 @@
 	})
 }
 
+// Guards against a host that cannot pass on chunks with fields that it does
+// not know, as while the fleet is being upgraded.
+func TestChunksOfNewerVersion(t *testing.T) {
+	g := NewWithT(t)
+	p := platform.New(platform.Options{})
+	s := newStore(t, p.Endpoint)
+	mustApply(t, s, firstChange(5), 0)
+	head, err := s.Head(t.Context())
+	g.Expect(err).NotTo(HaveOccurred())
+	chunks := snapshot.Chunks{}
+	for _, name := range head.Chunks.Names() {
+		data, err := s.Chunk(t.Context(), name)
+		g.Expect(err).NotTo(HaveOccurred())
+		chunks[name] = data
+	}
+	old := head.Chunks[snapshot.KindServer][0]
+	newer := bytes.Replace(chunks[old], []byte(`{"id"`), []byte(`{"colour":"red","id"`), 1)
+	name := snapshot.ChunkNameOf(newer)
+	head.Chunks[snapshot.KindServer][0], chunks[name] = name, newer
+	raw, err := json.Marshal(head.Head)
+	g.Expect(err).NotTo(HaveOccurred())
+	h := newHost(s, false)
+	g.Expect(h.Deliver(raw, chunks)).To(BeEmpty())
+	g.Expect(h.holder.Load().Objects.Servers).To(HaveLen(5))
+	g.Expect(h.Chunk(t.Context(), name)).To(Equal(newer))
+	g.Expect(h.Chunk(t.Context(), head.Chunks[snapshot.KindService][0])).NotTo(BeEmpty())
+}
+
 // Guards against heads and chunks passed on out of order that take a host
 // back, mix two epochs or are lost, whatever way they come.
 func TestNeverBackwards(t *testing.T) {
--- a/configstore/state.go
+++ b/configstore/state.go
@@ -8,12 +8,31 @@
 	"github.com/agateusher/agateusher/core/snapshot"
 )
 
-// configuration is one epoch with all its data. It is immutable.
+// previousChunks bounds the chunks of the previous configuration that are kept
+// for peers that are reading them. A usual change replaces one.
+const previousChunks = 16
+
+// configuration is one epoch. Its chunks are encoded when they are asked for.
 type configuration struct {
 	head     Head
 	raw      []byte
-	chunks   snapshot.Chunks
 	snapshot *snapshot.Snapshot
+	encoder  *snapshot.Encoder
+	// foreign holds the chunks that encoding the objects does not give,
+	// because they were written by a program that knows more fields.
+	foreign snapshot.Chunks
+}
+
+// newConfiguration returns the configuration of a head; read holds the chunks
+// that were read rather than computed.
+func newConfiguration(raw []byte, head Head, snap *snapshot.Snapshot, read snapshot.Chunks) *configuration {
+	c := &configuration{head: head, raw: raw, snapshot: snap, encoder: snapshot.NewEncoder(snap.Objects, head.Chunks), foreign: snapshot.Chunks{}}
+	for name, data := range read {
+		if _, ok := c.encoder.Chunk(name); !ok {
+			c.foreign[name] = data
+		}
+	}
+	return c
 }
 
 func (c *configuration) epoch() model.Epoch {
@@ -23,11 +42,46 @@
 	return c.head.Epoch
 }
 
+func (c *configuration) chunk(name snapshot.ChunkName) ([]byte, bool) {
+	if c == nil {
+		return nil, false
+	}
+	if data, ok := c.foreign[name]; ok {
+		return data, true
+	}
+	return c.encoder.Chunk(name)
+}
+
+// replaced returns the chunks of c that the next head no longer names, nil if
+// there are more than previousChunks.
+func (c *configuration) replaced(next Head) snapshot.Chunks {
+	if c == nil {
+		return nil
+	}
+	named := map[snapshot.ChunkName]bool{}
+	for _, name := range next.Chunks.Names() {
+		named[name] = true
+	}
+	old := snapshot.Chunks{}
+	for _, name := range c.head.Chunks.Names() {
+		if named[name] {
+			continue
+		}
+		if len(old) == previousChunks {
+			return nil
+		}
+		if data, ok := c.chunk(name); ok {
+			old[name] = data
+		}
+	}
+	return old
+}
+
 // state is the configuration that a follower runs. It only moves upward.
 type state struct {
 	mu        sync.Mutex
 	current   *configuration
-	previous  snapshot.Chunks // of the configuration before current
+	previous  snapshot.Chunks // of the configuration before current; immutable
 	confirmed bool
 }
 
@@ -49,13 +103,12 @@
 // chunk returns the data of a chunk of the current or previous configuration.
 func (s *state) chunk(name snapshot.ChunkName) ([]byte, bool) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.current != nil {
-		if data, ok := s.current.chunks[name]; ok {
-			return data, true
-		}
+	current, old := s.current, s.previous
+	s.mu.Unlock()
+	if data, ok := current.chunk(name); ok {
+		return data, true
 	}
-	data, ok := s.previous[name]
+	data, ok := old[name]
 	return data, ok
 }
 
@@ -68,9 +121,7 @@
 	if c.epoch() <= s.current.epoch() {
 		return false
 	}
-	if s.current != nil {
-		s.previous = s.current.chunks
-	}
+	s.previous = s.current.replaced(c.head)
 	s.current = c
 	s.confirmed = s.confirmed || confirmed
 	then(s.confirmed)
@@ -98,7 +149,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	return &configuration{head: head, raw: raw, chunks: chunks, snapshot: snap}, nil, nil
+	return newConfiguration(raw, head, snap, chunks), nil, nil
 }
 
 // replay applies the changes that the head carries to the current
@@ -125,23 +176,11 @@
 		snap = next
 		changed = append(changed, a.Change.Refs()...)
 	}
-	chunks, ok := resplit(current, snap.Objects, head.Chunks, changed)
-	if !ok {
+	manifest, _, err := snapshot.Resplit(snap.Objects, current.head.Chunks, changed)
+	if err != nil || !equalManifests(manifest, head.Chunks) {
 		return nil
 	}
-	return &configuration{head: head, raw: raw, chunks: chunks, snapshot: snap}
-}
-
-// resplit returns the chunks of the objects. It reports false if those are not
-// the ones of the manifest.
-func resplit(current *configuration, o snapshot.Objects, want snapshot.Manifest, changed []snapshot.Ref) (snapshot.Chunks, bool) {
-	manifest, encoded, err := snapshot.Resplit(o, current.head.Chunks, changed)
-	if err != nil || !equalManifests(manifest, want) {
-		return nil, false
-	}
-	chunks := selected(want, current.chunks)
-	maps.Copy(chunks, encoded)
-	return chunks, len(missingChunks(want, chunks)) == 0
+	return newConfiguration(raw, head, snap, selected(head.Chunks, current.foreign))
 }
 
 func equalManifests(a, b snapshot.Manifest) bool {
