--- a/core/idempotency/handover.go
+++ b/core/idempotency/handover.go
@@ -59,18 +59,22 @@
 }
 
 // Adopt returns the ledger of an exported incarnation at its successor. It
-// issues no keys. The time that the export travelled lengthens the keys'
+// issues no keys. Responses over limits are not kept, their marks are. The time that the export travelled lengthens the keys'
 // lifetime and the kept records' alike, so no mark is dropped while its key is
 // accepted.
 func Adopt(x Exported, secrets Secrets, limits Limits, now time.Time) *Ledger {
 	limits.Lifetime = x.Lifetime
 	l := NewLedger(x.Host, x.Issuer, secrets, limits, now.Add(-x.Age))
+	l.adopted, l.lastIssue = true, x.Age
 	for _, e := range x.Entries {
 		if _, dup := l.entries[e.Sequence]; dup {
 			continue
 		}
+		if l.bytes+e.Record.size() > limits.MaxBytes {
+			e.Record = notKept()
+		}
 		l.entries[e.Sequence] = &entry{fingerprint: e.Fingerprint, state: done, record: e.Record}
-		l.bytes += len(e.Record.Body)
+		l.bytes += e.Record.size()
 		l.spent.push(e.Expiry, e.Sequence)
 	}
 	return l
--- a/core/idempotency/key.go
+++ b/core/idempotency/key.go
@@ -11,6 +11,7 @@
 	"encoding/base64"
 	"encoding/binary"
 	"errors"
+	"strings"
 	"time"
 
 	"github.com/agateusher/agateusher/core/model"
@@ -27,8 +28,12 @@
 var (
 	// ErrMalformed: the text is not a key.
 	ErrMalformed = errors.New("malformed idempotency key")
-	// ErrForged: no current secret produces the key's MAC for this scope.
+	// ErrForged: no current secret produces the key's MAC for this scope. A key
+	// with this number was not spent.
 	ErrForged = errors.New("idempotency key is not authentic for this request")
+	// ErrUnverified is ErrForged for a key that may have been spent: a genuine
+	// key fails too after a change of its route, workspace or secret.
+	ErrUnverified = errors.New("idempotency key is not authentic for this request, but may have been spent")
 )
 
 // Scope is what a key is valid for.
@@ -68,7 +73,8 @@
 
 // Decode reads a key without checking its MAC.
 func Decode(text string) (Key, error) {
-	if len(text) > maxEncodedKey {
+	// The decoder skips line breaks, which would give one key several texts.
+	if len(text) > maxEncodedKey || strings.ContainsAny(text, "\r\n") {
 		return Key{}, ErrMalformed
 	}
 	raw, err := base64.RawURLEncoding.Strict().DecodeString(text)
--- a/core/idempotency/ledger.go
+++ b/core/idempotency/ledger.go
@@ -29,9 +29,9 @@
 	Lifetime time.Duration
 	// MaxKeys is the largest number of unexpired keys, spent or not.
 	MaxKeys int
-	// MaxBytes bounds the recorded responses together.
+	// MaxBytes bounds the recorded responses together, bodies and headers.
 	MaxBytes int
-	// MaxRecordBytes bounds one recorded response body.
+	// MaxRecordBytes bounds one recorded response, body and headers.
 	MaxRecordBytes int
 }
 
@@ -56,6 +56,23 @@
 	Body    []byte              `json:"body,omitempty"`
 }
 
+// size returns the bytes that the record counts for in a ledger's limits.
+func (r Record) size() int {
+	n := len(r.Body)
+	for name, values := range r.Header {
+		n += len(name)
+		for _, v := range values {
+			n += len(v)
+		}
+	}
+	return n
+}
+
+// notKept replaces a response that a ledger has no room for.
+func notKept() Record {
+	return Record{Outcome: model.Unknown, Reason: model.ReasonAnswerNotKept}
+}
+
 // Verdict says what to do with a request that carries a valid key.
 type Verdict uint8
 
@@ -92,7 +109,10 @@
 	limits   Limits
 	origin   time.Time // the issuer's start on this process's clock
 	sequence uint64
-	sealed   bool
+	// lastIssue is when the latest key can have been issued, since origin.
+	lastIssue time.Duration
+	sealed    bool
+	adopted   bool
 
 	entries map[uint64]*entry
 	bytes   int
@@ -111,13 +131,25 @@
 // Len returns the number of spent, unexpired keys.
 func (l *Ledger) Len() int { return len(l.entries) }
 
-// Issue returns n new keys for scope, or ErrLedgerFull or ErrSealed.
+// Retired reports whether the ledger can be dropped: it has been adopted, and
+// all keys of its issuer and all its records have expired.
+func (l *Ledger) Retired(now time.Time) bool {
+	l.expire(now)
+	return l.adopted && len(l.entries) == 0 && now.Sub(l.origin) >= l.lastIssue+l.limits.Lifetime
+}
+
+// Bytes returns the size of the recorded responses.
+func (l *Ledger) Bytes() int { return l.bytes }
+
+// Issue returns n new keys for scope, or ErrLedgerFull or ErrSealed. Keys are
+// refused while there is no room for one more record of the largest size, since
+// the answers to their requests could not be kept.
 func (l *Ledger) Issue(now time.Time, scope Scope, n int) ([]string, error) {
 	l.expire(now)
-	if l.sealed {
+	if l.sealed || l.adopted {
 		return nil, ErrSealed
 	}
-	if l.issued.count()+n > l.limits.MaxKeys || l.bytes >= l.limits.MaxBytes {
+	if n > l.limits.MaxKeys-l.issued.count() || l.bytes+min(l.limits.MaxRecordBytes, l.limits.MaxBytes) > l.limits.MaxBytes {
 		return nil, ErrLedgerFull
 	}
 	keys := make([]string, n)
@@ -135,21 +167,26 @@
 }
 
 // Begin checks a key and, on Run, marks it as spent. With Replay the record is
-// returned. Errors are ErrWrongIssuer, ErrForged, ErrExpired, ErrSealed and
-// ErrMismatch; a key that fails is not marked.
+// returned. Errors are ErrWrongIssuer, ErrForged, ErrUnverified, ErrExpired,
+// ErrSealed and ErrMismatch; a key that fails is not marked.
 func (l *Ledger) Begin(now time.Time, k Key, scope Scope, fp Fingerprint) (Verdict, Record, error) {
 	l.expire(now)
 	if k.Issuer != l.issuer {
 		return 0, Record{}, ErrWrongIssuer
 	}
+	e, known := l.entries[k.Sequence]
+	spent := known && e.state != released
+	expired := now.Sub(l.origin) >= k.IssuedAt+l.limits.Lifetime
 	if err := l.secrets.Verify(k, scope); err != nil {
+		if spent || expired {
+			err = ErrUnverified
+		}
 		return 0, Record{}, err
 	}
-	e, known := l.entries[k.Sequence]
-	if known && e.state != released {
+	if spent {
 		return l.duplicate(e, fp)
 	}
-	if now.Sub(l.origin) >= k.IssuedAt+l.limits.Lifetime {
+	if expired {
 		return 0, Record{}, ErrExpired
 	}
 	if l.sealed {
@@ -172,18 +209,18 @@
 	return Replay, e.record, nil
 }
 
-// Complete records the response of a request that Begin let run. A body over
+// Complete records the response of a request that Begin let run. One over
 // the limit is not kept: a duplicate then gets the outcome unknown.
 func (l *Ledger) Complete(sequence uint64, r Record) {
 	e, ok := l.takeInProgress(sequence)
 	if !ok {
 		return
 	}
-	if len(r.Body) > l.limits.MaxRecordBytes || l.bytes+len(r.Body) > l.limits.MaxBytes {
-		r = Record{Outcome: model.Unknown, Reason: model.ReasonAnswerNotKept}
+	if r.size() > l.limits.MaxRecordBytes || l.bytes+r.size() > l.limits.MaxBytes {
+		r = notKept()
 	}
 	e.state, e.record = done, r
-	l.bytes += len(r.Body)
+	l.bytes += r.size()
 }
 
 // Release takes back the spent mark of a request that certainly did not run,
@@ -219,7 +256,7 @@
 			l.spent.push(age+l.limits.Lifetime, sequence)
 			continue
 		}
-		l.bytes -= len(e.record.Body)
+		l.bytes -= e.record.size()
 		delete(l.entries, sequence)
 	}
 }
--- /dev/null
+++ b/core/idempotency/machine_test.go
@@ -0,0 +1,364 @@
+package idempotency
+
+import (
+	"errors"
+	"reflect"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/agateusher/agateusher/core/model"
+)
+
+// oracleState is where the oracle believes a key to be.
+type oracleState int
+
+const (
+	unspent oracleState = iota
+	running
+	recorded
+)
+
+// oracleKey is one genuine key and what is known of its operation.
+type oracleKey struct {
+	text   string
+	scope  Scope
+	issued time.Time
+	secret byte
+	state  oracleState
+	fp     Fingerprint
+	record Record
+	at     *oracleLedger // where it was begun
+	late   bool          // it ended after its expiry
+}
+
+// oracleLedger is a ledger under test. Its own clock is ahead of none: shift is
+// the time that exports spent travelling before it was adopted.
+type oracleLedger struct {
+	ledger  *Ledger
+	shift   time.Duration
+	secrets []byte
+	limits  Limits
+	sealed  bool
+	adopted bool
+}
+
+// machine drives one incarnation's ledger and its successors.
+type machine struct {
+	now   time.Time
+	life  time.Duration
+	chain []*oracleLedger // the last one may spend keys
+	keys  []*oracleKey
+}
+
+func secretNamed(b byte) []byte { return []byte{b, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15} }
+
+func secretsOf(names []byte) Secrets {
+	var s Secrets
+	for _, b := range names {
+		s = append(s, secretNamed(b))
+	}
+	return s
+}
+
+func newMachine(t *rapid.T) *machine {
+	m := &machine{now: time.Unix(1_000_000, 0), life: 10 * time.Second}
+	limits := Limits{Lifetime: m.life, MaxKeys: 12, MaxBytes: 40, MaxRecordBytes: 16}
+	names := []byte{1}
+	m.chain = []*oracleLedger{{
+		ledger:  NewLedger("host-1", "run-1", secretsOf(names), limits, m.now),
+		secrets: names, limits: limits,
+	}}
+	return m
+}
+
+func (m *machine) last() *oracleLedger { return m.chain[len(m.chain)-1] }
+
+func (m *machine) expired(k *oracleKey, l *oracleLedger) bool {
+	return m.now.Sub(k.issued)-l.shift >= m.life
+}
+
+func (m *machine) draw(t *rapid.T) *oracleKey {
+	if len(m.keys) == 0 {
+		t.Skip("no keys")
+	}
+	return m.keys[rapid.IntRange(0, len(m.keys)-1).Draw(t, "key")]
+}
+
+func (m *machine) Issue(t *rapid.T) {
+	l := m.last()
+	scope := Scope{Workspace: model.WorkspaceID(rapid.SampledFrom([]string{"a", "ab"}).Draw(t, "workspace")), Route: "bc"}
+	n := rapid.IntRange(1, 5).Draw(t, "n")
+	live := 0
+	for _, k := range m.keys {
+		if !m.expired(k, l) {
+			live++
+		}
+	}
+	texts, err := l.ledger.Issue(m.now, scope, n)
+	switch {
+	case l.sealed || l.adopted:
+		if !errors.Is(err, ErrSealed) {
+			t.Fatalf("a ledger that is sealed or adopted issued keys: %v", err)
+		}
+		return
+	case live+n > l.limits.MaxKeys || l.ledger.bytes+l.limits.MaxRecordBytes > l.limits.MaxBytes:
+		if !errors.Is(err, ErrLedgerFull) {
+			t.Fatalf("%d of %d keys live, %d bytes kept, and %d more were issued: %v", live, l.limits.MaxKeys, l.ledger.bytes, n, err)
+		}
+		return
+	case errors.Is(err, ErrLedgerFull) && m.issuedWithin(m.life+2*bucketWidth)+n > l.limits.MaxKeys:
+		return // issued keys are counted in buckets
+	case err != nil:
+		t.Fatalf("%d of %d keys live, and %d more were refused: %v", live, l.limits.MaxKeys, n, err)
+	}
+	for _, text := range texts {
+		m.keys = append(m.keys, &oracleKey{text: text, scope: scope, issued: m.now, secret: l.secrets[0]})
+	}
+}
+
+func (m *machine) issuedWithin(d time.Duration) int {
+	n := 0
+	for _, k := range m.keys {
+		if m.now.Sub(k.issued) <= d {
+			n++
+		}
+	}
+	return n
+}
+
+// Begin uses a key at any ledger of the chain, in its scope or another.
+func (m *machine) Begin(t *rapid.T) {
+	k := m.draw(t)
+	l := m.chain[rapid.IntRange(0, len(m.chain)-1).Draw(t, "ledger")]
+	fp := Fingerprint{byte(rapid.IntRange(0, 1).Draw(t, "content"))}
+	scope := k.scope
+	if rapid.IntRange(0, 4).Draw(t, "wrong scope") == 0 {
+		// The same letters, split differently.
+		scope = map[model.WorkspaceID]Scope{"a": {Workspace: "ab", Route: "c"}, "ab": {Workspace: "a", Route: "bbc"}}[k.scope.Workspace]
+	}
+	key, err := Decode(k.text)
+	if err != nil {
+		t.Fatalf("an issued key is malformed: %v", err)
+	}
+	verdict, record, err := l.ledger.Begin(m.now, key, scope, fp)
+	authentic := scope == k.scope && contains(l.secrets, k.secret)
+	m.check(t, k, l, authentic, fp, verdict, record, err)
+}
+
+func contains(list []byte, b byte) bool {
+	for _, x := range list {
+		if x == b {
+			return true
+		}
+	}
+	return false
+}
+
+// check compares the answer of a ledger with what the oracle allows.
+func (m *machine) check(t *rapid.T, k *oracleKey, l *oracleLedger, authentic bool, fp Fingerprint, verdict Verdict, record Record, err error) {
+	spent := k.state != unspent && (k.at == l || m.holds(l, k))
+	expired := m.expired(k, l)
+	switch {
+	case !authentic && (spent || expired):
+		if !errors.Is(err, ErrUnverified) && !(expired && errors.Is(err, ErrForged)) {
+			t.Fatalf("spent=%t expired=%t key without authority: %v", spent, expired, err)
+		}
+		if spent && !expired && !errors.Is(err, ErrUnverified) {
+			t.Fatalf("a spent key counts as never spent: %v", err)
+		}
+	case !authentic:
+		if !errors.Is(err, ErrForged) {
+			t.Fatalf("key without authority: verdict %d, %v", verdict, err)
+		}
+	case spent && expired && k.state == recorded && errors.Is(err, ErrExpired):
+	case spent && fp != k.fp:
+		if !errors.Is(err, ErrMismatch) {
+			t.Fatalf("other content under a spent key: verdict %d, %v", verdict, err)
+		}
+	case spent && k.state == running:
+		if verdict != Wait || err != nil {
+			t.Fatalf("duplicate of a running request: verdict %d, %v", verdict, err)
+		}
+	case spent:
+		if verdict != Replay || err != nil || !sameAnswer(record, k.record) {
+			t.Fatalf("duplicate of an ended request: verdict %d, %+v, %v; want %+v", verdict, record, err, k.record)
+		}
+	case expired:
+		if !errors.Is(err, ErrExpired) {
+			t.Fatalf("expired key: verdict %d, %v", verdict, err)
+		}
+	case l.sealed:
+		if !errors.Is(err, ErrSealed) {
+			t.Fatalf("unspent key at a sealed ledger: verdict %d, %v", verdict, err)
+		}
+	default:
+		if verdict != Run || err != nil {
+			t.Fatalf("unspent key: verdict %d, %v", verdict, err)
+		}
+		if k.state != unspent {
+			t.Fatalf("a spent key ran again")
+		}
+		k.state, k.fp, k.at = running, fp, l
+	}
+}
+
+// sameAnswer allows for an answer that was dropped for lack of room, which may
+// happen at each adoption.
+func sameAnswer(got, want Record) bool {
+	return reflect.DeepEqual(got, want) || reflect.DeepEqual(got, notKept())
+}
+
+// holds reports whether a ledger has a key's mark from before the handover.
+func (m *machine) holds(l *oracleLedger, k *oracleKey) bool {
+	began, here := -1, -1
+	for i, x := range m.chain {
+		if x == k.at {
+			began = i
+		}
+		if x == l {
+			here = i
+		}
+	}
+	return began >= 0 && began <= here
+}
+
+func (m *machine) drawRunning(t *rapid.T) (*oracleKey, Key) {
+	var list []*oracleKey
+	for _, k := range m.keys {
+		if k.state == running {
+			list = append(list, k)
+		}
+	}
+	if len(list) == 0 {
+		t.Skip("nothing runs")
+	}
+	k := list[rapid.IntRange(0, len(list)-1).Draw(t, "running")]
+	key, err := Decode(k.text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return k, key
+}
+
+func (m *machine) Complete(t *rapid.T) {
+	k, key := m.drawRunning(t)
+	r := Record{Outcome: model.Answered, Status: 200, Body: make([]byte, rapid.IntRange(0, 20).Draw(t, "bytes"))}
+	if rapid.Bool().Draw(t, "header") {
+		r.Header = map[string][]string{"Name": {"value"}}
+	}
+	before := k.at.ledger.bytes
+	k.at.ledger.Complete(key.Sequence, r)
+	size := len(r.Body)
+	if r.Header != nil {
+		size += len("Name") + len("value")
+	}
+	if size > k.at.limits.MaxRecordBytes || before+size > k.at.limits.MaxBytes {
+		r = notKept()
+	}
+	k.state, k.record, k.late = recorded, r, m.expired(k, k.at)
+}
+
+func (m *machine) Release(t *rapid.T) {
+	k, key := m.drawRunning(t)
+	k.at.ledger.Release(key.Sequence)
+	k.state, k.at = unspent, nil
+}
+
+func (m *machine) Advance(t *rapid.T) {
+	m.now = m.now.Add(time.Duration(rapid.SampledFrom([]int{1, 500, 1000, 3000, 11000}).Draw(t, "ms")) * time.Millisecond)
+}
+
+func (m *machine) Seal(t *rapid.T) {
+	if rapid.IntRange(0, 3).Draw(t, "seal") == 0 {
+		m.last().ledger.Seal()
+		m.last().sealed = true
+	}
+}
+
+// Handover exports the last ledger to one successor whose settings differ.
+func (m *machine) Handover(t *rapid.T) {
+	l := m.last()
+	x, err := l.ledger.Export(m.now)
+	busy := !l.sealed
+	for _, k := range m.keys {
+		busy = busy || k.state == running && k.at == l
+	}
+	if busy {
+		if !errors.Is(err, ErrBusy) {
+			t.Fatalf("a ledger in use was exported: %v", err)
+		}
+		return
+	}
+	if err != nil {
+		t.Fatalf("export: %v", err)
+	}
+	travel := time.Duration(rapid.SampledFrom([]int{0, 20, 2000}).Draw(t, "travel")) * time.Millisecond
+	m.now = m.now.Add(travel)
+	next := &oracleLedger{
+		shift: l.shift + travel, adopted: true,
+		secrets: rapid.SampledFrom([][]byte{{1}, {2, 1}, {2}}).Draw(t, "secrets"),
+		limits:  Limits{Lifetime: rapid.SampledFrom([]time.Duration{time.Second, time.Hour}).Draw(t, "lifetime"), MaxKeys: 1, MaxBytes: rapid.SampledFrom([]int{0, 20, 64}).Draw(t, "max bytes"), MaxRecordBytes: 16},
+	}
+	next.ledger = Adopt(x, secretsOf(next.secrets), next.limits, m.now)
+	m.chain = append(m.chain, next)
+}
+
+// Forge changes or cuts a genuine key; no ledger may let it run.
+func (m *machine) Forge(t *rapid.T) {
+	k := m.draw(t)
+	raw := []byte(k.text)
+	if rapid.Bool().Draw(t, "cut") {
+		raw = raw[:rapid.IntRange(0, len(raw)-1).Draw(t, "length")]
+	} else {
+		i := rapid.IntRange(0, len(raw)-1).Draw(t, "at")
+		raw[i] = rapid.SampledFrom([]byte("AZaz09-_=\n")).Filter(func(b byte) bool { return b != k.text[i] }).Draw(t, "byte")
+	}
+	key, err := Decode(string(raw))
+	if err != nil {
+		return
+	}
+	for _, l := range m.chain {
+		verdict, _, err := l.ledger.Begin(m.now, key, k.scope, k.fp)
+		if err == nil {
+			t.Fatalf("a forged key got verdict %d", verdict)
+		}
+	}
+}
+
+// Check holds after every step: limits on memory, and the records' accounting.
+func (m *machine) Check(t *rapid.T) {
+	for _, l := range m.chain {
+		size := 0
+		for _, e := range l.ledger.entries {
+			size += e.record.size()
+		}
+		if size != l.ledger.bytes || size > l.limits.MaxBytes {
+			t.Fatalf("%d bytes are kept, %d counted, %d allowed", size, l.ledger.bytes, l.limits.MaxBytes)
+		}
+		if n := len(l.ledger.entries); n > len(l.ledger.spent) {
+			t.Fatalf("%d marks, of which only %d will expire", n, len(l.ledger.spent))
+		}
+		if l.adopted && l.ledger.Retired(m.now) {
+			m.checkRetired(t, l)
+		}
+	}
+}
+
+func (m *machine) checkRetired(t *rapid.T, l *oracleLedger) {
+	for _, k := range m.keys {
+		if !m.expired(k, l) || k.state == running && k.at == l {
+			t.Fatalf("a ledger was retired although its key %s can be used", k.text)
+		}
+	}
+}
+
+// Guards against a key that runs twice or after its expiry, a mark or answer
+// that is dropped while its key is accepted, and a ledger beyond its limits.
+func TestLedgerMachine(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMachine(t)
+		t.Repeat(rapid.StateMachineActions(m))
+	})
+}
