core/idempotency: a key with a name of 255 bytes made Decode panic

Cause: takeName computed 1+length in a byte, which wraps to 0. Any caller could send such a key and make the entry's handler panic (net/http ends only that connection, but the request gets no outcome).

--- a/core/idempotency/key.go
+++ b/core/idempotency/key.go
@@ -134,8 +134,13 @@
 }
 
 func takeName(b []byte) (name, rest []byte, ok bool) {
-	if len(b) == 0 || len(b) < 1+int(b[0]) {
+	if len(b) == 0 {
 		return nil, nil, false
 	}
-	return b[1 : 1+b[0]], b[1+b[0]:], true
+	// Not computed as a byte, in which 1+255 is 0.
+	end := 1 + int(b[0])
+	if len(b) < end {
+		return nil, nil, false
+	}
+	return b[1:end], b[end:], true
 }
