--- a/entry/entry.go
+++ b/entry/entry.go
@@ -103,7 +103,7 @@
 // was refused before the key's ledger was asked: an earlier request with the
 // same key may have run.
 func withoutLedger(r *http.Request, resp fleet.Response) fleet.Response {
-	if r.Header.Get(fleet.HeaderKey) != "" && (resp.Reason == model.ReasonNoConfiguration || resp.Reason == model.ReasonNoRoute) {
+	if r.Header.Get(fleet.HeaderKey) != "" {
 		resp.Outcome = model.Unknown
 	}
 	return resp
--- a/owner/exchange.go
+++ b/owner/exchange.go
@@ -110,13 +110,14 @@
 // receive reads the whole answer. The connection is reused only after a whole
 // answer, since the transport closes it if the body is closed early.
 func (x *httpExchange) receive(ctx context.Context, resp *http.Response, b *backends, q *fleet.Request) attemptEnd {
-	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(b.shedHeader) == "true" {
-		return failed(pool.Shed)
-	}
+	// The answer to another request says nothing about this one, so this comes
+	// before the header that says "not run".
 	if echo := resp.Header.Get(fleet.HeaderRequestID); echo != "" && echo != string(q.ID) {
-		// The answer belongs to another request.
 		return failed(pool.FailedAfterSend)
 	}
+	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(b.shedHeader) == "true" {
+		return failed(pool.Shed)
+	}
 	length := resp.ContentLength
 	if q.Method == http.MethodHead || resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified {
 		length = 0
--- a/owner/handler.go
+++ b/owner/handler.go
@@ -43,6 +43,10 @@
 	switch {
 	case errors.Is(err, fleet.ErrTooLarge):
 		resp := fleet.NotRun(model.ReasonBadRequest, 0)
+		if req.Header.Get(fleet.HeaderKey) != "" {
+			// An earlier request with the key may have run.
+			resp.Outcome = model.Unknown
+		}
 		fleet.WriteResponse(rw, &resp)
 		return
 	case err != nil:
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -146,15 +146,17 @@
 	case idempotency.Wait:
 		ctx, cancel := context.WithTimeout(ctx, q.Budget)
 		defer cancel()
-		return waitResponse(ctx, wait)
+		return w.keys.wait(ctx, key, wait)
 	}
 	r := w.run(context.WithoutCancel(ctx), q)
 	w.keys.end(key, r)
 	return r
 }
 
-// keyFailure maps a key that was refused to an outcome. A key of an unknown
-// incarnation may have been spent there, so its outcome is unknown.
+// keyFailure maps a key that was refused to an outcome. "Not run" would be read
+// as said of the key's own operation, so it is said only of a key that was
+// certainly not spent: not of one whose issuer is unknown, nor of one that was
+// first used with other content.
 func keyFailure(err error) fleet.Response {
 	switch {
 	case errors.Is(err, idempotency.ErrWrongIssuer), errors.Is(err, idempotency.ErrSealed):
@@ -162,7 +164,9 @@
 	case errors.Is(err, idempotency.ErrExpired):
 		return fleet.Unknown(model.ReasonKeyExpired)
 	case errors.Is(err, idempotency.ErrMismatch):
-		return fleet.NotRun(model.ReasonKeyMismatch, 0)
+		return fleet.Unknown(model.ReasonKeyMismatch)
+	case errors.Is(err, idempotency.ErrUnverified):
+		return fleet.Unknown(model.ReasonKeyInvalid)
 	}
 	return fleet.NotRun(model.ReasonKeyInvalid, 0)
 }
@@ -320,9 +324,11 @@
 // idempotency.ErrBusy while a request with a key is in progress.
 func (w *Owner) ExportKeys() ([]idempotency.Exported, error) { return w.keys.export() }
 
-// AdoptKeys takes over the ledgers of a stopping daemon.
-func (w *Owner) AdoptKeys(all []idempotency.Exported) {
-	w.keys.adopt(all, w.o.KeySecrets, w.o.KeyLimits)
+// AdoptKeys takes over the ledgers of a stopping daemon. It returns
+// idempotency.ErrSealed if this daemon is itself handing over: ledgers adopted
+// then would be lost with it.
+func (w *Owner) AdoptKeys(all []idempotency.Exported) error {
+	return w.keys.adopt(all, w.o.KeySecrets, w.o.KeyLimits)
 }
 
 // Issuers returns the incarnations whose keys this process may spend.
