entry: 'not run' after a silent owner is unknown; owner: exact cancellations

Cause: when an owner falls silent after a request was sent, the next owner's refusal was returned as it was.

A 404 to a cancellation no longer frees a slot, since a DELETE can overtake its request; the connection is closed after the DELETE, not before. A service's shedHeader may be 'Name: value', which was accepted but looked up as a name. A local deadline is reported as a timeout, not as a cancelled caller.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -190,19 +190,17 @@
 	for _, choice := range choices {
 		q.Pool = choice.Pool
 		resp, err := e.forwardRanked(ctx, q, deadline)
-		if err == nil && !worthAnotherPool(resp) {
-			return resp
-		}
+		sent = sent || fleet.IsSent(err)
 		if err != nil {
-			sent = sent || fleet.IsSent(err)
 			place.unreachable(choice.Pool.DataCentre)
 		}
+		last := choice == choices[len(choices)-1]
+		if err == nil && (last || !worthAnotherPool(resp)) {
+			return truthful(resp, sent)
+		}
 		if ctx.Err() != nil {
 			return expired(sent)
 		}
-		if err == nil && choice == choices[len(choices)-1] {
-			return resp
-		}
 	}
 	if sent {
 		return fleet.Unknown(model.ReasonOwnerFailed)
@@ -210,6 +208,15 @@
 	return fleet.NotRun(model.ReasonNoOwner, time.Second)
 }
 
+// truthful turns "not run" into "unknown" for a request that was sent to an
+// earlier owner, where it may have run.
+func truthful(r fleet.Response, sentBefore bool) fleet.Response {
+	if sentBefore && r.Outcome == model.NotRun {
+		r.Outcome = model.Unknown
+	}
+	return r
+}
+
 // worthAnotherPool says whether an idempotent request that this pool refused
 // should be tried in another data centre.
 func worthAnotherPool(r fleet.Response) bool {
@@ -231,7 +238,7 @@
 	for _, to := range e.peers.order(e.o.Directory.Owners(q.Pool, maxOwners)) {
 		resp, err := e.forwardTo(ctx, to, q, deadline, true)
 		if err == nil {
-			return resp, nil
+			return truthful(resp, last.Sent), nil
 		}
 		last = &fleet.HandoverError{Host: to.Host, Sent: last.Sent || fleet.IsSent(err), Err: err}
 		if ctx.Err() != nil {
--- a/owner/driver.go
+++ b/owner/driver.go
@@ -18,6 +18,9 @@
 	ringSize = 4096
 	// loadInterval is how old the load report on an answer may be.
 	loadInterval = 5 * time.Millisecond
+	// closeAfter bounds how long a connection outlives its abandoned attempt
+	// while the server is asked to cancel it.
+	closeAfter = 250 * time.Millisecond
 	// idleWake is how often an idle pool is ticked.
 	idleWake = time.Second
 )
@@ -217,16 +220,21 @@
 	d.reply(c, r)
 }
 
-// abandon closes the attempt's connection and asks the server to free the slot.
+// abandon asks the server to free the slot and then closes the attempt's
+// connection. In the other order the server may have ended the request by
+// itself, and its answer to the cancellation would say nothing about the slot.
 func (d *driver) abandon(ctx context.Context, x pool.Abandon) {
 	a, ok := d.attempts[x.Attempt]
 	if !ok || a.abandoned {
 		return
 	}
 	a.abandoned = true
-	a.stop()
 	go func() {
-		if d.exchange.cancel(ctx, a.server, a.call.request.ID) {
+		late := time.AfterFunc(closeAfter, a.stop)
+		confirmed := d.exchange.cancel(ctx, a.server, a.call.request.ID)
+		late.Stop()
+		a.stop()
+		if confirmed {
 			d.post(ctx, confirmEvent{x.Attempt})
 		}
 	}()
--- a/owner/exchange.go
+++ b/owner/exchange.go
@@ -25,8 +25,9 @@
 	// cancelTimeout bounds the wait for a server's confirmation; the pool
 	// holds the slot for at most as long anyway.
 	cancelTimeout = 2 * time.Second
-	// defaultShedHeader marks a 503 as shed unrun if the service names none.
-	defaultShedHeader = "X-Request-Not-Run"
+	// The header that marks a 503 as shed unrun if the service names none.
+	defaultShedName  = "X-Request-Not-Run"
+	defaultShedValue = "true"
 )
 
 // backends holds what an exchange needs to know of a pool's servers. It is
@@ -34,20 +35,33 @@
 type backends struct {
 	addresses  map[model.ServerID]string
 	cancelPath string
-	shedHeader string
+	// shedName and shedValue are the header that marks a 503 as shed unrun.
+	shedName, shedValue string
 }
 
 func newBackends(s *snapshot.Service, servers []snapshot.Server) *backends {
-	b := &backends{addresses: make(map[model.ServerID]string, len(servers)), cancelPath: s.CancelPath, shedHeader: s.ShedHeader}
-	if b.shedHeader == "" {
-		b.shedHeader = defaultShedHeader
-	}
+	b := &backends{addresses: make(map[model.ServerID]string, len(servers)), cancelPath: s.CancelPath}
+	b.shedName, b.shedValue = parseShedHeader(s.ShedHeader)
 	for _, x := range servers {
 		b.addresses[x.ID] = x.Address
 	}
 	return b
 }
 
+// parseShedHeader reads a service's shedHeader, "Name: value" or "Name" with the
+// value "true".
+func parseShedHeader(text string) (name, value string) {
+	name, value, ok := strings.Cut(text, ":")
+	name, value = strings.TrimSpace(name), strings.TrimSpace(value)
+	if name == "" {
+		name = defaultShedName
+	}
+	if !ok || value == "" {
+		value = defaultShedValue
+	}
+	return name, value
+}
+
 // httpExchange performs attempts over HTTP/1.1.
 type httpExchange struct {
 	transport   http.RoundTripper
@@ -115,7 +129,7 @@
 	if echo := resp.Header.Get(fleet.HeaderRequestID); echo != "" && echo != string(q.ID) {
 		return failed(pool.FailedAfterSend)
 	}
-	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(b.shedHeader) == "true" {
+	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(b.shedName) == b.shedValue {
 		return failed(pool.Shed)
 	}
 	length := resp.ContentLength
@@ -134,8 +148,8 @@
 	}
 }
 
-// cancel deletes the request at the server. 200 and 404 both say that it does
-// not occupy a slot.
+// cancel deletes the request at the server. Only 200 confirms that it does not
+// occupy a slot: a 404 may come from a DELETE that overtook its own request.
 func (x *httpExchange) cancel(ctx context.Context, server model.ServerID, id model.RequestID) bool {
 	b := x.backends.Load()
 	address, ok := b.addresses[server]
@@ -155,7 +169,7 @@
 	}
 	defer resp.Body.Close()
 	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, x.maxResponse))
-	return resp.StatusCode == http.StatusOK || resp.StatusCode == http.StatusNotFound
+	return resp.StatusCode == http.StatusOK
 }
 
 func failed(kind pool.ResultKind) attemptEnd {
--- a/owner/exchange_test.go
+++ b/owner/exchange_test.go
@@ -21,9 +21,9 @@
 	for id, want := range map[string]pool.ResultKind{"mine": pool.Shed, "other": pool.FailedAfterSend} {
 		resp := &http.Response{
 			StatusCode: http.StatusServiceUnavailable, Body: http.NoBody,
-			Header: http.Header{defaultShedHeader: {"true"}, fleet.HeaderRequestID: {id}},
+			Header: http.Header{defaultShedName: {"true"}, fleet.HeaderRequestID: {id}},
 		}
-		end := x.receive(t.Context(), resp, &backends{shedHeader: defaultShedHeader}, &fleet.Request{ID: "mine"})
+		end := x.receive(t.Context(), resp, &backends{shedName: defaultShedName, shedValue: defaultShedValue}, &fleet.Request{ID: "mine"})
 		g.Expect(end.result.Kind).To(Equal(want), id)
 	}
 }
@@ -43,3 +43,28 @@
 		g.Expect(rw.Header().Get(fleet.HeaderOutcome)).To(Equal(want.String()), strings.TrimSpace(rw.Body.String()))
 	}
 }
+
+// Guards against a configured "Name: value" that is looked up as a name.
+func TestParseShedHeader(t *testing.T) {
+	for text, want := range map[string][2]string{
+		"":                {defaultShedName, defaultShedValue},
+		"X-Refused":       {"X-Refused", "true"},
+		"X-State: unrun ": {"X-State", "unrun"},
+	} {
+		name, value := parseShedHeader(text)
+		NewWithT(t).Expect([2]string{name, value}).To(Equal(want), text)
+	}
+}
+
+// Guards against a slot that counts as free because a DELETE overtook the
+// request it was meant for.
+func TestCancelConfirmsOnlyWith200(t *testing.T) {
+	g := NewWithT(t)
+	for status, want := range map[int]bool{http.StatusOK: true, http.StatusNotFound: false, http.StatusAccepted: false} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) }))
+		x := &httpExchange{transport: http.DefaultTransport, maxResponse: 100}
+		x.backends.Store(&backends{cancelPath: "/r/{id}", addresses: map[model.ServerID]string{"s": server.Listener.Addr().String()}})
+		g.Expect(x.cancel(t.Context(), "s", "id")).To(Equal(want), "%d", status)
+		server.Close()
+	}
+}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -125,6 +125,9 @@
 		return r
 	case <-ctx.Done():
 		p.driver.post(w.ctx, cancelEvent{q.ID})
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			return fleet.Unknown(model.ReasonTimeout)
+		}
 		return fleet.Unknown(model.ReasonCancelled)
 	}
 }
