--- a/configstore/apply_test.go
+++ b/configstore/apply_test.go
@@ -184,3 +184,15 @@
 	g.Expect(err).To(BeAssignableToTypeOf(&snapshot.ValidationError{}))
 	g.Expect(p.Calls().Puts).To(Equal(before))
 }
+
+// Guards against a change that fails, or is written too fast, because the
+// object API limits its rate.
+func TestRateLimitedApply(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		p := platform.New(platform.Options{WritesPerSecond: 1})
+		mustApply(t, newStore(t, p.Endpoint), firstChange(5), 0)
+		g.Expect(p.Calls().Limited).To(BeNumerically(">", 0))
+		g.Expect(p.Calls().Puts).To(BeNumerically("<", 12))
+	})
+}
--- a/configstore/errors.go
+++ b/configstore/errors.go
@@ -8,7 +8,7 @@
 	"github.com/agateusher/agateusher/core/model"
 )
 
-// ErrNoConfiguration: no change has been accepted yet.
+// ErrNoConfiguration means that no change has been accepted yet.
 var ErrNoConfiguration = errors.New("no configuration has been accepted yet")
 
 // ConflictError reports a change that was not accepted because others were
--- a/configstore/follower.go
+++ b/configstore/follower.go
@@ -95,6 +95,9 @@
 	storeFailures tally.Counter
 	replays       tally.Counter
 	chunks        tally.Counter
+	// noticeDepth and noticeDrops are those of the queue of notices.
+	noticeDepth tally.Gauge
+	noticeDrops tally.Gauge
 }
 
 type notice struct {
@@ -130,6 +133,8 @@
 			storeFailures: o.Scope.Counter("config_store_failures"),
 			replays:       o.Scope.Counter("config_replays"),
 			chunks:        o.Scope.Counter("config_chunks_fetched"),
+			noticeDepth:   o.Scope.Gauge("config_notices_depth"),
+			noticeDrops:   o.Scope.Gauge("config_notices_dropped"),
 		},
 	}
 }
--- a/configstore/pull.go
+++ b/configstore/pull.go
@@ -98,6 +98,8 @@
 
 // collectNotices takes the notices that have arrived, without waiting.
 func (f *Follower) collectNotices(q *pullQueue) {
+	f.metrics.noticeDepth.Update(float64(f.notices.Depth()))
+	f.metrics.noticeDrops.Update(float64(f.notices.Dropped()))
 	for {
 		select {
 		case n := <-f.notices.Items():
--- a/core/snapshot/bench_test.go
+++ b/core/snapshot/bench_test.go
@@ -43,25 +43,17 @@
 	}
 	change := Change{ID: "c1", Author: "a", Put: Objects{Servers: []Server{s.Objects.Servers[77]}}}
 	change.Put.Servers[0].State = ServerDraining
-	b.Run("apply", func(b *testing.B) {
-		for b.Loop() {
-			if _, err := s.Apply(change); err != nil {
-				b.Fatal(err)
+	for name, step := range map[string]func() error{
+		"apply":   func() error { _, err := s.Apply(change); return err },
+		"resplit": func() error { _, _, err := Resplit(s.Objects, m, change.Refs()); return err },
+		"split":   func() error { _, _, err := Split(s.Objects, m); return err },
+	} {
+		b.Run(name, func(b *testing.B) {
+			for b.Loop() {
+				if err := step(); err != nil {
+					b.Fatal(err)
+				}
 			}
-		}
-	})
-	b.Run("resplit", func(b *testing.B) {
-		for b.Loop() {
-			if _, _, err := Resplit(s.Objects, m, change.Refs()); err != nil {
-				b.Fatal(err)
-			}
-		}
-	})
-	b.Run("split", func(b *testing.B) {
-		for b.Loop() {
-			if _, _, err := Split(s.Objects, m); err != nil {
-				b.Fatal(err)
-			}
-		}
-	})
+		})
+	}
 }
