daemon: membership, peer listener and key ledger handover

Cause: every daemon polled the host list and watched the object API, so calls grew with hosts; a dead host stayed in rank until the list dropped it; a planned stop let the keys of the stopping issuer die.

Change: the membership table implements entry.Directory and Locator in place of the host list. Two relays per data centre read the list and watch the head. Heartbeats carry epochs to the follower, which pulls from peers. Failures of the fleet transport make the table check the host at once. A planned stop announces itself, seals the keys after the caller listener has drained, hands the ledgers to one successor and leaves forwarding notes; requests that arrive in between wait and are passed on.

--- a/core/membership/apply.go
+++ b/core/membership/apply.go
@@ -48,7 +48,9 @@
 		m.Info = *u.Info
 	}
 	if u.Start != m.version.Start {
+		// Another process: what was known of the one before does not count.
 		m.started = now
+		m.state = 0
 		m.link = link{next: now}
 	}
 	m.version, m.incarnation = u.Version, u.Incarnation
@@ -73,7 +75,7 @@
 	}
 	m.since = now
 	t.peersDirty = true
-	if s > Suspect || from > Suspect {
+	if s > Suspect || from > Suspect || from == 0 {
 		t.urgent(now)
 	}
 	t.decide(StateChanged{Host: m.ID, Incarnation: m.incarnation, From: from, To: s})
--- a/core/membership/table.go
+++ b/core/membership/table.go
@@ -65,7 +65,7 @@
 	peersDirty bool
 	suspects   map[model.HostID]*member
 	superseded bool
-	readsList  bool
+	listReadAt time.Time
 
 	startedAt, lastTick, lastAck     time.Time
 	nextHash, nextReprobe, nextSweep time.Time
@@ -110,7 +110,7 @@
 // that is unknown is believed alive until heartbeats show otherwise. A host
 // that the list lacks is only removed once it is unreachable.
 func (t *Table) HostList(now time.Time, list []Listed) []Decision {
-	t.readsList = true
+	t.listReadAt = now
 	named := make(map[model.HostID]bool, len(list))
 	for _, x := range list {
 		named[x.ID] = true
@@ -135,8 +135,9 @@
 		}
 		return
 	}
-	if m.version.Start == 0 {
+	if m.version.Start == 0 && m.Info != x.Info {
 		m.Info = x.Info
+		t.decide(StateChanged{Host: m.ID, From: m.state, To: m.state})
 	}
 	edge := x.Leaving && !m.listLeaving
 	m.listLeaving = x.Leaving
@@ -273,7 +274,7 @@
 			delete(t.members, id)
 			delete(t.queue, id)
 			t.peersDirty = true
-		case m.state == Unreachable && (t.readsList && !m.listed && age > goneAfter || age > forgetAfter && !m.listed):
+		case m.state == Unreachable && !m.listed && age > t.keepUnlisted(now):
 			t.setState(now, m, Gone)
 		}
 	}
@@ -285,6 +286,15 @@
 	}
 }
 
+// keepUnlisted returns how long an unreachable host that is not listed stays.
+// A host that does not read the list leaves the verdict to those that do.
+func (t *Table) keepUnlisted(now time.Time) time.Duration {
+	if now.Sub(t.listReadAt) < goneAfter {
+		return goneAfter
+	}
+	return forgetAfter
+}
+
 // reprobe sends a heartbeat to one unreachable host.
 func (t *Table) reprobe(now time.Time) {
 	var list []*member
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -5,8 +5,11 @@
 	"crypto/rand"
 	"fmt"
 	"io"
+	"maps"
 	mathrand "math/rand/v2"
+	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -15,6 +18,7 @@
 	"github.com/agateusher/agateusher/configstore"
 	"github.com/agateusher/agateusher/core/idempotency"
 	"github.com/agateusher/agateusher/core/invariant"
+	"github.com/agateusher/agateusher/core/membership"
 	"github.com/agateusher/agateusher/core/model"
 	"github.com/agateusher/agateusher/core/snapshot"
 	"github.com/agateusher/agateusher/entry"
@@ -23,6 +27,7 @@
 	"github.com/agateusher/agateusher/modules/detector"
 	"github.com/agateusher/agateusher/objectapi"
 	"github.com/agateusher/agateusher/owner"
+	"github.com/agateusher/agateusher/peerrpc"
 	"github.com/agateusher/agateusher/report"
 	"github.com/agateusher/agateusher/telemetry"
 
@@ -52,7 +57,9 @@
 	bus         *kernel.Bus
 
 	store    objectapi.Store
-	hosts    *hostList
+	members  *members
+	peers    *peerrpc.Client
+	keys     *handover
 	holder   snapshot.Holder
 	follower *configstore.Follower
 	live     liveCatalog
@@ -63,6 +70,11 @@
 	flusher  *report.Flusher
 	leaving  atomic.Bool
 	servers  []*listener
+
+	peerSocket net.Listener
+
+	compileMu sync.Mutex
+	regions   map[model.DataCentre]model.Region // that the catalogue was compiled with
 }
 
 // StartError says which part of a daemon could not be set up.
@@ -137,7 +149,12 @@
 		return err
 	}
 	d.store = client
-	d.hosts = newHostList(client, d.log)
+	host, l := d.settings.Host, d.settings.Listeners
+	d.peers = peerrpc.NewClient(secretBytes(d.settings.Fleet.Secrets), d.metrics.Scope)
+	d.members = newMembers(membership.Host{ID: host.ID, Info: membership.Info{
+		DataCentre: host.DataCentre, Region: host.Region, FleetAddress: l.Fleet, PeerAddress: l.Peer,
+	}}, d.incarnation, d.store, d.peers, d.log, d.metrics.Scope)
+	d.members.changed = d.hostChanged
 	return nil
 }
 
@@ -152,11 +169,15 @@
 	}
 	d.owner = owner.New(d.ownerOptions(factory))
 	d.client = &fleet.Client{
-		Transport:  fleet.NewTransport(fleet.TransportOptions{DialTimeout: dialTimeout, IdleTimeout: idleTimeout, MaxIdlePerHost: fleetIdleConns}),
+		Transport: evidenceTransport{
+			RoundTripper: fleet.NewTransport(fleet.TransportOptions{DialTimeout: dialTimeout, IdleTimeout: idleTimeout, MaxIdlePerHost: fleetIdleConns}),
+			failed:       d.members.dataPathFailed,
+		},
 		Secrets:    secretBytes(d.settings.Fleet.Secrets),
 		Propagator: d.tracing.Propagator,
 		MaxBody:    d.settings.Limits.MaxResponseBytes,
 	}
+	d.keys = newHandover(d.owner, d.settings.Host.ID, d.incarnation, d.members, d.client, d.log)
 	d.entry = entry.New(d.entryOptions())
 	return nil
 }
@@ -180,7 +201,7 @@
 
 func (d *Daemon) entryOptions() entry.Options {
 	return entry.Options{
-		Host: d.settings.Host.ID, Catalog: d.live.entryCatalog, Directory: d.directory(), Local: d.owner,
+		Host: d.settings.Host.ID, Catalog: d.live.entryCatalog, Directory: d.directory(), Local: d.keys,
 		Client:  d.client,
 		Tracing: d.tracing, Log: d.log, Scope: d.metrics.Scope, MaxBody: d.settings.Limits.MaxRequestBytes,
 		Observer: d.observer,
@@ -188,35 +209,75 @@
 }
 
 // directory returns what this daemon knows of other hosts.
-func (d *Daemon) directory() entry.Directory { return d.hosts }
+func (d *Daemon) directory() entry.Directory { return d.members }
 
 func (d *Daemon) setFollower() {
 	d.follower = configstore.NewFollower(configstore.FollowerOptions{
 		Store: configstore.NewStore(d.store), Holder: &d.holder,
 		Rand:    mathrand.New(mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64())),
-		IsRelay: func() bool { return true },
+		IsRelay: d.members.isRelay,
+		Peers:   d.members.peers,
 		OnEpoch: d.configured,
 		Logger:  d.log, Scope: d.metrics.Scope,
 	})
+	d.members.notice = d.follower.Notice
+}
+
+// hostChanged reacts to a change of the membership view.
+func (d *Daemon) hostChanged(x membership.StateChanged) {
+	d.recompile()
+	if x.To == 0 {
+		return
+	}
+	if err := kernel.Publish(d.bus, TopicHost, HostChanged{Host: x.Host, From: x.From.String(), To: x.To.String()}); err != nil {
+		d.log.WithField("event", "event_lost").WithError(err).Warn("control event could not be published")
+	}
 }
 
 // configured puts a new snapshot in force in both roles.
 func (d *Daemon) configured(a configstore.Applied) {
-	c, err := compile(a.Snapshot, d.settings.Host, d.hosts)
-	if err != nil {
+	if err := d.compile(a.Snapshot); err != nil {
 		// The operator service validates changes; a snapshot that does not
 		// compile is kept out, so that the last good one goes on.
 		d.log.WithFields(telemetry.Fields{"event": "configuration_refused", "epoch": a.Snapshot.Epoch}).WithError(err).Error("configuration does not compile")
 		return
 	}
-	d.live.current.Store(c)
 	d.owner.Reconfigure()
+	d.members.setEpoch(a.Snapshot.Epoch)
 	d.log.WithFields(telemetry.Fields{"event": "configuration_applied", "epoch": a.Snapshot.Epoch, "confirmed": a.Confirmed}).Info("configuration is in force")
 	if err := kernel.Publish(d.bus, TopicConfiguration, ConfigurationApplied{Epoch: a.Snapshot.Epoch, Confirmed: a.Confirmed}); err != nil {
 		d.log.WithField("event", "event_lost").WithError(err).Warn("control event could not be published")
 	}
 }
 
+// compile puts the catalogue of a snapshot in force.
+func (d *Daemon) compile(s *snapshot.Snapshot) error {
+	d.compileMu.Lock()
+	defer d.compileMu.Unlock()
+	d.regions = d.members.view.Load().Regions
+	c, err := compile(s, d.settings.Host, d.members)
+	if err == nil {
+		d.live.current.Store(c)
+	}
+	return err
+}
+
+// recompile renews the catalogue if the regions of the data centres, which
+// order the pools, are known better than when it was compiled.
+func (d *Daemon) recompile() {
+	d.compileMu.Lock()
+	defer d.compileMu.Unlock()
+	regions := d.members.view.Load().Regions
+	s, current := d.holder.Load(), d.live.current.Load()
+	if current == nil || s == nil || s.Epoch != current.epoch || maps.Equal(regions, d.regions) {
+		return
+	}
+	if c, err := compile(s, d.settings.Host, d.members); err == nil {
+		d.regions = regions
+		d.live.current.Store(c)
+	}
+}
+
 // TopicConfiguration carries ConfigurationApplied.
 const TopicConfiguration kernel.Topic = "configuration.applied"
 
@@ -231,11 +292,13 @@
 	if err := d.listen(); err != nil {
 		return err
 	}
-	d.hosts.refresh(ctx)
+	d.members.refresh(ctx)
 	work, stopWork := context.WithCancel(context.Background())
 	defer stopWork()
 	duties := append(d.follower.Duties(),
-		kernel.Duty{Name: "host-list", Run: d.hosts.run},
+		kernel.Duty{Name: "membership", Run: d.members.run},
+		kernel.Duty{Name: "host-list", Run: d.members.runHostList},
+		kernel.Duty{Name: "peer", Run: d.servePeers},
 		kernel.Duty{Name: "events", Run: d.bus.Run},
 		kernel.Duty{Name: "demand", Run: d.runDemand},
 		d.flusher.Duty(),
@@ -259,6 +322,7 @@
 
 func (d *Daemon) close() {
 	d.entry.Close()
+	d.peers.Close()
 	d.owner.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), adminTimeout)
 	defer cancel()
@@ -277,7 +341,7 @@
 		handler       http.Handler
 	}{
 		{"admin", l.Admin, d.admin()},
-		{"fleet", l.Fleet, owner.Handler(d.owner, secrets, lim.MaxRequestBytes)},
+		{"fleet", l.Fleet, d.fleetHandler(secrets)},
 		{"caller", l.Caller, d.entry},
 	} {
 		s, err := newListener(x.name, x.address, x.handler, lim)
@@ -286,5 +350,15 @@
 		}
 		d.servers = append(d.servers, s)
 	}
+	socket, err := net.Listen("tcp", l.Peer)
+	if err != nil {
+		return &StartError{Part: "peer listener", Err: err}
+	}
+	d.peerSocket = socket
 	return nil
 }
+
+func (d *Daemon) servePeers(ctx context.Context) error {
+	service := &peerService{Follower: d.follower, members: d.members, keys: d.keys}
+	return peerrpc.NewServer(secretBytes(d.settings.Fleet.Secrets), service, d.metrics.Scope).Serve(ctx, d.peerSocket)
+}
--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -11,19 +11,22 @@
 const drainPoll = 20 * time.Millisecond
 
 // drain is the planned stop. The order matters: first the balancer and the
-// fleet learn that this host leaves, while it serves as before; then the
-// listeners stop accepting and the requests in progress end; the admin listener
-// stays to the last, so that /live answers.
+// fleet learn that this host leaves, while it serves as before; then the caller
+// listener stops and its requests end; then the key ledgers move to a
+// successor, while the fleet listener passes on what still arrives for them;
+// the admin listener stays to the last, so that /live answers.
 func (d *Daemon) drain() {
 	started := time.Now()
 	d.leaving.Store(true)
+	d.keys.leave()
+	d.members.leave()
 	d.log.WithFields(telemetry.Fields{"event": "stopping", "notice": d.settings.Stop.Notice.Std()}).Info("planned stop begins")
 	time.Sleep(d.settings.Stop.Notice.Std())
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Stop.Timeout.Std())
 	defer cancel()
-	for _, name := range []string{"caller", "fleet"} {
-		d.shutdown(ctx, name)
-	}
+	d.shutdown(ctx, "caller")
+	d.keys.run(ctx)
+	d.shutdown(ctx, "fleet")
 	for d.owner.Running() > 0 && ctx.Err() == nil {
 		time.Sleep(drainPoll)
 	}
--- /dev/null
+++ b/daemon/members.go
@@ -0,0 +1,346 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/agateusher/agateusher/configstore"
+	"github.com/agateusher/agateusher/core/membership"
+	"github.com/agateusher/agateusher/core/model"
+	"github.com/agateusher/agateusher/core/ranking"
+	"github.com/agateusher/agateusher/fleet"
+	"github.com/agateusher/agateusher/kernel"
+	"github.com/agateusher/agateusher/objectapi"
+	"github.com/agateusher/agateusher/peerrpc"
+	"github.com/agateusher/agateusher/telemetry"
+)
+
+const (
+	// hostListInterval is the time between reads of the platform's host list by
+	// a relay.
+	hostListInterval = time.Second
+	// relays is the number of hosts of a data centre that read the host list
+	// and watch the configuration.
+	relays = 2
+	// lonelyAfter is how long no peer has answered before a host reads the host
+	// list although it is no relay.
+	lonelyAfter = 10 * time.Second
+	// pullPeers is the number of hosts in this data centre, and in others, that
+	// a configuration may be pulled from.
+	pullPeers = 4
+	// pruneInterval is the time between searches for idle connections.
+	pruneInterval = 30 * time.Second
+)
+
+// members drives the membership table and answers questions from its view. It
+// implements entry.Directory and Locator.
+type members struct {
+	self   membership.Host
+	store  objectapi.Store
+	client *peerrpc.Client
+	log    telemetry.Logger
+	scope  telemetry.Scope
+	// notice gets the epochs of peers; changed is called after a change of the
+	// view. Both are set before run.
+	notice  func(configstore.Peer, model.Epoch)
+	changed func(membership.StateChanged)
+
+	mu    sync.Mutex
+	table *membership.Table
+
+	view    atomic.Pointer[membership.View]
+	lastAck atomic.Int64 // Unix nanoseconds
+	wake    chan struct{}
+	ctx     context.Context
+	stop    context.CancelFunc
+	// callMu orders the start of calls before the wait for them.
+	callMu sync.Mutex
+	calls  sync.WaitGroup
+}
+
+// TopicHost carries HostChanged.
+const TopicHost kernel.Topic = "host.changed"
+
+// HostChanged says that a host's state changed in this daemon's view.
+type HostChanged struct {
+	Host model.HostID `json:"host"`
+	From string       `json:"from"`
+	To   string       `json:"to"`
+}
+
+func newMembers(self membership.Host, incarnation model.Incarnation, store objectapi.Store, client *peerrpc.Client, log telemetry.Logger, scope telemetry.Scope) *members {
+	now := time.Now()
+	ctx, stop := context.WithCancel(context.Background())
+	m := &members{
+		self: self, store: store, client: client, log: log, scope: scope,
+		notice: func(configstore.Peer, model.Epoch) {}, changed: func(membership.StateChanged) {},
+		table: membership.New(membership.Config{Self: self, Incarnation: incarnation, Start: uint64(now.UnixMilli())},
+			rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), now),
+		wake: make(chan struct{}, 1), ctx: ctx, stop: stop,
+	}
+	m.lastAck.Store(now.UnixNano())
+	v := m.table.View()
+	m.view.Store(&v)
+	return m
+}
+
+// do passes an event to the table and executes its decisions.
+func (m *members) do(event func(t *membership.Table, now time.Time) []membership.Decision) {
+	m.mu.Lock()
+	now := time.Now()
+	decisions := event(m.table, now)
+	if !m.table.NextWake(now).After(now) {
+		decisions = append(decisions, m.table.Tick(now)...)
+	}
+	if slices.ContainsFunc(decisions, changesView) {
+		v := m.table.View()
+		m.view.Store(&v)
+	}
+	m.mu.Unlock()
+	for _, d := range decisions {
+		m.execute(d)
+	}
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+}
+
+func changesView(d membership.Decision) bool {
+	switch d.(type) {
+	case membership.StateChanged, membership.LinkChanged:
+		return true
+	}
+	return false
+}
+
+func (m *members) execute(d membership.Decision) {
+	switch x := d.(type) {
+	case membership.SendHeartbeat:
+		m.call(func() { m.heartbeat(x) })
+	case membership.AskIndirect:
+		m.call(func() { m.probe(x) })
+	case membership.Sync:
+		m.call(func() { m.exchange(x) })
+	case membership.EpochSeen:
+		m.notice(m.configPeer(x.Host), x.Epoch)
+	case membership.StateChanged:
+		m.stateChanged(x)
+	case membership.LinkChanged:
+		m.log.WithFields(telemetry.Fields{"event": "link_changed", "peer": x.Host, "down": x.Down}).Warn("a host that others reach cannot be reached from here, or can again")
+		m.scope.Counter("link_changes").Inc(1)
+	case membership.Superseded:
+		m.log.WithFields(telemetry.Fields{"event": "superseded", "by": x.By}).Error("a newer process uses this host's ID")
+	}
+}
+
+func (m *members) stateChanged(x membership.StateChanged) {
+	if x.To != 0 && x.From != x.To {
+		m.log.WithFields(telemetry.Fields{"event": "host_changed", "peer": x.Host, "incarnation": x.Incarnation, "from": x.From.String(), "to": x.To.String()}).Info("a host changed state")
+		m.scope.Tagged(map[string]string{"to": x.To.String()}).Counter("host_changes").Inc(1)
+	}
+	m.changed(x)
+}
+
+// call runs a call to a peer. The table bounds how many there are at a time.
+func (m *members) call(f func()) {
+	m.callMu.Lock()
+	defer m.callMu.Unlock()
+	if m.ctx.Err() == nil {
+		m.calls.Go(f)
+	}
+}
+
+func (m *members) heartbeat(x membership.SendHeartbeat) {
+	answer, err := m.client.Heartbeat(m.ctx, peerOf(x.To), x.Message)
+	m.do(func(t *membership.Table, now time.Time) []membership.Decision {
+		if err != nil {
+			return t.Failed(now, x.To.ID, x.Token, peerrpc.IsConnectionRefused(err))
+		}
+		m.lastAck.Store(now.UnixNano())
+		return t.Answered(now, x.To.ID, x.Token, answer)
+	})
+}
+
+func (m *members) probe(x membership.AskIndirect) {
+	r := m.client.Probe(m.ctx, peerOf(x.Helper), x.Target.ID)
+	m.do(func(t *membership.Table, now time.Time) []membership.Decision {
+		return t.IndirectResult(now, x.Target.ID, x.Token, r)
+	})
+}
+
+func (m *members) exchange(x membership.Sync) {
+	answer, err := m.client.Exchange(m.ctx, peerOf(x.With), x.Page)
+	if err != nil {
+		return // the next comparison of hashes asks again
+	}
+	m.do(func(t *membership.Table, now time.Time) []membership.Decision {
+		return t.SyncAnswered(now, x.With.ID, answer)
+	})
+}
+
+func peerOf(h membership.Host) peerrpc.Peer {
+	return peerrpc.Peer{Host: h.ID, Address: h.PeerAddress}
+}
+
+// run keeps the table's time until ctx ends.
+func (m *members) run(ctx context.Context) error {
+	defer m.calls.Wait()
+	defer func() {
+		m.callMu.Lock()
+		defer m.callMu.Unlock()
+		m.stop()
+	}()
+	prune := time.NewTicker(pruneInterval)
+	defer prune.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-prune.C:
+			m.client.Prune()
+		case <-timer.C:
+			m.do(func(*membership.Table, time.Time) []membership.Decision { return nil })
+		case <-m.wake:
+			m.mu.Lock()
+			next := m.table.NextWake(time.Now())
+			m.mu.Unlock()
+			timer.Reset(time.Until(next))
+		}
+	}
+}
+
+// runHostList reads the platform's host list while this host is a relay.
+func (m *members) runHostList(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(hostListInterval):
+		}
+		if m.isRelay() || m.lonely() {
+			m.refresh(ctx)
+		}
+	}
+}
+
+// lonely says whether no other daemon answers.
+func (m *members) lonely() bool {
+	return time.Since(time.Unix(0, m.lastAck.Load())) > lonelyAfter
+}
+
+func (m *members) refresh(ctx context.Context) {
+	hosts, err := m.store.Hosts(ctx)
+	if err != nil {
+		if ctx.Err() == nil {
+			m.log.WithField("event", "host_list_failed").WithError(err).Warn("cannot read the host list; keeping the last one")
+		}
+		return
+	}
+	list := make([]membership.Listed, len(hosts))
+	for i, h := range hosts {
+		list[i] = membership.Listed{Host: membership.Host{ID: h.ID, Info: membership.Info{
+			DataCentre: h.DataCentre, Region: h.Region, FleetAddress: h.FleetAddress, PeerAddress: h.PeerAddress,
+		}}, Leaving: h.State == objectapi.HostLeaving}
+	}
+	m.do(func(t *membership.Table, now time.Time) []membership.Decision { return t.HostList(now, list) })
+}
+
+// isRelay says whether this host is one of the relays of its data centre.
+func (m *members) isRelay() bool {
+	dc := m.self.DataCentre
+	return slices.Contains(ranking.Top("config-relay/"+string(dc), m.view.Load().Serving[dc], relays), m.self.ID)
+}
+
+// leave announces the planned stop.
+func (m *members) leave() {
+	m.do(func(t *membership.Table, now time.Time) []membership.Decision { return t.Leave(now) })
+	m.publishView()
+}
+
+// forward leaves forwarding notes with the peers.
+func (m *members) forward(issuers []model.Incarnation, successor model.HostID, left time.Duration) {
+	m.do(func(t *membership.Table, now time.Time) []membership.Decision {
+		return t.Forward(now, issuers, successor, left)
+	})
+}
+
+// setEpoch tells all peers of a new epoch.
+func (m *members) setEpoch(e model.Epoch) {
+	m.do(func(t *membership.Table, now time.Time) []membership.Decision { return t.SetEpoch(now, e) })
+}
+
+func (m *members) publishView() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	v := m.table.View()
+	m.view.Store(&v)
+}
+
+// dataPathFailed reports that the host at a fleet address took no request.
+func (m *members) dataPathFailed(address string) {
+	for id, h := range m.view.Load().Hosts {
+		if h.FleetAddress == address {
+			m.do(func(t *membership.Table, now time.Time) []membership.Decision { return t.DataPathFailed(now, id) })
+			return
+		}
+	}
+}
+
+// peers returns hosts to pull the configuration from, nearest first. Each host
+// has its own order, so that the load spreads.
+func (m *members) peers() []configstore.Peer {
+	v := m.view.Load()
+	var near, far []model.HostID
+	for dc, list := range v.Serving {
+		if dc == m.self.DataCentre {
+			near = list
+		} else {
+			far = append(far, list...)
+		}
+	}
+	key := "config-pull/" + string(m.self.ID)
+	chosen := ranking.Top(key, slices.DeleteFunc(slices.Clone(near), func(h model.HostID) bool { return h == m.self.ID }), pullPeers)
+	chosen = append(chosen, ranking.Top(key, far, pullPeers)...)
+	out := make([]configstore.Peer, len(chosen))
+	for i, id := range chosen {
+		out[i] = m.configPeer(v.Hosts[id].Host)
+	}
+	return out
+}
+
+func (m *members) configPeer(h membership.Host) configstore.Peer {
+	return configstore.Peer{ID: h.ID, Local: h.DataCentre == m.self.DataCentre, Source: m.client.Source(peerOf(h))}
+}
+
+// Owners implements entry.Directory.
+func (m *members) Owners(id model.PoolID, n int) []fleet.Peer {
+	v := m.view.Load()
+	ranked := ranking.Top(id.String(), v.Serving[id.DataCentre], n)
+	list := make([]fleet.Peer, len(ranked))
+	for i, h := range ranked {
+		list[i] = fleet.Peer{Host: h, Address: v.Hosts[h].FleetAddress}
+	}
+	return list
+}
+
+// Peer implements entry.Directory.
+func (m *members) Peer(id model.HostID) (fleet.Peer, model.DataCentre, bool) {
+	h, ok := m.view.Load().Hosts[id]
+	return fleet.Peer{Host: id, Address: h.FleetAddress}, h.DataCentre, ok
+}
+
+// Successor implements entry.Directory.
+func (m *members) Successor(issuer model.Incarnation) (model.HostID, bool) {
+	id, ok := m.view.Load().Successors[issuer]
+	return id, ok
+}
+
+// Region implements Locator.
+func (m *members) Region(dc model.DataCentre) model.Region { return m.view.Load().Regions[dc] }
--- /dev/null
+++ b/daemon/peerservice.go
@@ -0,0 +1,72 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/agateusher/agateusher/configstore"
+	"github.com/agateusher/agateusher/core/membership"
+	"github.com/agateusher/agateusher/core/model"
+	"github.com/agateusher/agateusher/fleet"
+	"github.com/agateusher/agateusher/peerrpc"
+)
+
+// peerService serves the peer listener. The embedded follower offers the
+// configuration.
+type peerService struct {
+	*configstore.Follower
+	members *members
+	keys    *handover
+}
+
+// Heartbeat implements peerrpc.Service.
+func (s *peerService) Heartbeat(_ context.Context, in membership.Message) (membership.Message, error) {
+	var answer membership.Message
+	s.members.do(func(t *membership.Table, now time.Time) (d []membership.Decision) {
+		answer, d = t.Receive(now, in)
+		return d
+	})
+	return answer, nil
+}
+
+// Probe implements peerrpc.Service.
+func (s *peerService) Probe(ctx context.Context, target model.HostID) (membership.ProbeResult, error) {
+	h, ok := s.members.view.Load().Hosts[target]
+	if !ok {
+		return membership.ProbeNoAnswer, peerrpc.ErrUnknownHost
+	}
+	return s.members.client.Ping(ctx, peerOf(h.Host)), nil
+}
+
+// Exchange implements peerrpc.Service.
+func (s *peerService) Exchange(_ context.Context, p membership.Page) (membership.Page, error) {
+	var answer membership.Page
+	s.members.do(func(t *membership.Table, now time.Time) (d []membership.Decision) {
+		answer, d = t.Exchange(now, p)
+		return d
+	})
+	return answer, nil
+}
+
+// TakeKeys implements peerrpc.Service.
+func (s *peerService) TakeKeys(_ context.Context, p peerrpc.HandoverPart) (peerrpc.HandoverAnswer, error) {
+	taken, err := s.keys.take(p)
+	return peerrpc.HandoverAnswer{Taken: taken}, err
+}
+
+// evidenceTransport tells the membership table of daemons that take no
+// requests or answer no pings.
+type evidenceTransport struct {
+	http.RoundTripper
+	failed func(address string)
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t evidenceTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	resp, err := t.RoundTripper.RoundTrip(r)
+	if err != nil && (r.Context().Err() == nil || r.URL.Path == fleet.PathPing) {
+		t.failed(r.URL.Host)
+	}
+	return resp, err
+}
