--- a/core/membership/apply.go
+++ b/core/membership/apply.go
@@ -124,6 +124,10 @@
 	from := t.merge(now, m)
 	answer := t.message(now, from, m.WantInfo)
 	answer.WantInfo = from == nil
+	if from != nil && from.version.Start > m.From.Start {
+		// An older process with the same ID must learn that it was replaced.
+		answer.Updates = append([]Update{t.update(from, false)}, answer.Updates...)
+	}
 	if from != nil && len(m.Hashes) > 0 {
 		t.compare(from, m.Hashes)
 	}
