--- a/core/membership/table_test.go
+++ b/core/membership/table_test.go
@@ -63,6 +63,25 @@
 	g.Expect(s.verdicts(woke, Unreachable)).To(BeZero())
 }
 
+// Guards against a verdict on waking: a suspect had no chance to refute while
+// this process was paused.
+func TestNoVerdictAcrossAPause(t *testing.T) {
+	g := NewWithT(t)
+	s := newSim(4, 1, 11)
+	now, table := s.now, s.order[0].table
+	_, d := table.Receive(now, Message{
+		From:    Update{Host: "host-001", Incarnation: "host-001a", Version: Version{Start: 9}, State: Alive},
+		Updates: []Update{{Host: "host-002", State: Suspect}},
+	})
+	g.Expect(d).To(ContainElement(StateChanged{Host: "host-002", From: Alive, To: Suspect}))
+	table.Tick(now.Add(time.Minute))
+	g.Expect(table.View().Hosts["host-002"].State).To(Equal(Suspect))
+	for i := range 10 {
+		table.Tick(now.Add(time.Minute + time.Duration(i)*time.Second))
+	}
+	g.Expect(table.View().Hosts["host-002"].State).To(Equal(Unreachable), "the suspicion must end")
+}
+
 // Guards against a lagging host list that keeps dead hosts in the ranking or
 // brings them back.
 func TestHostListNamesDeadHosts(t *testing.T) {
@@ -85,6 +104,11 @@
 		g.Expect(state == 0 || state == Gone).To(BeTrue(), "%s is %s", id, state)
 	}
 	g.Expect(s.agree(s.running()...)).To(BeTrue(), "the list removed hosts that are alive")
+	for _, n := range s.order {
+		for _, c := range n.changes {
+			g.Expect(c.To > Suspect && s.nodes[c.Host].up).To(BeFalse(), "%s saw %s become %s", n.host.ID, c.Host, c.To)
+		}
+	}
 }
 
 // Guards against lost heartbeats that take healthy hosts out: at 20% loss no
