--- a/cmd/usher-demo/main.go
+++ b/cmd/usher-demo/main.go
@@ -34,6 +34,9 @@
 	Duration time.Duration `short:"d" long:"duration" default:"8s" description:"how long requests are sent"`
 	Seed     uint64        `long:"seed" default:"1" description:"seed of arrivals and service times"`
 	Fault    string        `long:"fault" default:"{\"stall\":true}" description:"fault of one backend server in the second half, as the stand-in's JSON"`
+	Mean     time.Duration `long:"mean" description:"mean service time; default: that of usher-standin"`
+	Dist     string        `long:"distribution" description:"distribution of service times: exponential, lognormal or fixed"`
+	Hold     bool          `long:"hold" description:"start everything without load, and run until Ctrl-C"`
 	Keep     bool          `long:"keep" description:"keep settings, logs and the report"`
 	LogLevel string        `long:"log-level" default:"info" choice:"error" choice:"warn" choice:"info" choice:"debug" description:"lowest level that is logged"`
 }
@@ -57,7 +60,7 @@
 		fmt.Fprintln(stderr, "usher-demo:", err)
 		return exitUsage
 	}
-	result, err := perform(ctx, o, stderr)
+	result, err := perform(ctx, o, stdout, stderr)
 	if result.Report != nil || result.StopError != nil {
 		result.WriteSummary(stdout)
 	}
@@ -65,13 +68,15 @@
 	case err != nil:
 		fmt.Fprintln(stderr, "usher-demo:", err)
 		return exitFailure
+	case o.Hold && result.StopError == nil:
+		return 0
 	case !result.Kept():
 		return exitBroken
 	}
 	return 0
 }
 
-func perform(ctx context.Context, o options, stderr io.Writer) (demo.Result, error) {
+func perform(ctx context.Context, o options, stdout, stderr io.Writer) (demo.Result, error) {
 	log, err := telemetry.NewLogger(stderr, o.LogLevel)
 	if err != nil {
 		return demo.Result{}, err
@@ -83,7 +88,12 @@
 		}
 		o.Binaries = filepath.Dir(self)
 	}
-	return demo.Run(ctx, demo.Options{
-		Binaries: o.Binaries, Rate: o.Rate, Duration: o.Duration, Seed: o.Seed, Fault: o.Fault, Keep: o.Keep, Log: log,
-	})
+	options := demo.Options{
+		Binaries: o.Binaries, Rate: o.Rate, Duration: o.Duration, Seed: o.Seed, Fault: o.Fault,
+		Mean: o.Mean, Distribution: o.Dist, Keep: o.Keep, Log: log,
+	}
+	if o.Hold {
+		options.Held = stdout
+	}
+	return demo.Run(ctx, options)
 }
--- a/demo/run.go
+++ b/demo/run.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"os/exec"
@@ -53,6 +54,13 @@
 	// Fault of one backend server in the second half, as the stand-in's JSON.
 	// Default: it stalls.
 	Fault string
+	// Mean and Distribution of the service times; empty: those of
+	// usher-standin.
+	Mean         time.Duration
+	Distribution string
+	// Held, if not nil, keeps the fleet running without load until the context
+	// ends, and receives how to reach it.
+	Held io.Writer
 	// Keep leaves settings and logs of the programs and the report of usher-load
 	// in the temporary directory.
 	Keep bool
@@ -145,6 +153,9 @@
 			return nil, err
 		}
 	}
+	if r.options.Held != nil {
+		return nil, r.hold(ctx)
+	}
 	r.options.Log.WithField("step", "send load").Info("demo step")
 	report, err := r.load(ctx)
 	return report, errors.Join(err, r.processes.check(), context.Cause(ctx))
@@ -189,8 +200,14 @@
 	if err := examples.WriteObjects(path, r.objects); err != nil {
 		return err
 	}
-	lines, err := r.startStandin(ctx, "backends", "backends", "--objects", path, "--health", "always-good",
-		"--seed", strconv.FormatUint(r.options.Seed, 10))
+	args := []string{"backends", "--objects", path, "--health", "always-good", "--seed", strconv.FormatUint(r.options.Seed, 10)}
+	if r.options.Mean > 0 {
+		args = append(args, "--mean", r.options.Mean.String())
+	}
+	if r.options.Distribution != "" {
+		args = append(args, "--distribution", r.options.Distribution)
+	}
+	lines, err := r.startStandin(ctx, "backends", args...)
 	if err != nil {
 		return err
 	}
