--- a/daemon/catalog.go
+++ b/daemon/catalog.go
@@ -30,6 +30,13 @@
 	rates    map[model.WorkspaceID]float64
 }
 
+// CompileCatalog returns what a daemon on the host compiles from a snapshot at
+// each epoch, so that package capacity can measure it. The error is a
+// *routing.DuplicateRouteError.
+func CompileCatalog(s *snapshot.Snapshot, host HostSettings, where Locator) (entry.Catalog, error) {
+	return compile(s, host, where)
+}
+
 // compile builds the catalogue of a snapshot for a host.
 func compile(s *snapshot.Snapshot, host HostSettings, where Locator) (*catalog, error) {
 	routes, err := routing.Compile(s.Objects.Routes)
