--- a/daemon/catalog.go
+++ b/daemon/catalog.go
@@ -5,8 +5,6 @@
 	"slices"
 	"sync/atomic"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/agateusher/agateusher/core/model"
 	"github.com/agateusher/agateusher/core/routing"
 	"github.com/agateusher/agateusher/core/snapshot"
@@ -60,7 +58,7 @@
 	}
 	for i := range c.all {
 		if service, ok := c.services[c.all[i].Service]; ok {
-			id := poolOf(service, &c.all[i])
+			id := service.PoolOf(c.all[i])
 			c.servers[id] = append(c.servers[id], int32(i))
 		}
 	}
@@ -83,16 +81,6 @@
 	return c, nil
 }
 
-// poolOf returns the pool of a server. Shards are filled by hash, so that a
-// changed server list moves no other server.
-func poolOf(s *snapshot.Service, x *snapshot.Server) model.PoolID {
-	id := model.PoolID{Service: s.Name, DataCentre: x.DataCentre}
-	if s.Shards > 1 {
-		id.Shard = int(xxhash.Sum64String(string(x.ID)) % uint64(s.Shards))
-	}
-	return id
-}
-
 func distance(dc model.DataCentre, host HostSettings, where Locator) int {
 	switch {
 	case dc == host.DataCentre:
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -54,13 +54,13 @@
 // FleetSettings secure and bound what daemons say to each other.
 type FleetSettings struct {
 	// Secrets authenticate daemons; the first signs, all verify.
-	Secrets []string `json:"secrets" validate:"min=1,max=2,dive,min=16"`
+	Secrets []string `json:"secrets" validate:"min=1,max=2,dive,min=16" sensitive:"true"`
 }
 
 // KeySettings configure idempotency keys.
 type KeySettings struct {
 	// Secrets sign keys; the first signs, all verify.
-	Secrets []string `json:"secrets" validate:"min=1,max=2,dive,min=16"`
+	Secrets []string `json:"secrets" validate:"min=1,max=2,dive,min=16" sensitive:"true"`
 	// Lifetime of a key; default 15m.
 	Lifetime settings.Duration `json:"lifetime" validate:"gt=0"`
 	// MaxKeys bounds the unexpired keys; default 200000.
--- a/operator/auth.go
+++ b/operator/auth.go
@@ -15,7 +15,7 @@
 	// Name becomes the author of the operator's changes.
 	Name string `json:"name" validate:"required"`
 	// Secret is sent in the Authorization header.
-	Secret string `json:"secret" validate:"min=16"`
+	Secret string `json:"secret" validate:"min=16" sensitive:"true"`
 }
 
 // authenticator compares digests, which have one length, so that the time of a
--- a/operator/floor.go
+++ b/operator/floor.go
@@ -1,8 +1,6 @@
 package operator
 
 import (
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/agateusher/agateusher/core/floor"
 	"github.com/agateusher/agateusher/core/model"
 	"github.com/agateusher/agateusher/core/snapshot"
@@ -16,9 +14,9 @@
 	if len(ejected) == 0 {
 		return nil
 	}
-	pools := poolInputs(after, down)
+	pools, services := poolInputs(after, down), servicesByName(after)
 	for _, s := range ejected {
-		id := poolOf(shardCounts(after), s)
+		id := poolOf(services, s)
 		if err := checkPool(id, pools[id]); err != nil {
 			return err
 		}
@@ -46,11 +44,11 @@
 // them: the minimum count is divided evenly among the service's pools, rounded
 // up.
 func poolInputs(o snapshot.Objects, down map[model.ServerID]bool) map[model.PoolID]floor.Input {
-	shards := shardCounts(o)
+	services := servicesByName(o)
 	pools := map[model.PoolID]floor.Input{}
 	counts := map[model.ServiceName]int{}
 	for _, s := range o.Servers {
-		id := poolOf(shards, s)
+		id := poolOf(services, s)
 		in, known := pools[id]
 		if !known {
 			counts[s.Service]++
@@ -58,33 +56,33 @@
 		in.Servers = append(in.Servers, floor.Server{ID: s.ID, Slots: s.Slots, State: floorState(s, down)})
 		pools[id] = in
 	}
-	floors := map[model.ServiceName]snapshot.Floor{}
-	for _, s := range o.Services {
-		floors[s.Name] = s.Floor
-	}
 	for id, in := range pools {
-		n, f := counts[id.Service], floors[id.Service]
-		in.Limits = floor.Limits{Share: f.Share, MinServers: (f.MinServers + n - 1) / n}
-		pools[id] = in
+		if service, ok := services[id.Service]; ok {
+			f := service.Floor
+			in.Limits = floor.Limits{Share: f.Share, MinServers: f.MinServersPerPool(counts[id.Service])}
+			pools[id] = in
+		}
 	}
 	return pools
 }
 
-func shardCounts(o snapshot.Objects) map[model.ServiceName]int {
-	shards := map[model.ServiceName]int{}
-	for _, s := range o.Services {
-		shards[s.Name] = s.Shards
+// servicesByName indexes the services that servers refer to.
+func servicesByName(o snapshot.Objects) map[model.ServiceName]*snapshot.Service {
+	services := make(map[model.ServiceName]*snapshot.Service, len(o.Services))
+	for i := range o.Services {
+		services[o.Services[i].Name] = &o.Services[i]
 	}
-	return shards
+	return services
 }
 
-// poolOf returns the pool of a server. It must fill shards as the daemon does.
-func poolOf(shards map[model.ServiceName]int, s snapshot.Server) model.PoolID {
-	id := model.PoolID{Service: s.Service, DataCentre: s.DataCentre}
-	if n := shards[s.Service]; n > 1 {
-		id.Shard = int(xxhash.Sum64String(string(s.ID)) % uint64(n))
+// poolOf returns the pool of a server; the zero PoolID if its service is
+// missing, which validation rules out.
+func poolOf(services map[model.ServiceName]*snapshot.Service, s snapshot.Server) model.PoolID {
+	service, ok := services[s.Service]
+	if !ok {
+		return model.PoolID{}
 	}
-	return id
+	return service.PoolOf(s)
 }
 
 func floorState(s snapshot.Server, down map[model.ServerID]bool) floor.State {
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -246,7 +246,7 @@
 	}
 	cfg := pool.Config{
 		Detector: det, Plan: floor.Plan,
-		Limits:           floor.Limits{Share: service.Floor.Share, MinServers: share(service.Floor.MinServers, w.o.Catalog.PoolCount(id.Service))},
+		Limits:           floor.Limits{Share: service.Floor.Share, MinServers: service.Floor.MinServersPerPool(w.o.Catalog.PoolCount(id.Service))},
 		QueueLimit:       service.QueueLimit,
 		RetryBudgetShare: service.RetryBudgetShare,
 	}
@@ -256,14 +256,6 @@
 	return cfg, newBackends(service, servers), nil
 }
 
-// share divides a service-wide minimum over its pools, rounded up.
-func share(total, pools int) int {
-	if pools <= 1 {
-		return total
-	}
-	return (total + pools - 1) / pools
-}
-
 // Reconfigure passes the configuration in force to all running pools.
 func (w *Owner) Reconfigure() {
 	w.mu.RLock()
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -16,6 +16,7 @@
 	Level   string            `json:"level" validate:"oneof=info debug"`
 	Labels  map[string]string `json:"labels"`
 	Peers   []samplePeer      `json:"peers" validate:"dive"`
+	Secrets []string          `json:"secrets" validate:"dive,min=8" sensitive:"true"`
 }
 
 type samplePeer struct {
@@ -59,13 +60,22 @@
 		`test.jsonc:1: name: got nothing, expected a value`,
 		`test.jsonc:2: port: got 70000, expected at most 65535`,
 		`test.jsonc:3: timeout: got 5, expected a duration with a unit, such as "250ms"`,
-		`test.jsonc:4: lvel: got "lvel", expected a known key, one of labels, level, name, peers, port, timeout`,
+		`test.jsonc:4: lvel: got "lvel", expected a known key, one of labels, level, name, peers, port, secrets, timeout`,
 		`test.jsonc:5: level: got "loud", expected one of info, debug`,
 		`test.jsonc:7: peers[0].address: got "nowhere", expected an IP address and port, such as 127.0.0.1:8080`,
 		`test.jsonc:8: peers[1].address: got 7, expected a string`,
 	}))
 }
 
+// Guards against secrets in error messages, which end up in logs.
+func TestSensitiveValuesAreNotShown(t *testing.T) {
+	g := NewWithT(t)
+	_, err := parse(`{"name": "a", "secrets": ["hunter2", 12345]}`)
+	g.Expect(err).To(MatchError(ContainSubstring("secrets[0]: got a value that is not shown, expected at least 8")))
+	g.Expect(err.Error()).NotTo(ContainSubstring("hunter2"))
+	g.Expect(err.Error()).NotTo(ContainSubstring("12345"))
+}
+
 func TestParseReportsSyntaxErrorLine(t *testing.T) {
 	g := NewWithT(t)
 	_, err := parse("{\n\"name\": \"a\"\n\"port\": 1}")
--- a/settings/walk.go
+++ b/settings/walk.go
@@ -26,6 +26,9 @@
 	lines    map[string]int
 	values   map[string]string
 	bad      map[string]bool
+	// sensitive counts the enclosing fields tagged `sensitive:"true"`, whose
+	// values must not appear in messages.
+	sensitive int
 }
 
 func newWalker(file string, data []byte) *walker {
@@ -34,7 +37,7 @@
 
 func (w *walker) report(v *hujson.Value, key, expected string) {
 	w.bad[key] = true
-	w.problems = append(w.problems, Problem{File: w.file, Line: w.line(v.StartOffset), Key: key, Value: w.text(*v), Expected: expected})
+	w.problems = append(w.problems, Problem{File: w.file, Line: w.line(v.StartOffset), Key: key, Value: w.shown(*v), Expected: expected})
 }
 
 // reject reports a value of the wrong type and replaces it by null, which
@@ -48,6 +51,14 @@
 	return 1 + strings.Count(string(w.data[:min(offset, len(w.data))]), "\n")
 }
 
+// shown returns the text of a value for a message.
+func (w *walker) shown(v hujson.Value) string {
+	if w.sensitive > 0 {
+		return hidden
+	}
+	return w.text(v)
+}
+
 // maxValueText bounds the part of a wrong value that a message repeats.
 const maxValueText = 60
 
@@ -65,9 +76,15 @@
 	return text
 }
 
+// hidden stands for the value of a field that is tagged as sensitive.
+const hidden = "a value that is not shown"
+
 func (w *walker) walk(v *hujson.Value, t reflect.Type, key string) {
 	w.lines[key] = w.line(v.StartOffset)
 	w.values[key] = w.text(*v)
+	if w.sensitive > 0 {
+		w.values[key] = hidden
+	}
 	for t.Kind() == reflect.Pointer {
 		t = t.Elem()
 	}
@@ -133,12 +150,20 @@
 		case seen[name]:
 			w.report(&m.Name, path, "each key once")
 		default:
-			w.walk(&m.Value, field, path)
+			w.walkField(&m.Value, field, path)
 		}
 		seen[name] = true
 	}
 }
 
+func (w *walker) walkField(v *hujson.Value, f reflect.StructField, key string) {
+	if f.Tag.Get("sensitive") == "true" {
+		w.sensitive++
+		defer func() { w.sensitive-- }()
+	}
+	w.walk(v, f.Type, key)
+}
+
 func (w *walker) walkMap(v *hujson.Value, t reflect.Type, key string) {
 	obj, ok := v.Value.(*hujson.Object)
 	if !ok {
@@ -214,19 +239,19 @@
 	return strings.TrimSpace(f.Tag() + " " + f.Param())
 }
 
-func structFields(t reflect.Type) map[string]reflect.Type {
-	fields := map[string]reflect.Type{}
+func structFields(t reflect.Type) map[string]reflect.StructField {
+	fields := map[string]reflect.StructField{}
 	for _, f := range reflect.VisibleFields(t) {
 		name := jsonName(f)
 		if !f.IsExported() || f.Anonymous || name == "-" {
 			continue
 		}
-		fields[name] = f.Type
+		fields[name] = f
 	}
 	return fields
 }
 
-func knownKeys(fields map[string]reflect.Type) string {
+func knownKeys(fields map[string]reflect.StructField) string {
 	names := make([]string, 0, len(fields))
 	for name := range fields {
 		names = append(names, name)
