--- a/cmd/usher-demo/main.go
+++ b/cmd/usher-demo/main.go
@@ -36,6 +36,8 @@
 	Fault    string        `long:"fault" default:"{\"stall\":true}" description:"fault of one backend server in the second half, as the stand-in's JSON"`
 	Mean     time.Duration `long:"mean" description:"mean service time; default: that of usher-standin"`
 	Dist     string        `long:"distribution" description:"distribution of service times: exponential, lognormal or fixed"`
+	Dispatch string        `long:"dispatch" description:"dispatch.owner or the baseline dispatch.local"`
+	Detector string        `long:"detector" description:"detector.sequential or the baseline detector.consecutive"`
 	Hold     bool          `long:"hold" description:"start everything without load, and run until Ctrl-C"`
 	Keep     bool          `long:"keep" description:"keep settings, logs and the report"`
 	LogLevel string        `long:"log-level" default:"info" choice:"error" choice:"warn" choice:"info" choice:"debug" description:"lowest level that is logged"`
@@ -90,7 +92,7 @@
 	}
 	options := demo.Options{
 		Binaries: o.Binaries, Rate: o.Rate, Duration: o.Duration, Seed: o.Seed, Fault: o.Fault,
-		Mean: o.Mean, Distribution: o.Dist, Keep: o.Keep, Log: log,
+		Mean: o.Mean, Distribution: o.Dist, Dispatch: o.Dispatch, Detector: o.Detector, Keep: o.Keep, Log: log,
 	}
 	if o.Hold {
 		options.Held = stdout
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -143,8 +143,11 @@
 }
 
 func (d *Daemon) setBus() (err error) {
-	d.bus, err = kernel.NewBus()
-	return err
+	if d.bus, err = kernel.NewBus(); err != nil {
+		return err
+	}
+	d.handleEvents()
+	return nil
 }
 
 func (d *Daemon) setPlatform() error {
--- a/demo/demo_test.go
+++ b/demo/demo_test.go
@@ -115,7 +115,7 @@
 			g.Expect(used).NotTo(HaveKey(address))
 			used[address] = true
 		}
-		want := daemonSettings(h, "127.0.0.1:1", secrets{fleet: strings.Repeat("f", 26), keys: strings.Repeat("k", 26)})
+		want := daemonSettings(h, "127.0.0.1:1", secrets{fleet: strings.Repeat("f", 26), keys: strings.Repeat("k", 26)}, Options{})
 		path, err := writeSettings(t.TempDir(), string(h.ID), want)
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(daemon.LoadSettings(path)).To(Equal(want))
--- a/demo/layout.go
+++ b/demo/layout.go
@@ -83,8 +83,14 @@
 }
 
 // daemonSettings returns the settings of one usherd.
-func daemonSettings(h host, platform string, s secrets) daemon.Settings {
+func daemonSettings(h host, platform string, s secrets, o Options) daemon.Settings {
 	d := daemon.DefaultSettings()
+	if o.Dispatch != "" {
+		d.Dispatch.Module = o.Dispatch
+	}
+	if o.Detector != "" {
+		d.Detector.Module = o.Detector
+	}
 	d.Host = daemon.HostSettings{ID: h.ID, DataCentre: h.DataCentre, Region: h.Region}
 	d.Listeners = daemon.ListenerSettings{Caller: h.CallerAddress, Fleet: h.FleetAddress, Peer: h.PeerAddress, Admin: h.admin}
 	d.Platform.URL = "http://" + platform
--- a/demo/run.go
+++ b/demo/run.go
@@ -58,6 +58,8 @@
 	// usher-standin.
 	Mean         time.Duration
 	Distribution string
+	// Dispatch and Detector choose the daemons' plug-ins; empty: the defaults.
+	Dispatch, Detector string
 	// Held, if not nil, keeps the fleet running without load until the context
 	// ends, and receives how to reach it.
 	Held io.Writer
@@ -248,7 +250,7 @@
 
 func (r *run) startDaemons(ctx context.Context) error {
 	for _, h := range r.hosts {
-		path, err := writeSettings(r.directory, string(h.ID), daemonSettings(h, r.platform, r.secrets))
+		path, err := writeSettings(r.directory, string(h.ID), daemonSettings(h, r.platform, r.secrets, r.options))
 		if err != nil {
 			return err
 		}
--- a/owner/driver.go
+++ b/owner/driver.go
@@ -137,6 +137,8 @@
 	d.load.Store(&fleet.Load{QueueDelay: v.QueueDelay, FreeSlots: v.FreeSlots})
 	d.scope.Gauge("pool_queued").Update(float64(v.Queued))
 	d.scope.Gauge("pool_free_slots").Update(float64(v.FreeSlots))
+	d.scope.Gauge("pool_ring_depth").Update(float64(d.ring.Depth()))
+	d.scope.Gauge("pool_ring_dropped").Update(float64(d.ring.Dropped()))
 }
 
 // submit hands a request to the pool. If the ring is full it is refused.
