--- a/core/membership/apply.go
+++ b/core/membership/apply.go
@@ -36,7 +36,7 @@
 		if u.Info == nil || u.State == Gone {
 			return // the comparison of hashes brings the rest
 		}
-		m = &member{Host: Host{ID: u.Host, Info: *u.Info}, since: now, started: now, listed: u.Start == 0}
+		m = &member{Host: Host{ID: u.Host, Info: *u.Info}, since: now, started: now, listed: u.Start == 0, infoNews: true}
 		t.members[u.Host] = m
 		t.peersDirty = true
 	}
@@ -44,8 +44,8 @@
 	if c < 0 || c == 0 && u.State <= m.state {
 		return
 	}
-	if u.Info != nil {
-		m.Info = *u.Info
+	if u.Info != nil && m.Info != *u.Info {
+		m.Info, m.infoNews = *u.Info, true
 	}
 	if u.Start != m.version.Start {
 		// Another process: what was known of the one before does not count.
@@ -75,7 +75,7 @@
 	}
 	m.since = now
 	t.peersDirty = true
-	if s > Suspect || from > Suspect || from == 0 {
+	if s > Suspect || from > Suspect {
 		t.urgent(now)
 	}
 	t.decide(StateChanged{Host: m.ID, Incarnation: m.incarnation, From: from, To: s})
--- a/core/membership/digest.go
+++ b/core/membership/digest.go
@@ -72,24 +72,34 @@
 	return m
 }
 
-// retransmissions bounds how often one change is sent, about three times the
+// retransmissions bounds how often one change is sent, about twice the
 // logarithm of the number of hosts, as usual for epidemic broadcast.
-func (t *Table) retransmissions() int { return 3 * bits.Len(uint(len(t.members)+1)) }
+func (t *Table) retransmissions() int { return 2 * bits.Len(uint(len(t.members)+1)) }
 
 func (t *Table) freshUpdates(now time.Time, list []Update, to *member) []Update {
-	for _, id := range leastSent(t.queue, MaxUpdates-len(list)) {
+	for _, id := range leastSent(t.queue, min(MaxUpdates-len(list), t.allowance(now))) {
 		if to != nil && id == to.ID {
 			continue
 		}
+		t.allowed--
 		if id != t.cfg.Self.ID {
 			m := t.members[id]
-			list = append(list, t.update(m, m.version.Start == 0 || now.Sub(m.started) < listLag))
+			list = append(list, t.update(m, m.infoNews && now.Sub(m.started) < listLag))
 		}
 		countSent(t.queue, id, t.retransmissions())
 	}
 	return list
 }
 
+// allowance returns how many updates may be sent now. Hosts of other data
+// centres choose their peers independently, so some get more heartbeats than
+// others; the rate bounds their bytes while many hosts change at once.
+func (t *Table) allowance(now time.Time) int {
+	t.allowed = min(updateBurst, t.allowed+updateRate*now.Sub(t.allowedAt).Seconds())
+	t.allowedAt = now
+	return int(t.allowed)
+}
+
 func (t *Table) freshNotes(now time.Time) []Note {
 	var list []Note
 	for _, i := range leastSent(t.noteq, MaxNotes) {
@@ -236,7 +246,7 @@
 	}
 	keys, more := pageOf(t.members, after, func(m *member) bool { return string(m.DataCentre) == section })
 	for _, id := range keys {
-		p.Updates = append(p.Updates, t.update(t.members[id], true))
+		p.Updates = append(p.Updates, t.update(t.members[id], t.members[id].infoNews))
 	}
 	if more {
 		p.Next = string(keys[len(keys)-1])
--- a/core/membership/message.go
+++ b/core/membership/message.go
@@ -167,6 +167,10 @@
 	// MaxUpdates and MaxNotes bound a digest.
 	MaxUpdates = 6
 	MaxNotes   = 4
+	// updateRate and updateBurst bound the updates that a host sends in a
+	// second and at once, over all its messages.
+	updateRate  = 36.0
+	updateBurst = 36.0
 	// PageSize bounds a page of a comparison.
 	PageSize = 16
 	// hashInterval is the time between comparisons that a host starts.
--- a/core/membership/table.go
+++ b/core/membership/table.go
@@ -18,6 +18,7 @@
 	started     time.Time // when version.Start last changed here
 	epoch       model.Epoch
 	listed      bool
+	infoNews    bool // others may not know Info
 	listLeaving bool
 	deadline    time.Time // of a suspicion
 	link        link
@@ -71,6 +72,8 @@
 	nextHash, nextReprobe, nextSweep time.Time
 	token                            Token
 	hashPeer                         int
+	allowed                          float64 // updates that may be sent
+	allowedAt                        time.Time
 	cursors                          map[string]string
 	out                              []Decision
 }
@@ -91,7 +94,7 @@
 		members: map[model.HostID]*member{}, notes: map[model.Incarnation]note{},
 		queue: map[model.HostID]int{}, noteq: map[model.Incarnation]int{},
 		suspects: map[model.HostID]*member{}, cursors: map[string]string{},
-		startedAt: now, lastTick: now, lastAck: now, nextHash: now, nextReprobe: now.Add(reprobeInterval), nextSweep: now.Add(sweepInterval),
+		startedAt: now, allowed: updateBurst, allowedAt: now, lastTick: now, lastAck: now, nextHash: now, nextReprobe: now.Add(reprobeInterval), nextSweep: now.Add(sweepInterval),
 	}
 	t.queue[cfg.Self.ID] = 0
 	return t
@@ -110,6 +113,7 @@
 // that is unknown is believed alive until heartbeats show otherwise. A host
 // that the list lacks is only removed once it is unreachable.
 func (t *Table) HostList(now time.Time, list []Listed) []Decision {
+	first := t.listReadAt.IsZero()
 	t.listReadAt = now
 	named := make(map[model.HostID]bool, len(list))
 	for _, x := range list {
@@ -121,9 +125,23 @@
 	for id, m := range t.members {
 		m.listed = named[id]
 	}
+	if first {
+		// Every host starts from its own copy of the list, so that only what
+		// changes later is news.
+		t.forgetNews()
+	}
 	return t.take()
 }
 
+func (t *Table) forgetNews() {
+	for id, m := range t.members {
+		if m.version.Start == 0 {
+			m.infoNews = false
+			delete(t.queue, id)
+		}
+	}
+}
+
 func (t *Table) listed(now time.Time, x Listed) {
 	m, ok := t.members[x.ID]
 	if !ok {
