peerrpc: tests; the size bound of a connection follows the handshake

Cause: a client's reader waits for the next message with the bound of the handshake, so that the first answer over 4 KB closed the connection; found by TestMessageBound.

Change: the bound is read with each read.

--- a/peerrpc/conn.go
+++ b/peerrpc/conn.go
@@ -47,19 +47,21 @@
 	counters *counters
 	idle     time.Duration
 	limit    atomic.Int64
-	budget   int64 // left for the message being read; used by the reader alone
+	taken    int64 // bytes of the message being read; used by the reader alone
 }
 
 // Read implements net.Conn.
 func (c *boundedConn) Read(p []byte) (int, error) {
-	if c.budget <= 0 {
+	// The limit may rise while a read waits: the handshake ends elsewhere.
+	limit := c.limit.Load()
+	if c.taken >= limit {
 		return 0, ErrTooLarge
 	}
-	if c.limit.Load() == MaxMessage {
+	if limit == MaxMessage {
 		_ = c.Conn.SetReadDeadline(time.Now().Add(c.idle))
 	}
-	n, err := c.Conn.Read(p[:min(int64(len(p)), c.budget)])
-	c.budget -= int64(n)
+	n, err := c.Conn.Read(p[:min(int64(len(p)), limit-c.taken)])
+	c.taken += int64(n)
 	c.counters.bytesIn.Inc(int64(n))
 	return n, err
 }
@@ -90,7 +92,7 @@
 
 // ReadObject implements jsonrpc2.ObjectStream.
 func (s *stream) ReadObject(v any) error {
-	s.conn.budget = s.conn.limit.Load()
+	s.conn.taken = 0
 	err := s.ObjectStream.ReadObject(v)
 	if err == nil {
 		s.conn.counters.messagesIn.Inc(1)
