internal/proof: histories of callers and their comparison with execution logs

Each kind of broken promise is shown to be found by TestCheckFindsEachKind.

owner: a request in progress when the owner was closed waited for ever, because nothing answers once the pool's goroutine has ended; it now ends as unknown. Only processes that close an owner and live on are affected, such as tests.

--- /dev/null
+++ b/internal/proof/check_test.go
@@ -0,0 +1,85 @@
+package proof
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/agateusher/agateusher/core/model"
+	"github.com/agateusher/agateusher/standin/backend"
+)
+
+// answerFor returns the real answer of a stand-in server.
+func answerFor(t *testing.T, client string, request model.RequestID) []byte {
+	s := backend.New(backend.Options{ID: "s", ServiceTime: backend.Distribution{Kind: backend.Fixed, Mean: time.Microsecond}})
+	r := httptest.NewRequest("POST", "/payments?bytes=10&cid="+client, nil)
+	r.Header.Set(backend.HeaderRequestID, string(request))
+	w := httptest.NewRecorder()
+	s.ServeHTTP(w, r)
+	var a backend.Answer
+	NewWithT(t).Expect(json.Unmarshal(w.Body.Bytes(), &a)).To(Succeed())
+	return w.Body.Bytes()
+}
+
+// Guards against an oracle that passes a broken promise, or that reports one
+// where there is none.
+func TestCheckFindsEachKind(t *testing.T) {
+	start := time.Now()
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	run := func(request model.RequestID, ms int) backend.Execution {
+		return backend.Execution{ClientID: "op", RequestID: request, Started: at(ms), Finished: at(ms + 1)}
+	}
+	good := answerFor(t, "op", "r1")
+	answered := Send{Sent: at(0), Ended: at(9), RequestID: "r1", Outcome: model.Answered, Status: 200, Body: good}
+	notRun := func(request model.RequestID, from, to int) Send {
+		return Send{Sent: at(from), Ended: at(to), RequestID: request, Outcome: model.NotRun, Status: 503}
+	}
+	unknown := Send{Sent: at(0), Ended: at(9), RequestID: "r1", Outcome: model.Unknown, Status: 504}
+	with := func(s Send, change func(*Send)) Send { change(&s); return s }
+	tests := []struct {
+		name  string
+		key   string
+		sends []Send
+		runs  []backend.Execution
+		want  []Kind
+	}{
+		{"good", "k", []Send{answered, answered}, []backend.Execution{run("r1", 1)}, nil},
+		{"not run, then run by a repetition", "k", []Send{notRun("r0", -9, -5), answered}, []backend.Execution{run("r1", 1)}, nil},
+		{"not run beside one that runs", "k", []Send{notRun("r0", 0, 1), answered}, []backend.Execution{run("r1", 3)}, nil},
+		{"twice", "k", []Send{answered}, []backend.Execution{run("r1", 1), run("r1", 2)}, []Kind{ExecutedTwice}},
+		{"not run, but ran", "k", []Send{notRun("r1", 0, 9)}, []backend.Execution{run("r1", 1)}, []Kind{NotRunThatRan}},
+		{"not run after run", "k", []Send{answered, notRun("r2", 20, 21)}, []backend.Execution{run("r1", 1)}, []Kind{NotRunAfterRun}},
+		{"a request given up runs after not run", "k", []Send{unknown, notRun("r2", 20, 21)}, []backend.Execution{run("r1", 30)}, []Kind{RanAfterNotRun}},
+		{"answer without run", "k", []Send{with(answered, func(s *Send) { s.Status = 500 })}, nil, []Kind{AnsweredWithoutRun}},
+		{"two answers", "k", []Send{answered, with(answered, func(s *Send) { s.Status = 500 })}, []backend.Execution{run("r1", 1)}, []Kind{DifferentAnswers}},
+		{"another's answer", "k", []Send{with(answered, func(s *Send) { s.Body = answerFor(t, "other", "r1") })}, []backend.Execution{run("r1", 1)}, []Kind{WrongAnswer}},
+		{"answer of an execution that was not", "k", []Send{answered}, []backend.Execution{run("r9", 1)}, []Kind{WrongAnswer}},
+		{"short answer", "k", []Send{with(answered, func(s *Send) { s.Body = good[:50] })}, []backend.Execution{run("r1", 1)}, []Kind{WrongAnswer}},
+		{"no outcome", "k", []Send{{Sent: at(0), Ended: at(1), Status: 500}}, nil, []Kind{NoOutcome}},
+		{"key refused", "k", []Send{with(unknown, func(s *Send) { s.Reason = model.ReasonKeyInvalid })}, nil, []Kind{GenuineKeyRefused}},
+		{"mismatch without a change", "k", []Send{with(unknown, func(s *Send) { s.Reason = model.ReasonKeyMismatch })}, nil, []Kind{GenuineKeyRefused}},
+		{"lookup", "", []Send{answered}, []backend.Execution{run("r1", 1)}, nil},
+		{"lookup failed", "", []Send{unknown}, nil, []Kind{LookupUnanswered}},
+		{"lookup late", "", []Send{with(answered, func(s *Send) { s.Ended = at(2000) })}, nil, []Kind{LookupUnanswered}},
+		{"lookup broken off", "", []Send{with(answered, func(s *Send) { s.Err = errors.ErrUnsupported })}, nil, []Kind{LookupUnanswered}},
+		{"lookup with another's request ID", "", []Send{with(answered, func(s *Send) { s.RequestID = "r2" })}, nil, []Kind{WrongAnswer}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g := NewWithT(t)
+			o := &Operation{ID: "op", Key: tt.key, Bytes: 10, Deadline: time.Second, Sends: tt.sends}
+			var got []Kind
+			for _, v := range Check([]*Operation{o}, tt.runs) {
+				got = append(got, v.Kind)
+			}
+			g.Expect(got).To(Equal(tt.want))
+		})
+	}
+	g := NewWithT(t)
+	two := []*Operation{{ID: "a", Key: "k"}, {ID: "b", Key: "k"}}
+	g.Expect(Check(two, nil)).To(HaveLen(1))
+}
--- /dev/null
+++ b/internal/proof/history.go
@@ -0,0 +1,142 @@
+package proof
+
+import (
+	"sync"
+	"time"
+
+	"github.com/agateusher/agateusher/core/model"
+)
+
+// Send is one request that a caller sent, and what it was told.
+type Send struct {
+	Entry       string
+	Sent, Ended time.Time
+	// Left is set if the caller went away before an answer arrived.
+	Left bool
+	// Err is set if no whole response arrived.
+	Err       error
+	RequestID model.RequestID
+	// Outcome is zero if there was no response, or one that names no outcome.
+	Outcome model.Outcome
+	Reason  model.Reason
+	Status  int
+	Body    []byte
+	// Changed is set if the request's content differs from the operation's.
+	Changed bool
+}
+
+// Operation is one thing that a caller wants done, with all requests it sent
+// for it.
+type Operation struct {
+	// ID is the caller's own identifier, which answers repeat.
+	ID string
+	// Key is the idempotency key; empty for lookups.
+	Key string
+	// Bytes is the payload size that was asked for.
+	Bytes int
+	// Deadline bounds a lookup from its first send to its answer.
+	Deadline time.Duration
+
+	mu    sync.Mutex
+	Sends []Send
+}
+
+// Add records a send.
+func (o *Operation) Add(s Send) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.Sends = append(o.Sends, s)
+}
+
+// Answered returns the sends that brought a backend server's answer.
+func (o *Operation) Answered() []Send {
+	var list []Send
+	for _, s := range o.Sends {
+		if s.Err == nil && s.Outcome == model.Answered {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
+// History collects operations. It is safe for concurrent use.
+type History struct {
+	mu   sync.Mutex
+	list []*Operation
+}
+
+// Add records an operation whose sends have ended.
+func (h *History) Add(o *Operation) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.list = append(h.list, o)
+}
+
+// Operations returns what was recorded.
+func (h *History) Operations() []*Operation {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return append([]*Operation(nil), h.list...)
+}
+
+// Summary counts operations by what their callers know in the end.
+type Summary struct {
+	Keyed, Lookups, Sends int
+	// Answered, NotRun, Unknown and Nothing count keyed operations by the best
+	// thing that any of their sends was told, in this order.
+	Answered, NotRun, Unknown, Nothing int
+	// FirstUnknown counts keyed operations whose first send was told "unknown"
+	// or got no whole response, without leaving.
+	FirstUnknown int
+	// Reasons counts responses that are not answers, by "outcome/reason".
+	Reasons map[string]int
+}
+
+// Summary counts what was recorded.
+func (h *History) Summary() Summary {
+	s := Summary{Reasons: map[string]int{}}
+	for _, o := range h.Operations() {
+		s.Sends += len(o.Sends)
+		for _, x := range o.Sends {
+			if x.Err == nil && x.Outcome != model.Answered {
+				s.Reasons[x.Outcome.String()+"/"+string(x.Reason)]++
+			}
+		}
+		if o.Key == "" {
+			s.Lookups++
+			continue
+		}
+		s.Keyed++
+		s.count(o)
+	}
+	return s
+}
+
+func (s *Summary) count(o *Operation) {
+	told := map[model.Outcome]bool{}
+	for _, x := range o.Sends {
+		told[x.Outcome] = true
+	}
+	switch {
+	case told[model.Answered]:
+		s.Answered++
+	case told[model.NotRun]:
+		s.NotRun++
+	case told[model.Unknown]:
+		s.Unknown++
+	default:
+		s.Nothing++
+	}
+	if len(o.Sends) == 0 {
+		return
+	}
+	first := o.Sends[0]
+	for _, x := range o.Sends {
+		if x.Sent.Before(first.Sent) {
+			first = x
+		}
+	}
+	if !first.Left && first.Outcome != model.Answered && first.Outcome != model.NotRun {
+		s.FirstUnknown++
+	}
+}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -126,6 +126,9 @@
 	case <-ctx.Done():
 		p.driver.post(w.ctx, cancelEvent{q.ID})
 		return fleet.Unknown(model.ReasonCancelled)
+	case <-w.ctx.Done():
+		// The pool's goroutine ended and answers nothing more.
+		return fleet.Unknown(model.ReasonOwnerFailed)
 	}
 }
 
