--- a/internal/proof/random/random_test.go
+++ b/internal/proof/random/random_test.go
@@ -113,7 +113,12 @@
 	for _, err := range faults.errs {
 		t.Error(err)
 	}
-	report(t, proof.Check(w.History.Operations(), f.executions()))
+	violations := proof.Check(w.History.Operations(), f.executions())
+	isLookup := func(v proof.Violation) bool { return v.Kind == proof.LookupUnanswered }
+	t.Run("lookups", func(t *testing.T) { report(t, filter(violations, isLookup)) })
+	t.Run("outcomes", func(t *testing.T) {
+		report(t, filter(violations, func(v proof.Violation) bool { return !isLookup(v) }))
+	})
 	NewWithT(t).Expect(summary.Keyed).To(Equal(n))
 	// A run in which little was answered would show little.
 	NewWithT(t).Expect(summary.Answered).To(BeNumerically(">", n/2))
@@ -145,6 +150,16 @@
 	return all
 }
 
+func filter(list []proof.Violation, keep func(proof.Violation) bool) []proof.Violation {
+	var out []proof.Violation
+	for _, v := range list {
+		if keep(v) {
+			out = append(out, v)
+		}
+	}
+	return out
+}
+
 // report fails the test for violations, and prints some of each kind.
 func report(t *testing.T, violations []proof.Violation) {
 	count := map[proof.Kind]int{}
