--- a/configstore/follower.go
+++ b/configstore/follower.go
@@ -49,7 +49,8 @@
 	maxConfirmBackoff = 30 * time.Second
 )
 
-// Applied reports a new epoch in force.
+// Applied reports a new epoch in force. The snapshot's objects have the compact
+// form of snapshot.JoinCompact: workspaces at the defaults are left out.
 type Applied struct {
 	Snapshot  *snapshot.Snapshot
 	Confirmed bool
@@ -95,11 +96,15 @@
 	storeFailures tally.Counter
 	replays       tally.Counter
 	chunks        tally.Counter
+	// noticeDepth and noticeDrops are those of the queue of notices.
+	noticeDepth tally.Gauge
+	noticeDrops tally.Gauge
 }
 
 type notice struct {
 	peer  Peer
 	epoch model.Epoch
+	due   time.Time // set by pullQueue
 }
 
 var _ Source = (*Follower)(nil)
@@ -129,6 +134,8 @@
 			storeFailures: o.Scope.Counter("config_store_failures"),
 			replays:       o.Scope.Counter("config_replays"),
 			chunks:        o.Scope.Counter("config_chunks_fetched"),
+			noticeDepth:   o.Scope.Gauge("config_notices_depth"),
+			noticeDrops:   o.Scope.Gauge("config_notices_dropped"),
 		},
 	}
 }
@@ -162,11 +169,11 @@
 
 // Chunk implements Source.
 func (f *Follower) Chunk(_ context.Context, name snapshot.ChunkName) ([]byte, error) {
-	data, ok := f.state.chunk(name)
+	p, ok := f.state.chunk(name)
 	if !ok {
 		return nil, &snapshot.ChunkError{Name: name, Err: snapshot.ErrChunkMissing}
 	}
-	return data, nil
+	return p.unpack(name)
 }
 
 // Notice tells the follower which epoch a peer has, from a heartbeat or an
@@ -208,7 +215,7 @@
 	if c, _ := f.state.get(); h.Epoch <= c.epoch() {
 		return nil, nil
 	}
-	c, missing, err := f.state.build(head, h, chunks)
+	c, missing, err := f.state.build(head, h, packAll(chunks))
 	if err != nil || len(missing) > 0 {
 		return missing, err
 	}
@@ -235,8 +242,8 @@
 		f.install(c, confirmed)
 		return nil
 	}
-	fetched := snapshot.Chunks{}
-	if err := fetch(ctx, fetched, missing, get); err != nil {
+	fetched := packedChunks{}
+	if err := fetch(ctx, fetched, missing, packing(get)); err != nil {
 		return err
 	}
 	f.metrics.chunks.Inc(int64(len(fetched)))
--- a/demo/summary.go
+++ b/demo/summary.go
@@ -7,11 +7,13 @@
 	"github.com/agateusher/agateusher/loadgen"
 )
 
-// Kept reports that no promise was broken, that the gray failure was detected
+// Kept reports that no promise was broken, that an expected detection happened
 // and that all programs stopped cleanly.
 func (r Result) Kept() bool {
-	return r.Report != nil && r.Report.Kept() && r.Report.Checked && r.StopError == nil &&
-		r.Report.Fault != nil && r.Report.Fault.Detected
+	if r.Report == nil || !r.Report.Kept() || !r.Report.Checked || r.StopError != nil {
+		return false
+	}
+	return !r.DetectionExpected || (r.Report.Fault != nil && r.Report.Fault.Detected)
 }
 
 // WriteSummary writes the result for people.
@@ -24,7 +26,7 @@
 		fmt.Fprintf(w, "NOT STOPPED CLEANLY: %v\n", r.StopError)
 	}
 	if r.Directory != "" {
-		fmt.Fprintf(w, "settings and logs: %s\n", r.Directory)
+		fmt.Fprintf(w, "settings, logs and report: %s\n", r.Directory)
 	}
 }
 
@@ -35,12 +37,14 @@
 	fmt.Fprintf(w, "  not run          %d\n", c[loadgen.ClassNotRun]+c[loadgen.ClassNoKey])
 	fmt.Fprintf(w, "  unknown          %d (and %d without any answer)\n", c[loadgen.ClassUnknown], c[loadgen.ClassLost])
 	for _, reason := range report.Reasons {
-		fmt.Fprintf(w, "    %s because of %q: %d\n", reason.Class, reason.Reason, reason.Count)
+		fmt.Fprintf(w, "    %s %s because of %q: %d\n", reason.Operation, reason.Class, reason.Reason, reason.Count)
 	}
+	fmt.Fprintf(w, "extra attempts     %.1f%% of the requests (hedges, retries, shed)\n", 100*report.ExtraAttempts)
 	writeAdded(w, "before the fault", report.AddedCalm)
 	writeAdded(w, "whole run", report.Added)
+	fmt.Fprintf(w, "generator          p99 %.2f ms late; latencies are reliable only if this is small against them\n", report.LagP99Ms)
 	if f := report.Fault; f != nil && f.Detected {
-		fmt.Fprintf(w, "gray failure       %s stalled; last new request after %.0f ms, %d requests hit it\n", f.Server, f.DetectionMs, f.Requests-f.Later)
+		fmt.Fprintf(w, "gray failure       %s; last new request after %.0f ms, %d requests hit it\n", f.Server, f.DetectionMs, f.Requests-f.Later)
 	} else {
 		fmt.Fprintln(w, "gray failure       NOT DETECTED")
 	}
@@ -57,6 +61,7 @@
 
 func writeAdded(w io.Writer, when string, a *loadgen.AddedLatency) {
 	if a != nil {
-		fmt.Fprintf(w, "added latency      p50 %.2f ms, p99 %.2f ms against %d direct calls (%s)\n", a.P50Ms, a.P99Ms, a.Direct.Count, when)
+		fmt.Fprintf(w, "added latency      p50 %.2f ms, p99 %.2f ms for single attempts, p50 %.2f ms, p99 %.2f ms with hedges and retries, against %d direct calls (%s)\n",
+			a.P50Ms, a.P99Ms, a.WholeP50Ms, a.WholeP99Ms, a.Direct.Count, when)
 	}
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/uber-go/tally/v4"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
@@ -58,11 +59,18 @@
 	o      Options
 	peers  *peers
 	places *placements
+
+	requests *telemetry.Counters
+	duration tally.Histogram
 }
 
 // New returns an entry. Close ends it.
 func New(o Options) *Entry {
-	return &Entry{o: o, peers: newPeers(o.Client, o.Log, o.Scope), places: newPlacements()}
+	return &Entry{
+		o: o, peers: newPeers(o.Client, o.Log, o.Scope), places: newPlacements(),
+		requests: telemetry.NewCounters(o.Scope, "requests", "outcome", "reason"),
+		duration: o.Scope.Histogram("request_duration", telemetry.LatencyBuckets),
+	}
 }
 
 // Close ends the background pings.
@@ -110,8 +118,8 @@
 }
 
 func (e *Entry) record(q *fleet.Request, r *http.Request, id model.RequestID, resp *fleet.Response, status int, took, deadline time.Duration, span trace.Span) {
-	e.o.Scope.Tagged(map[string]string{"outcome": resp.Outcome.String(), "reason": string(resp.Reason)}).Counter("requests").Inc(1)
-	e.o.Scope.Histogram("request_duration", telemetry.LatencyBuckets).RecordDuration(took)
+	e.requests.Inc(resp.Outcome.String(), string(resp.Reason))
+	e.duration.RecordDuration(took)
 	if q != nil && e.o.Observer != nil {
 		e.o.Observer.RequestDone(q.Pool.Service, q.Workspace, resp, took)
 	}
@@ -182,19 +190,17 @@
 	for _, choice := range choices {
 		q.Pool = choice.Pool
 		resp, err := e.forwardRanked(ctx, q, deadline)
-		if err == nil && !worthAnotherPool(resp) {
-			return resp
-		}
+		sent = sent || fleet.IsSent(err)
 		if err != nil {
-			sent = sent || fleet.IsSent(err)
 			place.unreachable(choice.Pool.DataCentre)
 		}
+		last := choice == choices[len(choices)-1]
+		if err == nil && (last || !worthAnotherPool(resp)) {
+			return truthful(resp, sent)
+		}
 		if ctx.Err() != nil {
 			return expired(sent)
 		}
-		if err == nil && choice == choices[len(choices)-1] {
-			return resp
-		}
 	}
 	if sent {
 		return fleet.Unknown(model.ReasonOwnerFailed)
@@ -202,6 +208,15 @@
 	return fleet.NotRun(model.ReasonNoOwner, time.Second)
 }
 
+// truthful turns "not run" into "unknown" for a request that was sent to an
+// earlier owner, where it may have run.
+func truthful(r fleet.Response, sentBefore bool) fleet.Response {
+	if sentBefore && r.Outcome == model.NotRun {
+		r.Outcome = model.Unknown
+	}
+	return r
+}
+
 // worthAnotherPool says whether an idempotent request that this pool refused
 // should be tried in another data centre.
 func worthAnotherPool(r fleet.Response) bool {
@@ -223,7 +238,7 @@
 	for _, to := range e.peers.order(e.o.Directory.Owners(q.Pool, maxOwners)) {
 		resp, err := e.forwardTo(ctx, to, q, deadline, true)
 		if err == nil {
-			return resp, nil
+			return truthful(resp, last.Sent), nil
 		}
 		last = &fleet.HandoverError{Host: to.Host, Sent: last.Sent || fleet.IsSent(err), Err: err}
 		if ctx.Err() != nil {
--- a/owner/driver.go
+++ b/owner/driver.go
@@ -18,6 +18,9 @@
 	ringSize = 4096
 	// loadInterval is how old the load report on an answer may be.
 	loadInterval = 5 * time.Millisecond
+	// closeAfter bounds how long a connection outlives its abandoned attempt
+	// while the server is asked to cancel it.
+	closeAfter = 250 * time.Millisecond
 	// idleWake is how often an idle pool is ticked.
 	idleWake = time.Second
 )
@@ -69,6 +72,7 @@
 	log      telemetry.Logger
 	scope    telemetry.Scope
 	observer Observer
+	outcomes *telemetry.Counters
 	ring     *kernel.Ring[event]
 
 	calls    map[model.RequestID]*call
@@ -88,6 +92,7 @@
 		calls:    map[model.RequestID]*call{},
 		attempts: map[model.AttemptID]*attemptState{},
 	}
+	d.outcomes = telemetry.NewCounters(d.scope, "pool_requests", "outcome", "")
 	d.load.Store(&fleet.Load{})
 	return d
 }
@@ -211,20 +216,25 @@
 		return
 	}
 	delete(d.calls, id)
-	d.scope.Tagged(map[string]string{"outcome": r.Outcome.String()}).Counter("pool_requests").Inc(1)
+	d.outcomes.Inc(r.Outcome.String(), "")
 	d.reply(c, r)
 }
 
-// abandon closes the attempt's connection and asks the server to free the slot.
+// abandon asks the server to free the slot and then closes the attempt's
+// connection. In the other order the server may have ended the request by
+// itself, and its answer to the cancellation would say nothing about the slot.
 func (d *driver) abandon(ctx context.Context, x pool.Abandon) {
 	a, ok := d.attempts[x.Attempt]
 	if !ok || a.abandoned {
 		return
 	}
 	a.abandoned = true
-	a.stop()
 	go func() {
-		if d.exchange.cancel(ctx, a.server, a.call.request.ID) {
+		late := time.AfterFunc(closeAfter, a.stop)
+		confirmed := d.exchange.cancel(ctx, a.server, a.call.request.ID)
+		late.Stop()
+		a.stop()
+		if confirmed {
 			d.post(ctx, confirmEvent{x.Attempt})
 		}
 	}()
