--- a/owner/owner.go
+++ b/owner/owner.go
@@ -129,6 +129,9 @@
 			return fleet.Unknown(model.ReasonTimeout)
 		}
 		return fleet.Unknown(model.ReasonCancelled)
+	case <-w.ctx.Done():
+		// The pool's goroutine ended and answers nothing more.
+		return fleet.Unknown(model.ReasonOwnerFailed)
 	}
 }
 
