--- /dev/null
+++ b/capacity/changes.go
@@ -0,0 +1,180 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/agateusher/agateusher/configstore"
+	"github.com/agateusher/agateusher/core/model"
+	"github.com/agateusher/agateusher/core/snapshot"
+	"github.com/agateusher/agateusher/objectapi"
+	"github.com/agateusher/agateusher/standin/platform"
+)
+
+// scaled returns the target sizes divided by d.
+func scaled(d int) Sizes {
+	t := TargetSizes
+	return Sizes{Services: t.Services / d, Servers: t.Servers / d, Routes: t.Routes / d, Workspaces: t.Workspaces / d}
+}
+
+func (s Sizes) objects() int { return s.Services + s.Servers + s.Routes + s.Workspaces }
+
+// measuredChanges is how many changes of one server are timed at each size.
+const measuredChanges = 10
+
+// callTimeout bounds a call of the stand-in platform, which at the target scale
+// checks the whole first change.
+const callTimeout = time.Minute
+
+// fixture is a stand-in platform that holds a configuration.
+type fixture struct {
+	platform *platform.Platform
+	api      objectapi.Store
+	store    *configstore.Store
+	sizes    Sizes
+	epoch    model.Epoch
+}
+
+func newFixture(n Sizes) (*fixture, error) {
+	p := platform.New(platform.Options{WritesPerSecond: -1, ReadsPerSecond: -1, HostLag: -1})
+	api, err := objectapi.NewClient(objectapi.ClientOptions{BaseURL: "http://platform", Transport: p.Endpoint.Transport(), Timeout: callTimeout})
+	if err != nil {
+		return nil, err
+	}
+	f := &fixture{platform: p, api: api, store: configstore.NewStore(api), sizes: n}
+	return f, f.apply(snapshot.Change{ID: "first", Author: "setup", Put: Objects(n)})
+}
+
+func (f *fixture) apply(c snapshot.Change) error {
+	r, err := f.store.Apply(context.Background(), c, f.epoch)
+	f.epoch = r.Epoch
+	return err
+}
+
+// change drains or activates one server.
+func (f *fixture) change(i int) snapshot.Change {
+	s := Server(i%f.sizes.Servers, f.sizes.Services)
+	s.State = snapshot.ServerDraining
+	return snapshot.Change{ID: fmt.Sprint("change-", i), Author: "operator@example", Put: snapshot.Objects{Servers: []snapshot.Server{s}}}
+}
+
+func (f *fixture) head() ([]byte, error) {
+	o, err := f.api.Get(context.Background(), configstore.HeadKey)
+	return o.Value, err
+}
+
+// chunks reads all chunks of the head.
+func (f *fixture) chunks(raw []byte) (snapshot.Chunks, error) {
+	h, err := configstore.DecodeHead(raw)
+	if err != nil {
+		return nil, err
+	}
+	c := snapshot.Chunks{}
+	for _, name := range h.Chunks.Names() {
+		if c[name], err = f.store.Chunk(context.Background(), name); err != nil {
+			return nil, err
+		}
+	}
+	return c, nil
+}
+
+// changeFigures are the costs of one size, summed over measuredChanges.
+type changeFigures struct {
+	writer, follower, compile, start time.Duration
+	headBytes                        int
+	calls                            int64
+	chunkBytes                       int64
+}
+
+// measureChanges measures what a change costs the writer and a daemon, and
+// what a start costs a daemon, at a hundredth, a tenth and all of the target.
+func measureChanges() ([]Fit, error) {
+	writer := Fit{Name: "change.writer.cpu", Per: "object", Unit: "CPU s/change", Mechanism: "configstore Store.Apply in usher-api: validate, re-encode changed chunks"}
+	daemon := Fit{Name: "change.daemon.cpu", Per: "object", Unit: "CPU s/change", Mechanism: "configstore Follower: snapshot.Patch, CompactAfter"}
+	compiled := Fit{Name: "change.compile.cpu", Per: "object", Unit: "CPU s/change", Mechanism: "daemon compile: routing.Compile and catalogue, all of it for each epoch"}
+	start := Fit{Name: "start.cpu", Per: "object", Unit: "CPU s", Mechanism: "configstore Follower: pack and decode all chunks, compile"}
+	head := Fit{Name: "change.head", Per: "object", Unit: "bytes", Mechanism: "configstore Head with 10 changes in it: read whole by each host for each change"}
+	calls := Fit{Name: "change.calls", Per: "object", Unit: "store calls/change", Mechanism: "configstore Store.Apply: read head, write chunks, write head"}
+	chunk := Fit{Name: "change.chunk", Per: "object", Unit: "bytes written/change", Mechanism: "configstore Store.Apply: the chunk of the changed server and the head"}
+	for _, d := range []int{100, 10, 1} {
+		x, n, err := changeCosts(scaled(d))
+		if err != nil {
+			return nil, err
+		}
+		objects := float64(n.objects())
+		each := func(t time.Duration) Point { return Point{objects, t.Seconds() / measuredChanges} }
+		writer.Points = append(writer.Points, each(x.writer))
+		daemon.Points = append(daemon.Points, each(x.follower))
+		compiled.Points = append(compiled.Points, each(x.compile))
+		start.Points = append(start.Points, Point{objects, x.start.Seconds()})
+		head.Points = append(head.Points, Point{objects, float64(x.headBytes)})
+		calls.Points = append(calls.Points, Point{objects, float64(x.calls) / measuredChanges})
+		chunk.Points = append(chunk.Points, Point{objects, float64(x.chunkBytes) / measuredChanges})
+	}
+	return []Fit{writer, daemon, compiled, start, head, calls, chunk}, nil
+}
+
+func changeCosts(n Sizes) (x changeFigures, _ Sizes, err error) {
+	f, err := newFixture(n)
+	if err != nil {
+		return x, n, err
+	}
+	raw, err := f.head()
+	if err != nil {
+		return x, n, err
+	}
+	chunks, err := f.chunks(raw)
+	if err != nil {
+		return x, n, err
+	}
+	holder := &snapshot.Holder{}
+	follower := configstore.NewFollower(configstore.FollowerOptions{Holder: holder})
+	x.start, err = cpuOf(func() error {
+		if _, err := follower.Deliver(raw, chunks); err != nil {
+			return err
+		}
+		_, err := compile(holder.Load())
+		return err
+	})
+	for i := 0; i < measuredChanges && err == nil; i++ {
+		err = f.changeOnce(&x, follower, holder, i)
+	}
+	return x, n, err
+}
+
+// changeOnce makes one change and passes it to the follower.
+func (f *fixture) changeOnce(x *changeFigures, follower *configstore.Follower, holder *snapshot.Holder, i int) error {
+	before := f.platform.Calls()
+	t, err := cpuOf(func() error { return f.apply(f.change(i)) })
+	if err != nil {
+		return err
+	}
+	after := f.platform.Calls()
+	x.writer += t
+	x.calls += after.Total() - before.Total()
+	x.chunkBytes += after.ValueBytesIn - before.ValueBytesIn
+	raw, err := f.head()
+	if err != nil {
+		return err
+	}
+	x.headBytes = len(raw)
+	if t, err = cpuOf(func() error { _, err := follower.Deliver(raw, nil); return err }); err != nil {
+		return err
+	}
+	x.follower += t
+	if holder.Epoch() != f.epoch {
+		return &NotInForceError{Epoch: f.epoch, Have: holder.Epoch()}
+	}
+	t, err = cpuOf(func() error { _, err := compile(holder.Load()); return err })
+	x.compile += t
+	return err
+}
+
+// NotInForceError reports a host that does not run an epoch that it was given.
+type NotInForceError struct{ Epoch, Have model.Epoch }
+
+// Error implements error.
+func (e *NotInForceError) Error() string {
+	return fmt.Sprintf("epoch %s is not in force; the host runs %s", e.Epoch, e.Have)
+}
--- /dev/null
+++ b/capacity/requests.go
@@ -0,0 +1,3 @@
+package capacity
+
+func measureRequests() ([]Fit, error) { return nil, nil }
