--- a/core/snapshot/snapshot_test.go
+++ b/core/snapshot/snapshot_test.go
@@ -57,7 +57,7 @@
 }
 
 // resplit checks that encoding only the changed chunks gives the same result
-// as encoding all.
+// as encoding all, and so does changing the chunks that hold them.
 func resplit(g *WithT, from, to Objects, d Delta) {
 	m := Manifest{}
 	g.Expect(encodeBuckets(m, Chunks{}, KindServer, from.Servers, 1)).To(Succeed())
@@ -69,6 +69,19 @@
 	for name, data := range some {
 		g.Expect(data).To(Equal(all[name]))
 	}
+	before, chunks, err := Split(from, nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	want, all, err = Split(to, before)
+	g.Expect(err).NotTo(HaveOccurred())
+	patched, changed, err := Patch(before, chunks.get, Change{ID: "c", Author: "a", Put: d.Put, Delete: d.Delete})
+	if errors.Is(err, ErrRebucketed) {
+		return
+	}
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(patched.Names()).To(Equal(want.Names()))
+	for name, data := range changed {
+		g.Expect(data).To(Equal(all[name]))
+	}
 }
 
 func manyServers(n int) []Server {
@@ -101,6 +114,13 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(again).To(Equal(m2))
 	g.Expect(some).To(HaveLen(1))
+	patched, changed, err := Patch(m, before.get, Change{ID: "c", Author: "a", Put: Objects{Servers: o.Servers[77:78]}})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(patched).To(Equal(m2))
+	g.Expect(changed).To(HaveLen(1))
+	for name, data := range changed {
+		g.Expect(data).To(Equal(after[name]))
+	}
 	n := len(m2[KindServer])
 	for objects := 4096; objects < n*maxObjectsPerBucket; objects += 512 {
 		g.Expect(bucketCount(objects, n)).To(Equal(n), "%d objects", objects)
--- a/demo/run.go
+++ b/demo/run.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"os/exec"
@@ -30,6 +31,7 @@
 	// DefaultRate is about a third of the capacity of the two data centres.
 	DefaultRate     = 200.0
 	DefaultDuration = 8 * time.Second
+	DefaultFault    = `{"stall":true}`
 	// startTimeout bounds the start of the programs and the first configuration.
 	startTimeout = 30 * time.Second
 	pollInterval = 50 * time.Millisecond
@@ -38,7 +40,7 @@
 	stopTimeout = 15 * time.Second
 )
 
-// grayServer is the backend server that stalls; its probes go on answering.
+// grayServer is the backend server that fails; its probes go on answering.
 const grayServer = model.ServerID("booking-lagos-1-1")
 
 // Options configures a run. The zero value of a field selects its default.
@@ -49,7 +51,18 @@
 	Rate     float64
 	Duration time.Duration
 	Seed     uint64
-	// Keep leaves settings and logs of the programs in the temporary directory.
+	// Fault of one backend server in the second half, as the stand-in's JSON.
+	// Default: it stalls.
+	Fault string
+	// Mean and Distribution of the service times; empty: those of
+	// usher-standin.
+	Mean         time.Duration
+	Distribution string
+	// Held, if not nil, keeps the fleet running without load until the context
+	// ends, and receives how to reach it.
+	Held io.Writer
+	// Keep leaves settings and logs of the programs and the report of usher-load
+	// in the temporary directory.
 	Keep bool
 	Log  telemetry.Logger
 }
@@ -61,6 +74,9 @@
 	Hosts, Servers int
 	// Directory holds settings and logs if Options.Keep is set.
 	Directory string
+	// DetectionExpected is set for the default fault. Others, such as load
+	// shedding, need not lead to an ejection.
+	DetectionExpected bool
 	// StopError is set if a program did not stop cleanly.
 	StopError error
 }
@@ -89,6 +105,9 @@
 	if o.Duration <= 0 {
 		o.Duration = DefaultDuration
 	}
+	if o.Fault == "" {
+		o.Fault = DefaultFault
+	}
 	directory, err := os.MkdirTemp("", "usher-demo-")
 	if err != nil {
 		return Result{}, &SetupError{Step: "temporary directory", Err: err}
@@ -101,6 +120,7 @@
 	report, err := r.perform(ctx)
 	stopErr := r.processes.stop()
 	result := Result{Report: report, Hosts: len(r.hosts), Servers: len(r.objects.Servers), Directory: directory, StopError: stopErr}
+	result.DetectionExpected = o.Fault == DefaultFault
 	if !o.Keep {
 		_ = os.RemoveAll(directory)
 		result.Directory = ""
@@ -133,6 +153,9 @@
 			return nil, err
 		}
 	}
+	if r.options.Held != nil {
+		return nil, r.hold(ctx)
+	}
 	r.options.Log.WithField("step", "send load").Info("demo step")
 	report, err := r.load(ctx)
 	return report, errors.Join(err, r.processes.check(), context.Cause(ctx))
@@ -177,8 +200,14 @@
 	if err := examples.WriteObjects(path, r.objects); err != nil {
 		return err
 	}
-	lines, err := r.startStandin(ctx, "backends", "backends", "--objects", path, "--health", "always-good",
-		"--seed", strconv.FormatUint(r.options.Seed, 10))
+	args := []string{"backends", "--objects", path, "--health", "always-good", "--seed", strconv.FormatUint(r.options.Seed, 10)}
+	if r.options.Mean > 0 {
+		args = append(args, "--mean", r.options.Mean.String())
+	}
+	if r.options.Distribution != "" {
+		args = append(args, "--distribution", r.options.Distribution)
+	}
+	lines, err := r.startStandin(ctx, "backends", args...)
 	if err != nil {
 		return err
 	}
@@ -267,7 +296,7 @@
 		"-o", "json", "--objects", filepath.Join(r.directory, "objects.json"),
 		"--rate", strconv.FormatFloat(r.options.Rate, 'f', -1, 64), "-d", r.options.Duration.String(),
 		"--standin-admin", r.standins, "--direct-share", "0.5", "--seed", strconv.FormatUint(r.options.Seed, 10),
-		"--fault-server", string(grayServer), "--fault", `{"stall":true}`,
+		"--fault-server", string(grayServer), "--fault", r.options.Fault,
 		"--fault-at", (r.options.Duration / 2).String(),
 	}
 	for _, h := range r.hosts {
@@ -278,6 +307,9 @@
 	if err != nil && !(errors.As(err, &status) && status.ExitCode() == exitBroken) {
 		return nil, err
 	}
+	if err := os.WriteFile(filepath.Join(r.directory, "report.json"), out, settingsPermissions); err != nil {
+		return nil, &SetupError{Step: "report of usher-load", Err: err}
+	}
 	report := &loadgen.Report{}
 	if err := json.Unmarshal(out, report); err != nil {
 		return nil, &SetupError{Step: "report of usher-load", Err: err}
