A leaving owner passes its verdicts to the next owner

Before, a planned change of owner sent requests to servers that were ejected until the new owner had detected the failure again. The leaving owner now sends the ejected servers with the rest of their hold; the next owner applies them within the floor.

--- /dev/null
+++ b/core/pool/adopt.go
@@ -0,0 +1,74 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/agateusher/agateusher/core/model"
+)
+
+// ServerHealth is what one owner tells the next about a server that it has
+// ejected, so that a planned change of owner does not send callers to a server
+// that is known to be sick.
+type ServerHealth struct {
+	Server model.ServerID `json:"server"`
+	// HoldLeft is the time until probation; zero if it has begun.
+	HoldLeft time.Duration `json:"holdLeft"`
+	// HoldLevel is the number of doublings of the hold time.
+	HoldLevel int `json:"holdLevel"`
+	// Score is the suspicion that the server was ejected with.
+	Score float64 `json:"score"`
+}
+
+// Health returns the servers that are out of service for their health.
+func (p *Pool) Health(now time.Time) []ServerHealth {
+	var list []ServerHealth
+	for _, s := range p.servers {
+		if s.status == Ejected || s.status == Probation {
+			list = append(list, ServerHealth{
+				Server: s.id, HoldLeft: max(0, s.heldUntil.Sub(now)), HoldLevel: s.holdLevel, Score: s.score,
+			})
+		}
+	}
+	return list
+}
+
+// Adopt applies another owner's verdicts to servers that are in service here.
+// The floor decides as it does for the pool's own verdicts. Servers that the
+// pool does not know or has judged itself are left alone.
+func (p *Pool) Adopt(now time.Time, list []ServerHealth) []Decision {
+	adopted := make(map[model.ServerID]ServerHealth, len(list))
+	in := p.planInput()
+	for i, x := range in.Servers {
+		h, ok := find(list, x.ID)
+		if s := p.byID[x.ID]; ok && s.status == Serving && s.score == 0 {
+			// Any positive score makes a suspect.
+			in.Servers[i].Score = max(h.Score, 1)
+			adopted[x.ID] = h
+		}
+	}
+	if len(adopted) == 0 {
+		return nil
+	}
+	p.each(p.cfg.Plan(in).Eject, func(s *server) {
+		if h, ok := adopted[s.id]; ok {
+			p.adopt(now, s, h)
+		}
+	})
+	return p.finish(now)
+}
+
+func (p *Pool) adopt(now time.Time, s *server, h ServerHealth) {
+	p.eject(now, s)
+	s.score = max(h.Score, 1)
+	s.holdLevel = min(max(h.HoldLevel, 0), maxHoldLevel)
+	s.heldUntil = now.Add(min(max(h.HoldLeft, 0), p.cfg.Readmission.MaxHold))
+}
+
+func find(list []ServerHealth, id model.ServerID) (ServerHealth, bool) {
+	for _, h := range list {
+		if h.Server == id {
+			return h, true
+		}
+	}
+	return ServerHealth{}, false
+}
--- /dev/null
+++ b/core/pool/adopt_test.go
@@ -0,0 +1,43 @@
+package pool_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/agateusher/agateusher/core/floor"
+	"github.com/agateusher/agateusher/core/model"
+	"github.com/agateusher/agateusher/core/pool"
+)
+
+// Guards against a new owner that sends requests to the servers that the
+// leaving owner had ejected.
+func TestAdoptedVerdictsAreKept(t *testing.T) {
+	g := NewWithT(t)
+	old := newFixture(4, 1, nil)
+	old.eject(10)
+	health := old.pool.Health(at(1010))
+	g.Expect(health).To(HaveLen(1))
+	g.Expect(health[0].HoldLeft).To(Equal(pool.DefaultHold - time.Second))
+
+	next := newFixture(4, 1, nil)
+	out := next.pool.Adopt(at(2000), health)
+	g.Expect(pick[pool.ServerChanged](out)).To(HaveLen(1))
+	g.Expect(next.server(2000, "s0").Status).To(Equal(pool.Ejected))
+	g.Expect(next.server(2000, "s0").HeldUntil).To(Equal(at(2000).Add(health[0].HoldLeft)))
+	g.Expect(next.probe(2010, "a", pool.Answered)).To(BeFalse())
+	// A repeated message changes nothing.
+	g.Expect(next.pool.Adopt(at(2020), health)).To(BeEmpty())
+}
+
+// Guards against adopted verdicts that break the floor.
+func TestAdoptedVerdictsRespectTheFloor(t *testing.T) {
+	g := NewWithT(t)
+	f := newFixture(4, 1, func(c *pool.Config) { c.Limits = floor.Limits{MinServers: 3} })
+	f.pool.Adopt(at(10), []pool.ServerHealth{{Server: "s0", Score: 2}, {Server: "s1", Score: 9, HoldLeft: time.Second}, {Server: "s2"}, {Server: "unknown"}})
+	g.Expect(f.server(10, "s1").Status).To(Equal(pool.Ejected))
+	for _, id := range []string{"s0", "s2", "s3"} {
+		g.Expect(f.server(10, model.ServerID(id)).Status).To(Equal(pool.Serving), id)
+	}
+}
--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -20,6 +20,7 @@
 	d.leaving.Store(true)
 	d.keys.leave()
 	d.members.leave()
+	d.warmSuccessors()
 	d.log.WithFields(telemetry.Fields{"event": "stopping", "notice": d.settings.Stop.Notice.Std()}).Info("planned stop begins")
 	time.Sleep(d.settings.Stop.Notice.Std())
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Stop.Timeout.Std())
--- a/fleet/client.go
+++ b/fleet/client.go
@@ -95,6 +95,11 @@
 	return c.call(ctx, to, PathDemand, q, nil)
 }
 
+// Health passes verdicts to a pool's next owner.
+func (c *Client) Health(ctx context.Context, to Peer, h PoolHealth) error {
+	return c.call(ctx, to, PathHealth, h, nil)
+}
+
 // Ping checks that a daemon's fleet listener answers.
 func (c *Client) Ping(ctx context.Context, to Peer) error {
 	return c.call(ctx, to, PathPing, struct{}{}, nil)
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/agateusher/agateusher/core/model"
+	"github.com/agateusher/agateusher/core/pool"
 )
 
 // Paths on the fleet listener.
@@ -13,6 +14,7 @@
 	PathKeys    = "/fleet/v1/keys"
 	PathPing    = "/fleet/v1/ping"
 	PathDemand  = "/fleet/v1/demand"
+	PathHealth  = "/fleet/v1/health"
 )
 
 // Header names between our processes and towards callers and backend servers.
@@ -117,3 +119,16 @@
 	Shard      int               `json:"shard"`
 	Requests   float64           `json:"requests"`
 }
+
+// PoolHealth passes a leaving owner's verdicts to the pool's next owner.
+type PoolHealth struct {
+	Service    model.ServiceName   `json:"service"`
+	DataCentre model.DataCentre    `json:"dataCentre"`
+	Shard      int                 `json:"shard"`
+	Servers    []pool.ServerHealth `json:"servers"`
+}
+
+// Pool returns the pool's ID.
+func (h PoolHealth) Pool() model.PoolID {
+	return model.PoolID{Service: h.Service, DataCentre: h.DataCentre, Shard: h.Shard}
+}
--- a/owner/events.go
+++ b/owner/events.go
@@ -59,3 +59,18 @@
 	e.reply <- d.pool.View(now)
 	return nil
 }
+
+// healthEvent asks for the verdicts to pass on.
+type healthEvent struct{ reply chan []pool.ServerHealth }
+
+func (e healthEvent) apply(d *driver, now time.Time) []pool.Decision {
+	e.reply <- d.pool.Health(now)
+	return nil
+}
+
+// adoptEvent brings another owner's verdicts.
+type adoptEvent struct{ servers []pool.ServerHealth }
+
+func (e adoptEvent) apply(d *driver, now time.Time) []pool.Decision {
+	return d.pool.Adopt(now, e.servers)
+}
--- a/owner/handler.go
+++ b/owner/handler.go
@@ -32,6 +32,12 @@
 			w.SiblingDemand(time.Now(), d)
 		}
 	})
+	r.Post(fleet.PathHealth, func(rw http.ResponseWriter, req *http.Request) {
+		var h fleet.PoolHealth
+		if readControl(rw, req, &h) {
+			w.AdoptHealth(h)
+		}
+	})
 	r.Post(fleet.PathPing, func(rw http.ResponseWriter, _ *http.Request) {
 		rw.WriteHeader(http.StatusOK)
 	})
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -288,10 +288,9 @@
 
 // Views returns the state of all owned pools.
 func (w *Owner) Views(ctx context.Context) []View {
-	w.mu.RLock()
-	defer w.mu.RUnlock()
-	views := make([]View, 0, len(w.drivers))
-	for id, p := range w.drivers {
+	pools := w.pools()
+	views := make([]View, 0, len(pools))
+	for id, p := range pools {
 		reply := make(chan pool.View, 1)
 		p.driver.post(ctx, viewEvent{reply})
 		select {
