--- a/experiment/detection/plot.go
+++ b/experiment/detection/plot.go
@@ -16,6 +16,17 @@
 	plotHeight = 12 * vg.Centimeter
 )
 
+// Range of the time axis in seconds; the upper end leaves room for the legend.
+const plotFastest, plotSlowest = 0.1, 20
+
+func timeTicks() plot.ConstantTicks {
+	var ticks plot.ConstantTicks
+	for _, v := range []float64{0.1, 0.2, 0.5, 1, 2, 3, 5, 10, 20} {
+		ticks = append(ticks, plot.Tick{Value: v, Label: fmt.Sprint(v)})
+	}
+	return ticks
+}
+
 // PlotCurve draws detection time against false ejections, both on logarithmic
 // axes, into a file whose extension (.svg or .png) gives its format. Points
 // where no false ejection was seen are rings at the upper 95% bound.
@@ -25,7 +36,9 @@
 	p.X.Label.Text = "false ejections per server-day (rings: none seen, 95% upper bound)"
 	p.Y.Label.Text = "detection time in seconds, 10 requests/s a server"
 	p.X.Scale, p.Y.Scale = plot.LogScale{}, plot.LogScale{}
-	p.X.Tick.Marker, p.Y.Tick.Marker = plot.LogTicks{Prec: -1}, plot.LogTicks{Prec: -1}
+	p.X.Tick.Marker, p.Y.Tick.Marker = plot.LogTicks{Prec: -1}, timeTicks()
+	p.Y.Min, p.Y.Max = plotFastest, plotSlowest
+	p.Add(plotter.NewGrid())
 	p.Legend.Top = true
 	series := []struct {
 		name  string
@@ -35,7 +48,7 @@
 	}{
 		{"full stall, median", func(c CurvePoint) time.Duration { return c.StallMedian }, color.RGBA{B: 200, A: 255}, true},
 		{"full stall, p99", func(c CurvePoint) time.Duration { return c.StallP99 }, color.RGBA{R: 110, G: 150, B: 255, A: 255}, false},
-		{"30% errors, median", func(c CurvePoint) time.Duration { return c.ErrorsMedian }, color.RGBA{R: 200, A: 255}, true},
+		{"30% errors, median", func(c CurvePoint) time.Duration { return c.ErrorsMedian }, color.RGBA{R: 200, A: 255}, false},
 		{"30% errors, p99", func(c CurvePoint) time.Duration { return c.ErrorsP99 }, color.RGBA{R: 255, G: 150, B: 110, A: 255}, false},
 	}
 	for _, s := range series {
