--- a/entry/entry.go
+++ b/entry/entry.go
@@ -220,7 +220,7 @@
 // worthAnotherPool says whether an idempotent request that this pool refused
 // should be tried in another data centre.
 func worthAnotherPool(r fleet.Response) bool {
-	return r.Outcome == model.NotRun && (r.Reason == model.ReasonNoServer || r.Reason == model.ReasonQueueFull || r.Reason == model.ReasonStopping)
+	return r.Outcome == model.NotRun && (r.Reason == model.ReasonNoServer || r.Reason == model.ReasonQueueFull || r.Reason == model.ReasonStopping || r.Reason == model.ReasonNoConfiguration)
 }
 
 func expired(sent bool) fleet.Response {
@@ -235,19 +235,34 @@
 // *fleet.HandoverError, with Sent set if any attempt was sent.
 func (e *Entry) forwardRanked(ctx context.Context, q *fleet.Request, deadline time.Time) (fleet.Response, error) {
 	last := &fleet.HandoverError{Err: errNoOwner}
+	var refusal *fleet.Response
 	for _, to := range e.peers.order(e.o.Directory.Owners(q.Pool, maxOwners)) {
 		resp, err := e.forwardTo(ctx, to, q, deadline, true)
-		if err == nil {
+		if err == nil && !ownerUnprepared(resp) {
 			return truthful(resp, last.Sent), nil
 		}
+		if err == nil {
+			refusal = &resp
+			continue
+		}
 		last = &fleet.HandoverError{Host: to.Host, Sent: last.Sent || fleet.IsSent(err), Err: err}
 		if ctx.Err() != nil {
 			break
 		}
 	}
+	if refusal != nil {
+		return truthful(*refusal, last.Sent), nil
+	}
 	return fleet.Response{}, last
 }
 
+// ownerUnprepared says whether a host refused a request because it does not
+// know the pool. A host that was restarted ranks as before as soon as it is
+// live, which may be before it has the configuration.
+func ownerUnprepared(r fleet.Response) bool {
+	return r.Outcome == model.NotRun && r.Reason == model.ReasonNoConfiguration
+}
+
 // errNoOwner: the data centre has no host that could own the pool.
 var errNoOwner = errors.New("no host for the pool")
 
--- a/internal/proof/random/nemesis_test.go
+++ b/internal/proof/random/nemesis_test.go
@@ -15,8 +15,10 @@
 const (
 	// maxBadServers leaves healthy servers that every owner reaches.
 	maxBadServers = 3
-	minFault      = 50 * time.Millisecond
-	maxFault      = 800 * time.Millisecond
+	// maxBadHosts leaves one of the three hosts that an entry passes a lookup to.
+	maxBadHosts = 2
+	minFault    = 50 * time.Millisecond
+	maxFault    = 800 * time.Millisecond
 	// maxCalm is the longest time between two faults of one kind of victim.
 	maxCalm    = 150 * time.Millisecond
 	stopNotice = 100 * time.Millisecond
@@ -25,7 +27,7 @@
 )
 
 // nemesis injects faults at random until its context ends. At any time at most
-// maxBadServers servers and one host are affected.
+// maxBadServers servers and maxBadHosts hosts are affected.
 type nemesis struct {
 	fleet  *testFleet
 	random *rand.Rand
@@ -45,8 +47,10 @@
 		random := rand.New(rand.NewPCG(n.random.Uint64(), uint64(i)))
 		wg.Go(func() { n.loop(ctx, random, func() { n.disturbServer(ctx, random, i) }) })
 	}
-	random := rand.New(rand.NewPCG(n.random.Uint64(), 99))
-	wg.Go(func() { n.loop(ctx, random, func() { n.disturbHost(ctx, random) }) })
+	for i := range maxBadHosts {
+		random := rand.New(rand.NewPCG(n.random.Uint64(), uint64(maxBadServers+i)))
+		wg.Go(func() { n.loop(ctx, random, func() { n.disturbHost(ctx, random, i) }) })
+	}
 	wg.Wait()
 	n.heal()
 }
@@ -69,10 +73,10 @@
 	}
 }
 
-// duration draws how long a fault lasts. One in eight outlasts the deadline of
+// duration draws how long a fault lasts. One in five outlasts the deadline of
 // the requests that it holds back, which are then delivered late.
 func (n *nemesis) duration(random *rand.Rand) time.Duration {
-	if random.IntN(8) == 0 {
+	if random.IntN(5) == 0 {
 		return deadline + time.Duration(random.Int64N(int64(maxFault)))
 	}
 	return minFault + time.Duration(random.Int64N(int64(maxFault-minFault)))
@@ -155,9 +159,12 @@
 	return "reset", relay.Faults{CutRate: 0.3, Reset: true}
 }
 
-// disturbHost kills, stops or isolates one host.
-func (n *nemesis) disturbHost(ctx context.Context, random *rand.Rand) {
-	h := n.fleet.hosts[random.IntN(len(n.fleet.hosts))]
+// disturbHost kills, stops or isolates one of the hosts of this slot.
+func (n *nemesis) disturbHost(ctx context.Context, random *rand.Rand, slot int) {
+	h := n.fleet.hosts[slot+maxBadHosts*random.IntN(len(n.fleet.hosts)/maxBadHosts)]
+	if ranked := n.fleet.members.ranked(thePool, 1); len(ranked) > 0 && random.IntN(2) == 0 && n.inSlot(ranked[0], slot) {
+		h = n.fleet.host(ranked[0])
+	}
 	switch random.IntN(4) {
 	case 0:
 		n.note("kill")
@@ -173,6 +180,16 @@
 	}
 }
 
+// inSlot reports whether a host belongs to a slot of disturbHost.
+func (n *nemesis) inSlot(id model.HostID, slot int) bool {
+	for i, h := range n.fleet.hosts {
+		if h.id == id {
+			return i%maxBadHosts == slot
+		}
+	}
+	return false
+}
+
 // disturbLinks disturbs the links of one or all entries to a host.
 func (n *nemesis) disturbLinks(ctx context.Context, random *rand.Rand, h *host) {
 	name, f := linkFault(random)
--- a/internal/proof/random/random_test.go
+++ b/internal/proof/random/random_test.go
@@ -26,8 +26,9 @@
 	soakRequests = 1_000_000
 	// roundRequests is sent to one fleet, whose execution logs are then compared.
 	roundRequests = 10_000
-	workers       = 96
+	workers       = 64
 	lookupWorkers = 8
+	keyBatch      = 10
 	// settle is the wait until requests that faults held back have ended: the
 	// deadline of the service, and the servers' own work.
 	settle = deadline + 500*time.Millisecond
@@ -97,7 +98,7 @@
 	caller := proof.NewCaller("", "gate", 4*deadline)
 	defer caller.Close()
 	w := &proof.Workload{
-		Caller: caller, Entries: f.entries, Path: "/payments", Lookup: "/spaces/1", Keyed: n,
+		Caller: caller, Entries: f.entries, Path: "/payments", Lookup: "/spaces/1", KeyBatch: keyBatch, Keyed: n,
 		Workers: workers, Lookups: lookupWorkers, Deadline: deadline, Seed: seed, Prefix: fmt.Sprint(seed),
 	}
 	faults := newNemesis(f, seed)
--- a/internal/proof/workload.go
+++ b/internal/proof/workload.go
@@ -12,7 +12,6 @@
 
 // Limits of the workload's random choices.
 const (
-	keysPerCall   = 10
 	maxBytes      = 2000
 	maxDuplicates = 3
 	maxRepeats    = 3
@@ -21,6 +20,8 @@
 	// longPause is sometimes waited instead, so that a repetition meets an owner
 	// that has recovered, stopped or been replaced.
 	longPause = 1200 * time.Millisecond
+	// longPauseOneIn pauses is long.
+	longPauseOneIn = 15
 	// maxStay is the longest stay of a caller that goes away.
 	maxStay = 20 * time.Millisecond
 	// retryPause is the wait after a request that no entry accepted.
@@ -38,6 +39,8 @@
 	Entries func() []string
 	// Path must not be repeated; Lookup may.
 	Path, Lookup string
+	// KeyBatch is the number of keys that a caller asks for at a time.
+	KeyBatch int
 	// Keyed is the number of operations with a key.
 	Keyed int
 	// Workers and Lookups are the numbers of concurrent callers of each kind.
@@ -54,7 +57,8 @@
 	started atomic.Int64
 }
 
-// Run sends all operations and returns when the last one ended, or ctx did.
+// Run sends all operations and returns when the last one ended. When ctx ends, it
+// begins no more operations and waits for the requests under way.
 func (w *Workload) Run(ctx context.Context) {
 	var keyed, lookups sync.WaitGroup
 	lookupCtx, stopLookups := context.WithCancel(ctx)
@@ -73,7 +77,7 @@
 	var keys []string
 	for ctx.Err() == nil {
 		if len(keys) == 0 {
-			keys, _ = w.Caller.Keys(ctx, w.pick(random), http.MethodPost, w.Path, keysPerCall)
+			keys, _ = w.Caller.Keys(ctx, w.pick(random), http.MethodPost, w.Path, w.KeyBatch)
 			if len(keys) == 0 {
 				sleep(ctx, retryPause)
 				continue
@@ -120,7 +124,7 @@
 				leave = time.Duration(random.Int64N(int64(maxStay))) + 1
 			}
 			wg.Go(func() {
-				s := w.Caller.Send(ctx, entry, http.MethodPost, target, key, body, leave)
+				s := w.Caller.Send(context.WithoutCancel(ctx), entry, http.MethodPost, target, key, body, leave)
 				s.Changed = changed
 				o.Add(s)
 			})
@@ -130,8 +134,8 @@
 }
 
 func (w *Workload) pauseOf(random *rand.Rand) time.Duration {
-	if random.IntN(40) == 0 {
-		return longPause
+	if random.IntN(longPauseOneIn) == 0 {
+		return time.Duration(random.Int64N(int64(longPause)))
 	}
 	return time.Duration(random.Int64N(int64(maxPause)))
 }
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -110,6 +110,11 @@
 	p, err := w.pool(q.Pool)
 	if err != nil {
 		w.o.Log.WithFields(telemetry.Fields{"event": "pool_unavailable", "pool": q.Pool.String(), "request_id": q.ID}).WithError(err).Warn("cannot run the pool")
+		if errors.Is(err, ErrNoServers) {
+			// This daemon has just started, or its configuration differs from the
+			// entry's; another host may know the pool.
+			return fleet.NotRun(model.ReasonNoConfiguration, time.Second)
+		}
 		return fleet.NotRun(model.ReasonNoServer, time.Second)
 	}
 	if wait, ok := p.rates.allow(time.Now(), q, w.o.Catalog.Rates(q.Workspace, q.Route)); !ok {
