--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,17 @@
 test:
 	$(GO) test -timeout 300s ./...
 
+## soak: run the randomised tests in their long forms, for hours
+soak:
+	AGATEUSHER_SOAK=1 $(GO) test -v -timeout 0 ./internal/proof/random ./experiment/detection
+	$(GO) test -timeout 0 ./core/pool ./core/idempotency ./core/membership ./core/fairqueue -rapid.checks=20000 -rapid.steps=100
+
+## bench: print the measured tables
+bench:
+	$(GO) run ./experiment/pooltrial/cmd --seed 1 --seconds 60
+	$(GO) run ./experiment/detection/cmd table --seeds 200
+	$(GO) test -run '^$$' -bench . -benchmem ./core/... ./daemon
+
 ## lint: formatter, go vet and staticcheck
 lint: tools
 	@test -z "$$(gofmt -l $(GOFILES))" || { gofmt -l $(GOFILES); exit 1; }
