daemon: spend a stopping owner's keys throughout its planned stop

Cause: the test passed with keys sealed at the start of the notice, because the workers had only new keys of the next owner by then.

Change: all keys are issued by the owner that stops and are spent before, during and after the handover.

--- a/daemon/process_test.go
+++ b/daemon/process_test.go
@@ -21,7 +21,6 @@
 
 	"github.com/agateusher/agateusher/core/model"
 	"github.com/agateusher/agateusher/core/ranking"
-	"github.com/agateusher/agateusher/fleet"
 	"github.com/agateusher/agateusher/objectapi"
 )
 
@@ -242,50 +241,38 @@
 	}
 }
 
-// payments sends requests with keys and remembers their answers.
+// payments spends keys and remembers the answers.
 type payments struct {
+	keys chan string
+
 	mu       sync.Mutex
 	answers  map[string][]byte
 	failures []string
 }
 
+// paymentPause spreads the keys over the whole planned stop.
+const paymentPause = 10 * time.Millisecond
+
 func (p *payments) worker(entries []string, worker int, stop <-chan struct{}) {
 	for i := worker; ; i++ {
 		select {
 		case <-stop:
 			return
-		default:
-		}
-		entry, other := entries[i%len(entries)], entries[(i+1)%len(entries)]
-		key, err := oneKey(entry)
-		var r callResult
-		if err == nil {
-			r, err = send("POST", other, "/payments", key, []byte(`{"amount":5}`))
-		}
-		p.mu.Lock()
-		if err != nil || r.outcome != "answered" {
-			p.failures = append(p.failures, fmt.Sprintf("%s %v %+v", time.Now().Format("05.000"), err, r))
+		case <-time.After(paymentPause):
+			p.spend(entries[i%len(entries)], <-p.keys)
 		}
-		p.answers[key] = r.body
-		p.mu.Unlock()
 	}
 }
 
-// keyError: an entry issued no key.
-type keyError struct{ result callResult }
-
-func (e *keyError) Error() string { return fmt.Sprintf("no key: %+v", e.result) }
-
-func oneKey(entry string) (string, error) {
-	r, err := send("POST", entry, "/.well-known/agateusher/keys", "", []byte(`{"method":"POST","path":"/payments","count":1}`))
-	if err != nil {
-		return "", err
-	}
-	var keys fleet.KeysResponse
-	if err := json.Unmarshal(r.body, &keys); err != nil || len(keys.Keys) != 1 {
-		return "", &keyError{r}
+func (p *payments) spend(entry, key string) {
+	started := time.Now()
+	r, err := send("POST", entry, "/payments", key, []byte(`{"amount":5}`))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err != nil || r.outcome != "answered" {
+		p.failures = append(p.failures, fmt.Sprintf("%s %v %+v", started.Format("05.000"), err, r))
 	}
-	return keys.Keys[0], nil
+	p.answers[key] = r.body
 }
 
 // Guards the planned stop of an issuer: no request with a key fails, each runs
@@ -296,8 +283,15 @@
 	g := NewWithT(t)
 	f := newProcessFleet(t, 4)
 	entries := f.entries()
-	unspent := issueKeys(t, entries[0], 20)
-	p := &payments{answers: map[string][]byte{}}
+	// All keys come from the owner that stops, and are spent before, while and
+	// after it hands over.
+	const batches, batch = 30, 100
+	p := &payments{answers: map[string][]byte{}, keys: make(chan string, batches*batch)}
+	for range batches {
+		for _, key := range issueKeys(t, entries[0], batch) {
+			p.keys <- key
+		}
+	}
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
 	for w := range 8 {
@@ -313,19 +307,17 @@
 	close(stop)
 	wg.Wait()
 	g.Expect(p.failures).To(BeEmpty())
-	g.Expect(len(p.answers)).To(BeNumerically(">", 100))
+	g.Expect(len(p.answers)).To(BeNumerically(">", 500))
+	g.Expect(p.keys).NotTo(BeEmpty(), "the keys did not last for the whole stop")
+	if *measureFlag {
+		fmt.Printf("planned stop with keys: spent %d  failed %d\n", len(p.answers), len(p.failures))
+	}
 	for key, body := range p.answers {
 		r, err := send("POST", entries[0], "/payments", key, []byte(`{"amount":5}`))
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(r.outcome).To(Equal("answered"), "%+v", r)
 		g.Expect(r.body).To(Equal(body), "a repeat got another answer")
 	}
-	for i, key := range unspent {
-		r, err := send("POST", entries[i%len(entries)], "/payments", key, []byte(`{"amount":5}`))
-		g.Expect(err).NotTo(HaveOccurred())
-		g.Expect(r.outcome).To(Equal("answered"), "%+v", r)
-		p.answers[key] = r.body
-	}
 	runs := f.executions()
 	for key := range p.answers {
 		g.Expect(runs[key]).To(Equal(1))
