daemon: seal the ledgers before the look whether any key was issued

Cause: a key issued between the look and the stop of the fleet listener would have died with the daemon.

Change: the ledgers are sealed first.

--- a/daemon/handover.go
+++ b/daemon/handover.go
@@ -150,12 +150,13 @@
 // run seals the ledgers and moves them. It returns when the notes have spread
 // or ctx ends.
 func (h *handover) run(ctx context.Context) {
+	started := time.Now()
+	h.sealed.Store(true)
+	h.Seal() // first, so that no key is issued after the look at used
 	if !h.used.Load() {
+		close(h.done)
 		return
 	}
-	started := time.Now()
-	h.sealed.Store(true)
-	h.Seal()
 	all, err := h.export(ctx)
 	if err == nil {
 		h.result = h.transfer(ctx, all)
