daemon: refuse ledgers that cannot be adopted; stop test fleets together

Cause: AdoptKeys now fails on a sealed daemon, and the inbox would have answered that the ledgers were taken. The forward handler lacked the rule that an oversized request with a key is unknown. The key test could wait forever for a key when the stop took longer than its keys lasted.

Change: a failed adoption is a refusal, after which the sender asks another host.

--- a/daemon/fleet_test.go
+++ b/daemon/fleet_test.go
@@ -64,6 +64,12 @@
 	f.store = configstore.NewStore(client)
 	f.startBackends(servers, service)
 	f.startNodes(hosts, tune)
+	// All stop together: one after the other, each would hand over its keys.
+	t.Cleanup(func() {
+		for _, n := range f.nodes {
+			n.cancel()
+		}
+	})
 	f.apply(f.objects())
 	g.Eventually(func() bool { return f.ready() }).WithTimeout(5 * time.Second).Should(BeTrue())
 	return f
--- a/daemon/fleethandler.go
+++ b/daemon/fleethandler.go
@@ -35,6 +35,10 @@
 	switch {
 	case errors.Is(err, fleet.ErrTooLarge):
 		resp := fleet.NotRun(model.ReasonBadRequest, 0)
+		if r.Header.Get(fleet.HeaderKey) != "" {
+			// An earlier request with the key may have run.
+			resp.Outcome = model.Unknown
+		}
 		fleet.WriteResponse(w, &resp)
 		return
 	case err != nil:
--- a/daemon/handover.go
+++ b/daemon/handover.go
@@ -69,10 +69,13 @@
 
 func newHandover(o *owner.Owner, self model.HostID, incarnation model.Incarnation, m *members, c *fleet.Client, log telemetry.Logger) *handover {
 	h := &handover{Owner: o, self: self, incarnation: incarnation, members: m, fleet: c, log: log, done: make(chan struct{})}
-	h.inbox = peerrpc.NewInbox(incarnation, func(all []idempotency.Exported) {
+	h.inbox = peerrpc.NewInbox(incarnation, func(all []idempotency.Exported) error {
+		if err := o.AdoptKeys(all); err != nil {
+			return err
+		}
 		h.used.Store(true)
-		o.AdoptKeys(all)
 		log.WithFields(telemetry.Fields{"event": "keys_taken_over", "ledgers": len(all)}).Info("took over the key ledgers of a stopping daemon")
+		return nil
 	})
 	return h
 }
--- a/daemon/handover_test.go
+++ b/daemon/handover_test.go
@@ -80,7 +80,7 @@
 	f := &fakeSuccessor{behaviour: b, host: membership.Host{ID: id, Info: membership.Info{
 		DataCentre: "lagos-1", Region: "lagos", FleetAddress: "127.0.0.1:1", PeerAddress: l.Addr().String(),
 	}}}
-	f.inbox = peerrpc.NewInbox(f.update().Incarnation, func([]idempotency.Exported) { f.adopted++ })
+	f.inbox = peerrpc.NewInbox(f.update().Incarnation, func([]idempotency.Exported) error { f.adopted++; return nil })
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -94,6 +94,7 @@
 // Guards against two holders of one ledger: the transfer is repeated to the
 // host that may have taken it, and only a certain refusal leads to another.
 func TestHandoverToExactlyOne(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name          string
 		first, second takeBehaviour
--- a/daemon/process_test.go
+++ b/daemon/process_test.go
@@ -208,6 +208,9 @@
 // Guards lookups against the loss of the owner: killed, frozen for a while, or
 // stopped as planned.
 func TestOwnerLoss(t *testing.T) {
+	if !*measureFlag {
+		t.Parallel()
+	}
 	for _, c := range []struct {
 		name string
 		do   func(t *testing.T, p *daemonProcess)
@@ -251,15 +254,16 @@
 }
 
 // paymentPause spreads the keys over the whole planned stop.
-const paymentPause = 10 * time.Millisecond
+const paymentPause = 20 * time.Millisecond
 
 func (p *payments) worker(entries []string, worker int, stop <-chan struct{}) {
 	for i := worker; ; i++ {
 		select {
 		case <-stop:
 			return
-		case <-time.After(paymentPause):
-			p.spend(entries[i%len(entries)], <-p.keys)
+		case key := <-p.keys:
+			p.spend(entries[i%len(entries)], key)
+			time.Sleep(paymentPause)
 		}
 	}
 }
--- a/peerrpc/handover.go
+++ b/peerrpc/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -91,7 +92,7 @@
 // Inbox collects the parts of handovers. It is safe for concurrent use.
 type Inbox struct {
 	self  model.Incarnation
-	adopt func([]idempotency.Exported)
+	adopt func([]idempotency.Exported) error
 
 	mu     sync.Mutex
 	staged map[model.Incarnation]*staging
@@ -105,15 +106,16 @@
 	since time.Time
 }
 
-// NewInbox returns an inbox that passes complete handovers to adopt.
-func NewInbox(self model.Incarnation, adopt func([]idempotency.Exported)) *Inbox {
+// NewInbox returns an inbox that passes complete handovers to adopt. If adopt
+// fails, it must have taken nothing.
+func NewInbox(self model.Incarnation, adopt func([]idempotency.Exported) error) *Inbox {
 	return &Inbox{self: self, adopt: adopt, staged: map[model.Incarnation]*staging{}, taken: map[model.Incarnation]bool{}}
 }
 
 // Take stores a part, and with the last one takes over the ledgers. A repeated
 // part changes nothing. The result says whether all have arrived. It returns
 // ErrRefused if the parts are meant for
-// another incarnation, are malformed, or are too many.
+// another incarnation, are malformed or too many, or cannot be adopted.
 func (b *Inbox) Take(p HandoverPart) (taken bool, err error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -139,8 +141,10 @@
 		return false, nil
 	}
 	b.drop(p.From)
+	if err := b.adopt(joinParts(s.parts)); err != nil {
+		return false, fmt.Errorf("%w: %w", ErrRefused, err)
+	}
 	b.taken[p.From] = true
-	b.adopt(joinParts(s.parts))
 	return true, nil
 }
 
--- a/peerrpc/peerrpc_test.go
+++ b/peerrpc/peerrpc_test.go
@@ -234,7 +234,14 @@
 func TestHandoverInParts(t *testing.T) {
 	g := NewWithT(t)
 	var adopted [][]idempotency.Exported
-	s := &fakeService{inbox: NewInbox("me", func(all []idempotency.Exported) { adopted = append(adopted, all) })}
+	sealed := false
+	s := &fakeService{inbox: NewInbox("me", func(all []idempotency.Exported) error {
+		if sealed {
+			return idempotency.ErrSealed
+		}
+		adopted = append(adopted, all)
+		return nil
+	})}
 	p, c, ctx := serve(t, s, oldSecret), client(t, oldSecret), context.Background()
 	all := ledgers(60, 60_000)
 	_, err := c.Handover(ctx, p, SplitLedgers("from", "other", all)[0])
@@ -250,4 +257,7 @@
 	}
 	g.Expect(adopted).To(HaveLen(1))
 	g.Expect(adopted[0]).To(Equal(all))
+	sealed = true
+	_, err = c.Handover(ctx, p, SplitLedgers("late", "me", ledgers(2, 10))[0])
+	g.Expect(errors.Is(err, ErrRefused) && CertainlyNotTaken(err)).To(BeTrue(), "a sealed host must refuse: %v", err)
 }
