A request that was held back no longer runs after its key was told "not run"

Fault: a keyed request is held back by a partition between entry and owner; its entry gives up ("unknown"). A repetition through another entry is refused, "not run", and releases the key. When the partition ends, TCP delivers the first request and it runs, against invariant 3.

Cause: a release made the key usable for requests from before it, which the owner cannot tell from later ones, since budgets are relative and clocks are not compared.

Change: the ledger counts the releases of a key, and a request runs only with the current count. Entries start with zero and are told the count with the refusal; an entry that still waits makes the request again at once, one that has given up does not. This costs one more exchange inside the data centre for a request that uses a released key, and nothing otherwise. Released keys travel with the exported ledger.

--- a/core/idempotency/handover.go
+++ b/core/idempotency/handover.go
@@ -6,12 +6,16 @@
 	"github.com/agateusher/agateusher/core/model"
 )
 
-// ExportedEntry is one spent key of an exported ledger.
+// ExportedEntry is one spent or released key of an exported ledger.
 type ExportedEntry struct {
 	Sequence    uint64        `json:"sequence"`
 	Expiry      time.Duration `json:"expiry"`
 	Fingerprint Fingerprint   `json:"fingerprint"`
 	Record      Record        `json:"record"`
+	// Released is set for a key that may be used again, and Use counts its
+	// releases.
+	Released bool   `json:"released,omitempty"`
+	Use      uint32 `json:"use,omitempty"`
 }
 
 // Exported is a sealed ledger on its way to the one successor that may spend
@@ -51,8 +55,11 @@
 	}
 	x := Exported{Host: l.host, Issuer: l.issuer, Age: now.Sub(l.origin), Lifetime: l.limits.Lifetime}
 	for _, s := range l.spent {
-		if e, ok := l.entries[s.sequence]; ok && e.state == done {
-			x.Entries = append(x.Entries, ExportedEntry{Sequence: s.sequence, Expiry: s.expiry, Fingerprint: e.fingerprint, Record: e.record})
+		if e, ok := l.entries[s.sequence]; ok {
+			x.Entries = append(x.Entries, ExportedEntry{
+				Sequence: s.sequence, Expiry: s.expiry, Fingerprint: e.fingerprint, Record: e.record,
+				Released: e.state == released, Use: e.use,
+			})
 		}
 	}
 	return x, nil
@@ -73,7 +80,11 @@
 		if l.bytes+e.Record.size() > limits.MaxBytes {
 			e.Record = notKept()
 		}
-		l.entries[e.Sequence] = &entry{fingerprint: e.Fingerprint, state: done, record: e.Record}
+		adopted := &entry{fingerprint: e.Fingerprint, state: done, record: e.Record, use: e.Use}
+		if e.Released {
+			adopted.state = released
+		}
+		l.entries[e.Sequence] = adopted
 		l.bytes += e.Record.size()
 		l.spent.push(e.Expiry, e.Sequence)
 	}
--- a/core/idempotency/key.go
+++ b/core/idempotency/key.go
@@ -52,6 +52,9 @@
 	Sequence uint64
 	// IssuedAt is the time since the issuer's start, on its monotonic clock.
 	IssuedAt time.Duration
+	// Use is how often the key had been released when the request was made. It
+	// comes with the request and is not part of the key's text.
+	Use uint32
 
 	mac [macBytes]byte
 }
--- a/core/idempotency/ledger.go
+++ b/core/idempotency/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/agateusher/agateusher/core/invariant"
@@ -23,6 +24,20 @@
 	ErrBusy = errors.New("idempotency key ledger has requests in progress")
 )
 
+// ReleasedError: the request was made before the key's latest release, which
+// told its caller that the key's operation had not run. Without this check, a
+// request that a network held back would make that untrue. A request that is
+// still wanted is made again with the current use.
+type ReleasedError struct {
+	// Use is the key's current use.
+	Use uint32
+}
+
+// Error implements error.
+func (e *ReleasedError) Error() string {
+	return fmt.Sprintf("idempotency key has been released %d times since it was issued", e.Use)
+}
+
 // Limits bounds a ledger.
 type Limits struct {
 	// Lifetime of a key from its issue. The default is 15 minutes.
@@ -98,6 +113,8 @@
 	fingerprint Fingerprint
 	state       entryState
 	record      Record
+	// use counts the releases.
+	use uint32
 }
 
 // Ledger holds the spent keys of one incarnation. Unspent keys need no state.
@@ -168,7 +185,7 @@
 
 // Begin checks a key and, on Run, marks it as spent. With Replay the record is
 // returned. Errors are ErrWrongIssuer, ErrForged, ErrUnverified, ErrExpired,
-// ErrSealed and ErrMismatch; a key that fails is not marked.
+// ErrSealed, ErrMismatch and *ReleasedError; a key that fails is not marked.
 func (l *Ledger) Begin(now time.Time, k Key, scope Scope, fp Fingerprint) (Verdict, Record, error) {
 	l.expire(now)
 	if k.Issuer != l.issuer {
@@ -192,7 +209,14 @@
 	if l.sealed {
 		return 0, Record{}, ErrSealed
 	}
-	l.entries[k.Sequence] = &entry{fingerprint: fp}
+	var use uint32
+	if known {
+		use = e.use
+	}
+	if k.Use != use {
+		return 0, Record{}, &ReleasedError{Use: use}
+	}
+	l.entries[k.Sequence] = &entry{fingerprint: fp, use: use}
 	if !known {
 		l.spent.push(k.IssuedAt+l.limits.Lifetime, k.Sequence)
 	}
@@ -224,10 +248,12 @@
 }
 
 // Release takes back the spent mark of a request that certainly did not run,
-// so that the caller may use the key again.
+// so that the caller may use the key again. Requests made with it before do not
+// run any more.
 func (l *Ledger) Release(sequence uint64) {
 	if e, ok := l.takeInProgress(sequence); ok {
 		e.state = released
+		e.use++
 	}
 }
 
--- a/core/idempotency/machine_test.go
+++ b/core/idempotency/machine_test.go
@@ -31,6 +31,7 @@
 	record Record
 	at     *oracleLedger // where it was begun
 	late   bool          // it ended after its expiry
+	use    uint32        // how often it was released
 }
 
 // oracleLedger is a ledger under test. Its own clock is ahead of none: shift is
@@ -142,11 +143,27 @@
 	if err != nil {
 		t.Fatalf("an issued key is malformed: %v", err)
 	}
+	key.Use = k.use
+	if rapid.IntRange(0, 3).Draw(t, "stale") == 0 && k.use > 0 {
+		key.Use = uint32(rapid.IntRange(0, int(k.use)-1).Draw(t, "use"))
+	}
 	verdict, record, err := l.ledger.Begin(m.now, key, scope, fp)
+	if key.Use != k.use {
+		m.checkStale(t, verdict, err)
+		return
+	}
 	authentic := scope == k.scope && contains(l.secrets, k.secret)
 	m.check(t, k, l, authentic, fp, verdict, record, err)
 }
 
+// checkStale checks the answer to a request from before the key's release: it
+// may be given the answer of another, and never runs.
+func (m *machine) checkStale(t *rapid.T, verdict Verdict, err error) {
+	if err == nil && verdict == Run {
+		t.Fatalf("a request from before the release ran")
+	}
+}
+
 func contains(list []byte, b byte) bool {
 	for _, x := range list {
 		if x == b {
@@ -264,6 +281,7 @@
 	k, key := m.drawRunning(t)
 	k.at.ledger.Release(key.Sequence)
 	k.state, k.at = unspent, nil
+	k.use++
 }
 
 func (m *machine) Advance(t *rapid.T) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -304,6 +304,11 @@
 		return fleet.Unknown(model.ReasonNoServer)
 	}
 	resp, err := e.forwardTo(ctx, to, q, deadline, false)
+	for err == nil && resp.KeyUse > q.KeyUse && ctx.Err() == nil {
+		// Only a request that its caller still waits for gets here.
+		q.KeyUse = resp.KeyUse
+		resp, err = e.forwardTo(ctx, to, q, deadline, false)
+	}
 	switch {
 	case err == nil:
 		return resp
--- a/fleet/codec.go
+++ b/fleet/codec.go
@@ -40,6 +40,23 @@
 	if q.Key != "" {
 		h.Set(HeaderKey, q.Key)
 	}
+	setKeyUse(h, q.KeyUse)
+}
+
+func setKeyUse(h http.Header, use uint32) {
+	if use > 0 {
+		h.Set(headerKeyUse, strconv.FormatUint(uint64(use), 10))
+	}
+}
+
+// keyUse reads the use of a key. One that is malformed counts as zero, which is
+// refused like any other that is not current.
+func keyUse(h http.Header) uint32 {
+	use, err := strconv.ParseUint(h.Get(headerKeyUse), 10, 32)
+	if err != nil {
+		return 0
+	}
+	return uint32(use)
 }
 
 // DecodeRequest reads a forwarded request with its body, which may be at most
@@ -64,6 +81,7 @@
 		Workspace:  model.WorkspaceID(h.Get(HeaderWorkspace)),
 		Repeatable: repeatable,
 		Key:        h.Get(HeaderKey),
+		KeyUse:     keyUse(h),
 		Budget:     time.Duration(budget) * time.Microsecond,
 		Epoch:      model.Epoch(epoch),
 		Method:     h.Get(headerMethod),
@@ -89,6 +107,7 @@
 	if p.RetryAfter > 0 {
 		h.Set(headerRetryMs, strconv.FormatInt(p.RetryAfter.Milliseconds(), 10))
 	}
+	setKeyUse(h, p.KeyUse)
 	h.Set("Content-Type", "application/octet-stream")
 	h.Set("Content-Length", strconv.Itoa(len(p.Body)))
 	// A failed write means that the entry went away; it cannot be told more.
@@ -117,6 +136,7 @@
 		Status:     status,
 		Header:     takePrefixed(h),
 		Body:       body,
+		KeyUse:     keyUse(h),
 		Load:       Load{QueueDelay: time.Duration(delay) * time.Microsecond, FreeSlots: free},
 	}, nil
 }
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -41,6 +41,7 @@
 	headerStatus     = "Agateusher-Status"
 	headerRetryMs    = "Agateusher-Retry-After-Ms"
 	headerMAC        = "Agateusher-Fleet-Mac"
+	headerKeyUse     = "Agateusher-Key-Use"
 )
 
 // Request is a caller's request on its way to a pool owner.
@@ -52,6 +53,9 @@
 	// Repeatable requests are idempotent. Others carry Key.
 	Repeatable bool
 	Key        string
+	// KeyUse is idempotency.Key.Use. An entry starts with zero and learns the
+	// current use from the owner's refusal.
+	KeyUse uint32
 	// Budget is the time left for the owner's part.
 	Budget time.Duration
 	// Epoch is the sender's configuration.
@@ -78,6 +82,9 @@
 	Body   []byte
 	// Load is the pool's load report.
 	Load Load
+	// KeyUse is set with NotRun if the request must be made again with this use
+	// of its key. Only an entry that still waits for the request does so.
+	KeyUse uint32
 }
 
 // Load is the load report that rides on every answer.
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -146,6 +146,7 @@
 	if err != nil {
 		return keyFailure(err)
 	}
+	key.Use = q.KeyUse
 	scope := idempotency.Scope{Workspace: q.Workspace, Route: q.Route}
 	verdict, record, wait, err := w.keys.begin(key, scope, fingerprint(q))
 	if err != nil {
@@ -169,6 +170,12 @@
 // certainly not spent: not of one whose issuer is unknown, nor of one that was
 // first used with other content.
 func keyFailure(err error) fleet.Response {
+	var released *idempotency.ReleasedError
+	if errors.As(err, &released) {
+		r := fleet.NotRun(model.ReasonDeadline, 0)
+		r.KeyUse = released.Use
+		return r
+	}
 	switch {
 	case errors.Is(err, idempotency.ErrWrongIssuer), errors.Is(err, idempotency.ErrSealed):
 		return fleet.Unknown(model.ReasonIssuerGone)
