Measure detection with hedging and with dispatch to the least loaded server

A stalled server that is given work only when it is among the least loaded holds one attempt, which never ejects.

--- a/experiment/detection/cmd/main.go
+++ b/experiment/detection/cmd/main.go
@@ -26,6 +26,8 @@
 	Rates   []float64     `long:"rate" description:"requests per second and server; default 1, 10, 100"`
 	Fault   string        `long:"fault" description:"only this row"`
 	Setup   string        `long:"setup" description:"only this way to judge"`
+	Hedge   time.Duration `long:"hedge-after" description:"hedge attempts after this time and cancel the slower one"`
+	Hold    time.Duration `long:"cancel-hold" default:"200ms" description:"how long a cancelled attempt holds its slot"`
 	Least   bool          `long:"least-loaded" description:"the owner chooses the least loaded server"`
 }
 
@@ -51,7 +53,7 @@
 				}
 				first := c.Seed + uint64(row*c.Seeds)
 				trial := detection.NewConfig(s, f.Kind, rate, horizon, 0)
-				trial.LeastLoaded = c.Least
+				trial.LeastLoaded, trial.HedgeAfter, trial.CancelHold = c.Least, c.Hedge, c.Hold
 				out := detection.RunSeeds(trial, first, c.Seeds, c.Workers)
 				cells = append(cells, detection.Summarize(s.Name, f, rate, out))
 			}
--- a/experiment/detection/events.go
+++ b/experiment/detection/events.go
@@ -16,6 +16,7 @@
 	serviceEnds eventKind = iota
 	deadline
 	slotFree
+	hedgeAnswers
 )
 
 // schedule is a binary heap of events by time.
--- a/experiment/detection/serve.go
+++ b/experiment/detection/serve.go
@@ -62,6 +62,9 @@
 	} else {
 		t.serve(i)
 	}
+	if t.c.HedgeAfter > 0 {
+		t.at(i, hedgeAnswers, t.now+t.c.HedgeAfter+t.c.Background.draw(t.rng).latency)
+	}
 	if w := j.d.NextWake(at(t.now)); len(t.judges) == 1 && !w.IsZero() {
 		t.wake = max(w.Sub(epoch), t.now+1)
 	}
@@ -112,6 +115,8 @@
 		t.timeOut(e, a)
 	case slotFree:
 		t.freeSlot(e.attempt)
+	case hedgeAnswers:
+		t.cancel(e.attempt, a)
 	}
 }
 
@@ -126,6 +131,10 @@
 		}
 		return
 	}
+	if a.over {
+		t.freeSlot(e.attempt)
+		return
+	}
 	kind := a.end.kind
 	// A judge that resumes from a pause finds some deadlines passed before it
 	// reads the answers; which it sees first is a matter of chance.
@@ -154,6 +163,15 @@
 	t.release(e.attempt)
 }
 
+// cancel ends an attempt whose hedge has answered.
+func (t *trial) cancel(i int32, a *attempt) {
+	if a.over {
+		return
+	}
+	t.tell(a, detector.Cancelled)
+	t.at(i, slotFree, t.now+t.c.CancelHold)
+}
+
 // tell reports the end of an attempt to its judge.
 func (t *trial) tell(a *attempt, kind detector.Kind) {
 	a.over = true
--- a/experiment/detection/trial.go
+++ b/experiment/detection/trial.go
@@ -74,6 +74,10 @@
 	Background  Background
 	Rule        Rule
 	Limits      floor.Limits
+	// HedgeAfter cancels an attempt that is still unanswered after this time as
+	// soon as a hedge has answered, and holds its slot for CancelHold or until
+	// the server ends it; zero: no hedging. Owner only.
+	HedgeAfter, CancelHold time.Duration
 	// FromStart counts false ejections during the warm-up too, while the
 	// detector knows little about the pool.
 	FromStart bool
