detector: compute the peers' scores once for all evidence

A view of the pool asks for the evidence of every server, and each answer sorted the scores of all. They are now kept until the next event or moment.

--- a/core/detector/bench_test.go
+++ b/core/detector/bench_test.go
@@ -78,3 +78,21 @@
 		runtime.KeepAlive(d)
 	}
 }
+
+// BenchmarkSequentialEvidence asks for the evidence of all servers of a pool.
+func BenchmarkSequentialEvidence(b *testing.B) {
+	d := NewSequential(Ridemark())
+	now := time.Unix(1000, 0)
+	ids := make([]model.ServerID, benchServers)
+	for i := range ids {
+		ids[i] = server(i)
+		d.Started(now, ids[i], model.AttemptID(i))
+	}
+	b.ReportAllocs()
+	for n := range b.N {
+		now := now.Add(time.Duration(n))
+		for _, id := range ids {
+			d.Evidence(now, id)
+		}
+	}
+}
--- a/core/detector/sequential.go
+++ b/core/detector/sequential.go
@@ -52,6 +52,8 @@
 	speed float64
 	// threshold is the profile's at the pool's present rate.
 	threshold float64
+	// peers caches peerScores until the next event or the next moment.
+	peers *peerScores
 }
 
 var _ Detector = (*Sequential)(nil)
@@ -77,6 +79,7 @@
 		q.resumed = q.clock + gap
 	}
 	q.clock += q.withoutSilence(gap)
+	q.peers = nil
 }
 
 // withoutSilence cuts an advance of the clock at the longest silence of the
@@ -115,6 +118,7 @@
 // Started implements Detector.
 func (q *Sequential) Started(now time.Time, id model.ServerID, a model.AttemptID) {
 	q.advance(now)
+	q.peers = nil
 	s := q.state(id)
 	if len(s.open) < maxOpen {
 		s.open = append(s.open, openAttempt{id: a, began: q.clock, from: q.clock})
@@ -127,6 +131,7 @@
 // timers run out during a pause.
 func (q *Sequential) Finished(now time.Time, id model.ServerID, a model.AttemptID, r Result) {
 	q.advance(now)
+	q.peers = nil
 	s := q.servers[id]
 	if s == nil {
 		return
@@ -215,6 +220,7 @@
 // Reset implements Detector. Unanswered attempts are counted from now on.
 func (q *Sequential) Reset(now time.Time, id model.ServerID) {
 	q.advance(now)
+	q.peers = nil
 	s := q.servers[id]
 	if s == nil {
 		return
@@ -230,6 +236,7 @@
 
 // Forget implements Detector.
 func (q *Sequential) Forget(id model.ServerID) {
+	q.peers = nil
 	if s := q.servers[id]; s != nil {
 		q.open -= len(s.open)
 		q.ref.remove(&s.own)
--- a/core/detector/verdict.go
+++ b/core/detector/verdict.go
@@ -21,16 +21,12 @@
 func (q *Sequential) Suspects(now time.Time) []Suspicion {
 	q.advance(now)
 	var list []Suspicion
-	var peers *peerScores
 	for _, s := range q.list {
 		own := q.scoresOf(s)
 		if own.max() < q.threshold {
 			continue
 		}
-		if peers == nil {
-			peers = q.peerScores()
-		}
-		e := q.evidence(s, own, peers)
+		e := q.evidence(s, own, q.peerScores())
 		if e.Score >= e.Threshold {
 			list = append(list, Suspicion{Server: s.id, Score: e.Score, Evidence: e})
 		}
@@ -72,7 +68,11 @@
 type peerScores struct{ fail, slow, stall []float64 }
 
 func (q *Sequential) peerScores() *peerScores {
+	if q.peers != nil {
+		return q.peers
+	}
 	p := &peerScores{}
+	q.peers = p
 	for _, s := range q.list {
 		if !q.active(s) {
 			continue
