--- a/capacity/measured.go
+++ b/capacity/measured.go
@@ -98,7 +98,7 @@
 }
 
 // Sections names the groups of measurements in the order of the page.
-var Sections = []string{"memory", "changes", "hosts", "requests", "reports"}
+var Sections = []string{"memory", "membership", "changes", "hosts", "requests", "reports"}
 
 // Command is the command that repeats a section.
 func Command(section string) string { return "make capacity SECTION=" + section }
@@ -108,7 +108,7 @@
 // measured.
 func Measure(name string) (Section, error) {
 	run := map[string]func() ([]Fit, error){
-		"memory": measureMemory, "changes": measureChanges,
+		"memory": measureMemory, "membership": measureMembership, "changes": measureChanges,
 		"hosts": measureHosts, "requests": measureRequests, "reports": measureReports,
 	}[name]
 	if run == nil {
