--- a/core/membership/apply.go
+++ b/core/membership/apply.go
@@ -36,7 +36,7 @@
 		if u.Info == nil || u.State == Gone {
 			return // the comparison of hashes brings the rest
 		}
-		m = &member{Host: Host{ID: u.Host, Info: *u.Info}, since: now, started: now, listed: u.Start == 0}
+		m = &member{Host: Host{ID: u.Host, Info: *u.Info}, since: now, started: now, listed: u.Start == 0, infoNews: true}
 		t.members[u.Host] = m
 		t.peersDirty = true
 	}
@@ -44,8 +44,8 @@
 	if c < 0 || c == 0 && u.State <= m.state {
 		return
 	}
-	if u.Info != nil {
-		m.Info = *u.Info
+	if u.Info != nil && m.Info != *u.Info {
+		m.Info, m.infoNews = *u.Info, true
 	}
 	if u.Start != m.version.Start {
 		// Another process: what was known of the one before does not count.
@@ -69,25 +69,29 @@
 	if s == Suspect {
 		t.suspects[m.ID] = m
 		m.deadline = now.Add(t.suspicionTime(m))
+		if at := now.Add(urgentGap); at.Before(m.link.next) {
+			m.link.next = at
+		}
 	}
 	if s == from {
 		return
 	}
 	m.since = now
 	t.peersDirty = true
-	if s > Suspect || from > Suspect || from == 0 {
+	if s > Suspect || from > Suspect {
 		t.urgent(now)
 	}
 	t.decide(StateChanged{Host: m.ID, Incarnation: m.incarnation, From: from, To: s})
 }
 
-// suspicionTime is doubled for a suspicion that only others have evidence for,
-// so that their verdict, or the refutation, usually arrives first.
+// suspicionTime is longer for a suspicion that only others have evidence for, so
+// that their verdict or the refutation arrives first even while much else is
+// spread.
 func (t *Table) suspicionTime(m *member) time.Duration {
 	if m.link.failures > 0 {
 		return t.cfg.Suspicion
 	}
-	return 2 * t.cfg.Suspicion
+	return hearsayFactor * t.cfg.Suspicion
 }
 
 // aboutSelf refutes a wrong statement about this host by a higher version.
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -110,6 +110,11 @@
 	p, err := w.pool(q.Pool)
 	if err != nil {
 		w.o.Log.WithFields(telemetry.Fields{"event": "pool_unavailable", "pool": q.Pool.String(), "request_id": q.ID}).WithError(err).Warn("cannot run the pool")
+		if errors.Is(err, ErrNoServers) {
+			// This daemon has just started, or its configuration differs from the
+			// entry's; another host may know the pool.
+			return fleet.NotRun(model.ReasonNoConfiguration, time.Second)
+		}
 		return fleet.NotRun(model.ReasonNoServer, time.Second)
 	}
 	if wait, ok := p.rates.allow(time.Now(), q, w.o.Catalog.Rates(q.Workspace, q.Route)); !ok {
@@ -129,6 +134,9 @@
 			return fleet.Unknown(model.ReasonTimeout)
 		}
 		return fleet.Unknown(model.ReasonCancelled)
+	case <-w.ctx.Done():
+		// The pool's goroutine ended and answers nothing more.
+		return fleet.Unknown(model.ReasonOwnerFailed)
 	}
 }
 
@@ -285,10 +293,9 @@
 
 // Views returns the state of all owned pools.
 func (w *Owner) Views(ctx context.Context) []View {
-	w.mu.RLock()
-	defer w.mu.RUnlock()
-	views := make([]View, 0, len(w.drivers))
-	for id, p := range w.drivers {
+	pools := w.pools()
+	views := make([]View, 0, len(pools))
+	for id, p := range pools {
 		reply := make(chan pool.View, 1)
 		p.driver.post(ctx, viewEvent{reply})
 		select {
