capacity: measure membership traffic and requests

Failed try: with 30 s to settle, 600 hosts still spread the host list that each table had read at its start (26.6 KB/s a host), and the run took 6 minutes.

--- a/capacity/members.go
+++ b/capacity/members.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/bits"
 	"math/rand/v2"
 	"time"
 
@@ -15,8 +16,11 @@
 const (
 	// tableStep is the resolution of the virtual time of the tables.
 	tableStep = 50 * time.Millisecond
-	// settleTime passes before messages are counted.
-	settleTime = 30 * time.Second
+	// settleTime and settlePerHost pass before messages are counted. A table
+	// that has read the host list first spreads all of it, which takes time in
+	// proportion to the fleet.
+	settleTime    = 30 * time.Second
+	settlePerHost = 500 * time.Millisecond
 	// countTime is how long they are counted.
 	countTime = time.Minute
 	// restartsPerHost is the number of restarts a second and host at the
@@ -36,6 +40,10 @@
 	// bytes and messages are those of all hosts, sent and received.
 	bytes, messages, changes float64
 	tableErr                 error
+	// phantoms are hosts without a table; they answer heartbeats, and change
+	// their state updateRate times a second together.
+	phantoms   []membership.Update
+	updateRate float64
 }
 
 func newTableFleet(hosts, dataCentres int) *tableFleet {
@@ -85,6 +93,9 @@
 				f.execute(i, t.Tick(f.now))
 			}
 		}
+		if f.rand.Float64() < f.updateRate*tableStep.Seconds() {
+			f.changePhantom(f.rand.IntN(len(f.phantoms)))
+		}
 		if f.rand.Float64() < restartsPerHost*float64(len(f.tables))*tableStep.Seconds() {
 			f.restart(f.rand.IntN(len(f.tables)))
 		}
@@ -115,16 +126,60 @@
 	}
 }
 
+// changePhantom gives a host without a table a new state and tells one host.
+func (f *tableFleet) changePhantom(k int) {
+	p := &f.phantoms[k]
+	if p.State == membership.Alive {
+		p.State = membership.Leaving
+	} else {
+		p.State, p.Start = membership.Alive, uint64(f.now.UnixMilli())
+	}
+	i := f.rand.IntN(len(f.tables))
+	_, decisions := f.tables[i].Receive(f.now, membership.Message{From: *p})
+	f.execute(i, decisions)
+}
+
+// addPhantoms lists n hosts without tables, in the data centres of the others.
+func (f *tableFleet) addPhantoms(n, dataCentres int) {
+	for k := range n {
+		h := membershipHost(len(f.tables)+k, dataCentres)
+		f.hosts = append(f.hosts, h)
+		f.phantoms = append(f.phantoms, membership.Update{
+			Host: h.ID, Incarnation: model.Incarnation(fmt.Sprintf("INCARNATION-%014d", k)), Version: membership.Version{Start: 1}, State: membership.Alive, Info: &h.Info,
+		})
+	}
+	for i := range f.tables {
+		f.readHostList(i)
+	}
+}
+
 func (f *tableFleet) heartbeat(i int, x membership.SendHeartbeat) {
-	to := f.index[x.To.ID]
+	to, ok := f.index[x.To.ID]
+	if !ok {
+		f.phantomHeartbeat(i, x)
+		return
+	}
 	answer, decisions := f.tables[to].Receive(f.now, x.Message)
 	f.count("heartbeat", x.Message, answer)
 	f.execute(i, f.tables[i].Answered(f.now, x.To.ID, x.Token, answer))
 	f.execute(to, decisions)
 }
 
+func (f *tableFleet) phantomHeartbeat(i int, x membership.SendHeartbeat) {
+	for _, p := range f.phantoms {
+		if p.Host == x.To.ID {
+			answer := membership.Message{From: p}
+			f.count("heartbeat", x.Message, answer)
+			f.execute(i, f.tables[i].Answered(f.now, x.To.ID, x.Token, answer))
+		}
+	}
+}
+
 func (f *tableFleet) sync(i int, x membership.Sync) {
-	to := f.index[x.With.ID]
+	to, ok := f.index[x.With.ID]
+	if !ok {
+		return
+	}
 	answer, decisions := f.tables[to].Exchange(f.now, x.Page)
 	f.count("exchange", x.Page, answer)
 	f.execute(i, f.tables[i].SyncAnswered(f.now, x.With.ID, answer))
@@ -154,15 +209,42 @@
 // measureMembership counts heartbeats and comparisons against the number of
 // hosts, in 4 and in 15 data centres, and measures a table's memory.
 func measureMembership() ([]Fit, error) {
-	fits, err := trafficFits("4", []int{10, 50, 200}, lightDataCentres)
+	fits, err := trafficFits("4", []int{20, 50, 200}, lightDataCentres)
 	if err != nil {
 		return nil, err
 	}
-	wide, err := trafficFits("15", []int{60, 200, 600}, targetDataCentres)
+	wide, err := trafficFits("15", []int{75, 120, 180}, targetDataCentres)
 	if err != nil {
 		return nil, err
 	}
-	return append(append(fits, wide...), tableFits()...), nil
+	fits = append(append(fits, wide...), tableFits()...)
+	churn, err := churnFit()
+	return append(fits, churn), err
+}
+
+// churnHosts is the number of hosts with tables, and as many without, while
+// the cost of state changes is measured.
+const churnHosts = 60
+
+// churnFit measures what the spread of host changes costs each host.
+func churnFit() (Fit, error) {
+	fit := Fit{
+		Name: "members.churn", Per: "host change/s in the fleet", Unit: "bytes/s per host, sent and received",
+		Mechanism: fmt.Sprintf("core/membership digests: each host sends a change 3*log2(hosts) times, here %d", 3*bits.Len(2*churnHosts+1)),
+	}
+	for _, rate := range []float64{0, 0.35, 1, 3} {
+		f := newTableFleet(churnHosts, targetDataCentres)
+		f.addPhantoms(churnHosts, targetDataCentres)
+		f.updateRate = rate
+		f.run(settleTime+2*churnHosts*settlePerHost, 0)
+		f.bytes = 0
+		f.run(countTime, 0)
+		if f.tableErr != nil {
+			return fit, f.tableErr
+		}
+		fit.Points = append(fit.Points, Point{rate, f.bytes / churnHosts / countTime.Seconds()})
+	}
+	return fit, nil
 }
 
 func trafficFits(suffix string, sizes []int, dataCentres int) ([]Fit, error) {
@@ -172,7 +254,7 @@
 	for _, n := range sizes {
 		f := newTableFleet(n, dataCentres)
 		every := time.Duration(float64(daySeconds) / targetChanges * float64(time.Second))
-		f.run(settleTime, every)
+		f.run(settleTime+time.Duration(n)*settlePerHost, every)
 		f.bytes, f.messages = 0, 0
 		used, err := cpuOf(func() error { f.run(countTime, every); return f.tableErr })
 		if err != nil {
--- a/capacity/statefits.go
+++ b/capacity/statefits.go
@@ -40,6 +40,7 @@
 		fits = append(fits, list...)
 	}
 	fits = append(fits, ledgerFits()...)
+	fits = append(fits, keyCPUFits()...)
 	return append(fits, ownerFits()...), nil
 }
 
@@ -143,6 +144,22 @@
 	return []Fit{issued, spent, text}
 }
 
+// keyCPUFits measures the CPU time of keys in the ledger alone.
+func keyCPUFits() []Fit {
+	issue := Fit{Name: "key.issue.cpu", Per: "issued key", Unit: "CPU s", Mechanism: "core/idempotency Issue: a MAC and its text"}
+	spent := Fit{Name: "key.spend.cpu", Per: "spent key", Unit: "CPU s", Mechanism: "core/idempotency Decode, Begin and Complete, with the issue"}
+	now := time.Now()
+	for _, n := range []int{10_000, 30_000, 100_000} {
+		l := newLedger(now)
+		used, _ := cpuOf(func() error { _, err := l.Issue(now, keyScope, n); return err })
+		issue.Points = append(issue.Points, Point{float64(n), used.Seconds()})
+		l = newLedger(now)
+		used, _ = cpuOf(func() error { spend(l, now, n); return nil })
+		spent.Points = append(spent.Points, Point{float64(n), used.Seconds()})
+	}
+	return []Fit{issue, spent}
+}
+
 // ownerFits measures what an owner holds for each server of its pools and for
 // each workspace that is active there.
 func ownerFits() []Fit {
