--- a/Makefile
+++ b/Makefile
@@ -28,6 +28,13 @@
 	$(GO) run ./experiment/detection/cmd table --seeds 200
 	$(GO) test -run '^$$' -bench . -benchmem ./core/... ./daemon
 
+## capacity: measure the slopes of docs/CAPACITY.md (SECTION=name for one
+## section; CAPACITY_PROCS limits the processors) and generate its tables
+CAPACITY_PROCS ?= 2
+capacity:
+	GOMAXPROCS=$(CAPACITY_PROCS) $(GO) run ./cmd/usher-capacity measure $(addprefix --section ,$(SECTION))
+	$(GO) run ./cmd/usher-capacity page
+
 ## lint: formatter, go vet and staticcheck
 lint: tools
 	@test -z "$$(gofmt -l $(GOFILES))" || { gofmt -l $(GOFILES); exit 1; }
--- a/capacity/measured.go
+++ b/capacity/measured.go
@@ -31,11 +31,18 @@
 // Measured is all that was measured.
 type Measured struct {
 	Sections []Section `json:"sections"`
-	// Before and After are a daemon's configuration state at the target scale
-	// in the plain form, at the commit Baseline, and in the compact form.
-	Baseline string     `json:"baseline"`
-	Before   StateBytes `json:"before"`
-	After    StateBytes `json:"after"`
+	// After is a daemon's configuration state at the target scale.
+	After StateBytes `json:"after"`
+	// Earlier are the same figures of earlier commits.
+	Earlier []EarlierState `json:"earlier"`
+}
+
+// EarlierState is a daemon's configuration state at the target scale at an
+// earlier commit.
+type EarlierState struct {
+	Commit string     `json:"commit"`
+	Form   string     `json:"form"`
+	State  StateBytes `json:"state"`
 }
 
 // FileError reports a file that cannot be read or written.
@@ -98,7 +105,7 @@
 }
 
 // Sections names the groups of measurements in the order of the page.
-var Sections = []string{"memory", "membership", "changes", "hosts", "requests", "reports"}
+var Sections = []string{"memory", "membership", "changes", "hosts", "hostlist", "requests", "reports"}
 
 // Command is the command that repeats a section.
 func Command(section string) string { return "make capacity SECTION=" + section }
@@ -109,7 +116,7 @@
 func Measure(name string) (Section, error) {
 	run := map[string]func() ([]Fit, error){
 		"memory": measureMemory, "membership": measureMembership, "changes": measureChanges,
-		"hosts": measureHosts, "requests": measureRequests, "reports": measureReports,
+		"hosts": measureHosts, "hostlist": measureHostList, "requests": measureRequests, "reports": measureReports,
 	}[name]
 	if run == nil {
 		return Section{}, &UnknownSectionError{Name: name}
--- a/capacity/memory.go
+++ b/capacity/memory.go
@@ -18,6 +18,8 @@
 type StateBytes struct {
 	// Encoded is the size of all chunks as they are in the object API.
 	Encoded float64 `json:"encoded"`
+	// Chunks is the number of chunks.
+	Chunks float64 `json:"chunks"`
 	// Head is the size of the head.
 	Head float64 `json:"head"`
 	// Follower is what the configuration follower holds: the objects, the
@@ -107,7 +109,7 @@
 	if err != nil {
 		return StateBytes{}, err
 	}
-	s := StateBytes{Encoded: e.bytes(), Head: float64(len(e.head))}
+	s := StateBytes{Encoded: e.bytes(), Chunks: float64(len(e.chunks)), Head: float64(len(e.head))}
 	if s.Objects, err = objectBytes(e); err != nil {
 		return StateBytes{}, err
 	}
