core/pool: the retry budget fills by time in a quiet pool

Cause: only the requests of others refilled the budget, so that in a quiet pool, or with callers that all wait, nothing did. Change: traffic below 20% of the pool's capacity counts as 20% for the budget; above it nothing changes, so the share of retries under load stays the same.

TestParkedLookupIsRetriedInAnIdlePool fails without the change.

--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -155,7 +155,7 @@
 	for _, s := range p.servers {
 		wake = earlier(wake, p.serverWake(now, s))
 	}
-	return earlier(wake, p.reserveWake(now))
+	return earlier(earlier(wake, p.reserveWake(now)), p.budgetWake(now))
 }
 
 // earlier returns the earlier of two times, of which zero means never.
@@ -172,7 +172,7 @@
 	p.wakeRequests(now)
 	p.assess(now)
 	p.fill(now)
-	p.unpark()
+	p.unpark(now)
 	p.fillUrgent(now)
 	out := p.out
 	p.out = nil
--- a/core/pool/retries.go
+++ b/core/pool/retries.go
@@ -15,8 +15,37 @@
 	// freeRepeats bounds how often a request is repeated outside of the budget
 	// because it could not be sent.
 	freeRepeats = 3
+	// idleLoad is the part of a pool's capacity that counts as its traffic for
+	// the retry budget when there is less. It is far from overload, where
+	// retries do harm.
+	idleLoad = 0.2
 )
 
+// leastTraffic returns the requests a second that the retry budget counts at
+// least.
+func (p *Pool) leastTraffic() float64 {
+	slots := 0
+	for _, s := range p.servers {
+		if s.inService() {
+			slots += s.slots
+		}
+	}
+	return idleLoad * float64(slots) / p.meanService.Seconds()
+}
+
+// budgetWake returns when a parked request can be retried at the latest; zero:
+// none is parked.
+func (p *Pool) budgetWake(now time.Time) time.Time {
+	if len(p.parked) == 0 {
+		return time.Time{}
+	}
+	wait, ok := p.budget.Wait(p.leastTraffic())
+	if !ok {
+		return time.Time{}
+	}
+	return now.Add(max(wait, time.Millisecond))
+}
+
 // afterFailure decides what follows when an attempt brought no answer.
 //
 // An attempt that could not be sent is repeated outside of the budget, at most
@@ -80,7 +109,8 @@
 // unpark makes parked requests urgent as the budget allows. The newest goes
 // first: if the budget stays short, the oldest would be retried just before
 // their deadlines, too late to be answered.
-func (p *Pool) unpark() {
+func (p *Pool) unpark(now time.Time) {
+	p.budget.Refill(now, p.leastTraffic())
 	for len(p.parked) > 0 {
 		last := len(p.parked) - 1
 		r := p.parked[last]
--- a/core/pool/retries_test.go
+++ b/core/pool/retries_test.go
@@ -151,6 +151,22 @@
 	g.Expect(out).To(ConsistOf(HaveField("Request", model.RequestID("q")), HaveField("Request", model.RequestID("c"))))
 }
 
+// Guards against a lookup that waits for the retry budget until its deadline
+// although the pool is idle: only requests of others used to refill the budget.
+func TestParkedLookupIsRetriedInAnIdlePool(t *testing.T) {
+	g := NewWithT(t)
+	f := newFixture(4, 2, func(c *pool.Config) { c.RetryBurst, c.RetryBudgetShare = 1, 0.1 })
+	for i, id := range []string{"a", "b"} {
+		d := pick[pool.Dispatch](f.pool.Submit(at(i), lookup(id, i)))[0]
+		f.pool.Finish(at(i), pool.AttemptResult{Attempt: d.Attempt, Kind: pool.FailedAfterSend})
+	}
+	// 20% of 8 slots at 20 ms are 80 requests a second: 8 retries a second.
+	wake := f.pool.NextWake(at(2))
+	g.Expect(wake).To(BeTemporally("<", at(200)))
+	out := pick[pool.Dispatch](f.pool.Tick(wake))
+	g.Expect(out).To(ConsistOf(HaveField("Request", model.RequestID("b"))))
+}
+
 // Guards against hedges of stuck lookups that take the slots reserved for
 // postings.
 func TestHedgesLeaveTheReserve(t *testing.T) {
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -3,10 +3,21 @@
 // request is hedged.
 package retry
 
+import "time"
+
+// aheadTime bounds, in seconds of the least traffic, how much real traffic
+// counts against the refill by time.
+const aheadTime = 1.0
+
 // Budget allows retries as a share of the requests, plus a burst that may be
-// saved up. Create it with NewBudget.
+// saved up. In a quiet pool it fills by time, as if there were some least
+// traffic: otherwise a few callers that wait for a retry would wait for the
+// requests of others. Create it with NewBudget.
 type Budget struct {
 	share, burst, tokens float64
+	// ahead is what real traffic has earned beyond the least traffic, in tokens.
+	ahead    float64
+	refilled time.Time
 }
 
 // NewBudget returns a full budget. A share or burst below zero counts as zero.
@@ -25,7 +36,34 @@
 }
 
 // Deposit records one request.
-func (b *Budget) Deposit() { b.tokens = min(b.burst, b.tokens+b.share) }
+func (b *Budget) Deposit() {
+	b.tokens = min(b.burst, b.tokens+b.share)
+	b.ahead += b.share
+}
+
+// Refill lets time pass. Traffic below least, in requests a second, counts as
+// least; traffic above it is counted by Deposit alone.
+func (b *Budget) Refill(now time.Time, least float64) {
+	if b.refilled.IsZero() {
+		b.refilled = now
+	}
+	due := b.share * least * now.Sub(b.refilled).Seconds()
+	b.refilled = now
+	earned := min(b.ahead, due)
+	b.ahead = min(b.ahead-earned, b.share*least*aheadTime)
+	b.tokens = min(b.burst, b.tokens+due-earned)
+}
+
+// Wait returns how long a retry has to wait at the latest; false if it will
+// never be allowed without more requests.
+func (b *Budget) Wait(least float64) (time.Duration, bool) {
+	rate := b.share * least
+	if rate <= 0 || b.burst < 1 {
+		return 0, false
+	}
+	missing := max(0, 1-b.tokens+b.ahead)
+	return time.Duration(missing / rate * float64(time.Second)), true
+}
 
 // Available reports whether one retry is allowed now.
 func (b *Budget) Available() bool { return b.tokens >= 1 }
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -56,3 +56,29 @@
 		g.Expect(float64(h.Delay())).To(BeNumerically("~", float64(exact), 0.25*float64(exact)))
 	}
 }
+
+// Guards against a refill that adds to what real traffic earns, which would let
+// retries exceed their share, and against a quiet pool that earns nothing.
+func TestBudgetRefillByTime(t *testing.T) {
+	g := NewWithT(t)
+	start := time.Unix(0, 0)
+	earned := func(requestsPerSecond int) float64 {
+		b := retry.NewBudget(0.1, 1000)
+		for b.Withdraw() {
+		}
+		for ms := range 10_000 {
+			if requestsPerSecond > 0 && ms%(1000/requestsPerSecond) == 0 {
+				b.Deposit()
+			}
+			b.Refill(start.Add(time.Duration(ms)*time.Millisecond), 20)
+		}
+		n := 0.0
+		for b.Withdraw() {
+			n++
+		}
+		return n
+	}
+	g.Expect(earned(0)).To(BeNumerically("~", 20, 1), "10 s of the least traffic")
+	g.Expect(earned(10)).To(BeNumerically("~", 20, 1), "less than the least traffic")
+	g.Expect(earned(100)).To(BeNumerically("~", 100, 1), "real traffic only")
+}
