detector: eject fewer servers while the whole service fails

Two causes: noise of the short window of the peers' failures counted against servers, and late errors were taken as timeouts although half of all answers were errors. The short window's rate now has a margin of two standard errors, and the hazard beyond which a failure is a timeout grows with the peers' rate of failures.

--- a/core/detector/reference.go
+++ b/core/detector/reference.go
@@ -28,6 +28,10 @@
 	// server: long enough to tell a rate, short enough that the reference
 	// follows a failure of the whole pool before single servers stand out.
 	shortPerServer = 4
+	// shortMargin raises the short window's rate by two standard errors of a
+	// rate of one half in about 90 attempts, so that its noise does not count
+	// against servers while the whole service fails.
+	shortMargin = 1.2
 	// minShort is the least short window and priorShort the weight of the long
 	// window's rate in it, in attempts.
 	minShort, priorShort = 20, 10
@@ -120,7 +124,7 @@
 }
 
 // failureRate returns the peers' rate of failures: the larger of a long and a
-// short window, without the server's own attempts.
+// short window, without the server's own attempts. The short one has a margin.
 func (r *reference) failureRate(own *tally) float64 {
 	long, short := r.pool.long, r.pool.short
 	long.subtract(own.long)
@@ -128,7 +132,7 @@
 	long.scale(1 / r.weight)
 	short.scale(1 / r.shortWeight)
 	p := (long.failures + priorRate*priorWeight) / (long.attempts + priorWeight)
-	q := (short.failures + p*priorShort) / (short.attempts + priorShort)
+	q := shortMargin * (short.failures + p*priorShort) / (short.attempts + priorShort)
 	return min(max(p, q), 0.9)
 }
 
--- a/core/detector/sequential.go
+++ b/core/detector/sequential.go
@@ -156,8 +156,9 @@
 	switch kind {
 	case Success, Failure:
 		s.ends.add(kind == Failure)
-		s.addFailure(&q.profile, kind, q.ref.failureRate(&s.own))
-		s.addHazard(&q.profile, q.hazard(s, latency), q.tolerant(s, latency), kind)
+		failing := q.ref.failureRate(&s.own)
+		s.addFailure(&q.profile, kind, failing)
+		s.addHazard(&q.profile, q.hazard(s, latency), q.tolerant(s, latency), failing, kind)
 		if kind == Success {
 			q.ref.addLatency(&s.own, latency, true)
 			q.noteAnswer(latency)
@@ -168,7 +169,7 @@
 		s.addFailure(&q.profile, kind, q.ref.failureRate(&s.own))
 		q.addOutcome(s, true)
 	case Cancelled:
-		s.addHazard(&q.profile, q.hazard(s, latency), q.tolerant(s, latency), kind)
+		s.addHazard(&q.profile, q.hazard(s, latency), q.tolerant(s, latency), 0, kind)
 		q.ref.addLatency(&s.own, latency, false)
 	}
 }
--- a/core/detector/server.go
+++ b/core/detector/server.go
@@ -17,8 +17,10 @@
 )
 
 // timeoutHazard is the cumulative hazard beyond which a failure is taken as an
-// attempt that got no answer. Fewer than 1% of answers come so late, so an
-// error among them is rare in healthy servers.
+// attempt that got no answer, at the assumed background rate of failures. Fewer
+// than 1% of answers come so late, so an error among them is rare in healthy
+// servers. It grows with the logarithm of the peers' rate of failures, so that
+// late errors stay as rare when the whole service fails.
 const timeoutHazard = 5
 
 // openAttempt is an unanswered attempt. Times are on the observed clock.
@@ -90,9 +92,10 @@
 // without an answer (1-a)h. A failure counts like an answer, the lower value,
 // unless it is so late that it is taken as a timeout. Of h, tolerant is the
 // value after the tolerated slowdown; only an unanswered attempt counts fully,
-// and only for the stall score.
-func (s *serverState) addHazard(p *Profile, h, tolerant float64, kind Kind) {
-	unanswered := kind == Cancelled || kind == Failure && h > timeoutHazard
+// and only for the stall score. The peers' rate of failures is failing.
+func (s *serverState) addHazard(p *Profile, h, tolerant, failing float64, kind Kind) {
+	late := timeoutHazard + math.Log(max(failing/priorRate, 1))
+	unanswered := kind == Cancelled || kind == Failure && h > late
 	if !unanswered {
 		h = tolerant
 	}
