--- a/capacity/cases.go
+++ b/capacity/cases.go
@@ -1,9 +1,10 @@
 package capacity
 
 import (
+	"cmp"
 	"fmt"
 	"math"
-	"strings"
+	"slices"
 )
 
 // Bounds of today's code that the hard cases meet.
@@ -154,47 +155,66 @@
 	}
 }
 
-// breakTable says at which size each part exceeds its limit, worst first by
-// the ratio at the target.
+// part is something that reaches a limit as the fleet grows.
+type part struct {
+	name, limit, reached string
+	// ratio is the value at the target in units of the limit.
+	ratio float64
+}
+
+// breakTable says at which size each part reaches its limit, ordered by the
+// ratio at the target.
 func (m costModel) breakTable() string {
 	s := Scales[len(Scales)-1]
-	parts := math.Ceil(m.slope("report.writes") * rowsPerDaemon)
-	list := m.slope("hostlist.bytes")
-	farShare := float64(s.Regions-1) / float64(s.Regions)
-	links := s.relays() * farShare
-	wireLimit := linkBytes * pullSeconds / base64Factor
-	encoded := m.After.Encoded / float64(s.objects())
-	churnHosts := m.churnLimit(s)
-	rows := [][]string{
-		{"report flushes", "300 writes/s to the object API", fmt.Sprintf("%.0f hosts with %s parts each", limitWrites*flushSeconds/parts, number(parts)), ratio(float64(s.Hosts) * parts / flushSeconds / limitWrites)},
-		{"host list read whole each second", "16 KB/s at a relay", fmt.Sprintf("%.0f hosts", limitBytes/list), ratio(list * float64(s.Hosts) / limitBytes)},
-		{"host lists to the relays of other regions", "30 Mbit/s between regions", fmt.Sprintf("%.0f hosts (%s relays)", linkBytes/list/links, number(links)), ratio(links * list * float64(s.Hosts) / linkBytes)},
-		{"pull within 2 s at a start, from another region", "30 Mbit/s", fmt.Sprintf("%.0f objects", wireLimit/encoded), ratio(m.After.Encoded * base64Factor / pullSeconds / linkBytes)},
-		{"configuration at a start within 9 s of 16 KB/s", "16 KB/s", fmt.Sprintf("%.0f objects", limitBytes*9/base64Factor/encoded), ratio(m.After.Encoded * base64Factor / 9 / limitBytes)},
-		{"spread of host changes and configuration", "16 KB/s", churnHosts, ratio(m.controlBytes(s) / limitBytes)},
-		{"CPU time of one change at usher-api", "9 s until in effect", fmt.Sprintf("%.0f objects", 9/m.slope("change.writer.cpu")), ratio(m.at("change.writer.cpu", float64(s.objects())) / 9)},
-		{"configuration state in a daemon", "128 MB", fmt.Sprintf("%.0f objects of the target's mix", limitMemory/m.After.Total()*float64(s.objects())), ratio(m.After.Total() / limitMemory)},
+	parts := append(m.hostParts(s), m.objectParts(s)...)
+	slices.SortStableFunc(parts, func(a, b part) int { return cmp.Compare(b.ratio, a.ratio) })
+	var rows [][]string
+	for _, p := range parts {
+		rows = append(rows, []string{p.name, p.limit, p.reached, number(p.ratio)})
 	}
 	return table([]string{"part", "limit", "reached at", "target / limit"}, rows)
 }
 
-func ratio(r float64) string { return strings.TrimSpace(number(r)) }
+// hostParts are those that grow with the number of hosts.
+func (m costModel) hostParts(s Scale) []part {
+	hosts, flushed := float64(s.Hosts), math.Ceil(m.slope("report.writes")*rowsPerDaemon)
+	list, base := m.slope("hostlist.bytes"), m.last("members.bytes."+s.wiring())
+	far := s.relays() * float64(s.Regions-1) / float64(s.Regions)
+	atLimit := func(limit, each float64) string { return fmt.Sprintf("%.0f hosts", limit/each) }
+	return []part{
+		{"report flushes", "300 writes/s to the object API", atLimit(limitWrites*flushSeconds, flushed) + fmt.Sprintf(" with %.0f parts each", flushed), hosts * flushed / flushSeconds / limitWrites},
+		{"host list, read whole each second", "16 KB/s at a relay", atLimit(limitBytes, list), list * hosts / limitBytes},
+		{"host lists to the relays of other regions", "30 Mbit/s between regions", atLimit(linkBytes, list*far), far * list * hosts / linkBytes},
+		{"heartbeats and spread of host changes", "16 KB/s", m.churnLimit(s), (base + m.churnBytes(s)*s.hostChangeRate()) / limitBytes},
+	}
+}
 
-// controlBytes is the sum in daemonFigures.
-func (m costModel) controlBytes(s Scale) float64 {
-	return m.last("members.bytes."+s.wiring()) + m.churnBytes(s)*s.hostChangeRate() + 2*base64Factor*m.headBytes(s)*s.changeRate()
+// objectParts are those that grow with the number of configuration objects, in
+// the target's mix.
+func (m costModel) objectParts(s Scale) []part {
+	n := float64(s.objects())
+	encoded, base := m.After.Encoded*base64Factor/n, m.last("members.bytes."+s.wiring())
+	objects := func(x float64) string { return fmt.Sprintf("%.0f objects", max(x, 0)) }
+	headRate := 2 * base64Factor * s.changeRate()
+	head, _ := m.Fit("change.head")
+	return []part{
+		{"pull of a starting host within 2 s", "30 Mbit/s between regions", objects(linkBytes * pullSeconds / encoded), encoded * n / pullSeconds / linkBytes},
+		{"start of a host within 9 s", "16 KB/s", objects(limitBytes * 9 / encoded), encoded * n / 9 / limitBytes},
+		{"heartbeats and heads, at the target's changes", "16 KB/s", objects(((limitBytes-base)/headRate - inlineBytes - head.Intercept) / head.Slope), (base + headRate*m.headBytes(s)) / limitBytes},
+		{"CPU time of one change at usher-api", "9 s until in effect", objects(9 / m.slope("change.writer.cpu")), m.at("change.writer.cpu", n) / 9},
+		{"configuration state of a daemon", "128 MB", objects(limitMemory / m.After.Total() * n), m.After.Total() / limitMemory},
+	}
 }
 
-// churnLimit returns the number of hosts, with the target's restarts per host
-// and everything else as at the target, at which control bytes reach the limit.
+// churnLimit returns the number of hosts, with the target's restarts for each,
+// at which heartbeats and host changes alone reach the limit.
 func (m costModel) churnLimit(s Scale) string {
-	for hosts := 100; hosts <= 100_000; hosts += 100 {
-		x := s
-		x.Hosts = hosts
-		x.Restarts, x.Failures = s.Restarts*float64(hosts)/float64(s.Hosts), s.Failures*float64(hosts)/float64(s.Hosts)
-		if m.controlBytes(x) > limitBytes {
-			return fmt.Sprintf("%d hosts", hosts)
+	x, share := s, 1/float64(s.Hosts)
+	for x.Hosts = 100; x.Hosts < 100_000; x.Hosts += 100 {
+		x.Restarts, x.Failures = s.Restarts*share*float64(x.Hosts), s.Failures*share*float64(x.Hosts)
+		if m.last("members.bytes."+s.wiring())+m.churnBytes(x)*x.hostChangeRate() > limitBytes {
+			break
 		}
 	}
-	return "above 100,000 hosts"
+	return fmt.Sprintf("%d hosts", x.Hosts)
 }
--- a/capacity/figures.go
+++ b/capacity/figures.go
@@ -137,6 +137,7 @@
 	base, churn := m.last("members.bytes."+s.wiring()), m.churnBytes(s)*s.hostChangeRate()
 	config := 2 * base64Factor * m.headBytes(s) * s.changeRate()
 	cpuMembers := m.at("members.cpu."+s.wiring(), hosts) + m.slope("members.view.cpu")*hosts*s.hostChangeRate()
+	written := m.slope("report.bytes") * s.rows() / flushSeconds
 	cpuConfig := (m.at("change.daemon.cpu", objects) + m.at("change.compile.cpu", objects)) * s.changeRate()
 	return []figure{
 		{role, "configuration objects", m.perObject("decoded", s.Sizes), unitBytes, 0, objectFits("decoded"), "slopes x objects"},
@@ -148,13 +149,13 @@
 		{role, "membership, no changes", base, unitRate, 0, []string{"members.bytes." + s.wiring()}, "value at the largest measured fleet"},
 		{role, "membership, host changes", churn, unitRate, 0, []string{"members.churn"}, "slope x host changes/s x retransmissions(hosts)/retransmissions(measured)"},
 		{role, "configuration", config, unitRate, 0, []string{"change.head"}, "(head + 8 KB of changes) x 4/3 x changes/s, received once and sent once"},
-		{role, "control bytes", base + churn + config, unitRate, limitBytes, nil, "sum of the above"},
+		{role, "report flushes", written, unitRate, 0, []string{"report.bytes"}, "slope x rows / 60 s; rows with a full histogram are larger"},
+		{role, "control bytes", base + churn + config + written, unitRate, limitBytes, nil, "sum of the above"},
 		{role, "control messages", m.last("members.messages."+s.wiring()) + 4*s.changeRate(), unitMessages, 0, []string{"members.messages." + s.wiring(), "hosts.messages"}, "value at the largest measured fleet, and a call and answer received and sent for each change"},
 		{role, "CPU of membership", cpuMembers, unitCore, 0, []string{"members.cpu." + s.wiring(), "members.view.cpu"}, "line at hosts + slope x hosts x host changes/s"},
 		{role, "CPU of configuration", cpuConfig, unitCore, 0, []string{"change.daemon.cpu", "change.compile.cpu"}, "CPU of a change x changes/s"},
 		{role, "control CPU", cpuMembers + cpuConfig, unitCore, limitCPU, nil, "sum of the above"},
 		{role, "report writes", m.slope("report.writes") * s.rows() / flushSeconds, unitCalls, 0, []string{"report.writes"}, "slope x rows / 60 s"},
-		{role, "report bytes written", m.slope("report.bytes") * s.rows() / flushSeconds, unitRate, 0, []string{"report.bytes"}, "slope x rows / 60 s; rows with a full histogram are larger"},
 	}
 }
 
@@ -183,6 +184,7 @@
 	farRelays := relays * float64(s.Regions-1) / float64(s.Regions)
 	list := m.at("hostlist.bytes", float64(s.Hosts))
 	head := m.headBytes(s)
+	peerHeads := m.last("hosts.region") / m.slope("hosts.bytes") / (lightRelays * lightDataCentres)
 	watch := s.changeRate() + 1.0/watchSeconds
 	writes := float64(s.Hosts)*math.Ceil(m.slope("report.writes")*s.rows())/flushSeconds + 2*s.changeRate()
 	restarts := (s.Restarts + s.Failures) / daySeconds
@@ -199,7 +201,8 @@
 		{"object API", "writes", writes, unitCalls, limitWrites, []string{"change.calls"}, "reports, and two a change"},
 		{"object API", "reads", reads, unitCalls, limitReads, []string{"rate.calls", "hosts.calls"}, "relays' watches and host lists, the writer, and a head and a host list for each start"},
 		{"object API", "largest value", head, unitBytes, limitValueBytes, []string{"change.head"}, "head; chunks stay under 1 MB by construction"},
-		{"object API", "configuration between regions", farRelays * head * s.changeRate(), unitRate, linkBytes, []string{"change.head", "hosts.region"}, "heads read by the relays of the other regions"},
+		{"object API", "configuration between regions", farRelays * head * s.changeRate(), unitRate, linkBytes, []string{"change.head"}, "heads read by the relays of the other regions, against one link of 30 Mbit/s"},
+		{"relay", "configuration between regions, from peers", peerHeads * relays * base64Factor * head * s.changeRate(), unitRate, linkBytes, []string{"hosts.region", "hosts.bytes", "change.head"}, fmt.Sprintf("%s heads a relay and change (hosts.region / hosts.bytes slope / 8 relays) x relays x head x 4/3 x changes/s, all links together", number(peerHeads))},
 		{"object API", "host lists between regions", farRelays * list, unitRate, linkBytes, []string{"hostlist.bytes"}, "lists read by the relays of the other regions, against one link of 30 Mbit/s"},
 	}
 }
