--- a/daemon/handover.go
+++ b/daemon/handover.go
@@ -69,10 +69,13 @@
 
 func newHandover(o *owner.Owner, self model.HostID, incarnation model.Incarnation, m *members, c *fleet.Client, log telemetry.Logger) *handover {
 	h := &handover{Owner: o, self: self, incarnation: incarnation, members: m, fleet: c, log: log, done: make(chan struct{})}
-	h.inbox = peerrpc.NewInbox(incarnation, func(all []idempotency.Exported) {
+	h.inbox = peerrpc.NewInbox(incarnation, func(all []idempotency.Exported) error {
+		if err := o.AdoptKeys(all); err != nil {
+			return err
+		}
 		h.used.Store(true)
-		o.AdoptKeys(all)
 		log.WithFields(telemetry.Fields{"event": "keys_taken_over", "ledgers": len(all)}).Info("took over the key ledgers of a stopping daemon")
+		return nil
 	})
 	return h
 }
@@ -150,12 +153,13 @@
 // run seals the ledgers and moves them. It returns when the notes have spread
 // or ctx ends.
 func (h *handover) run(ctx context.Context) {
+	started := time.Now()
+	h.sealed.Store(true)
+	h.Seal() // first, so that no key is issued after the look at used
 	if !h.used.Load() {
+		close(h.done)
 		return
 	}
-	started := time.Now()
-	h.sealed.Store(true)
-	h.Seal()
 	all, err := h.export(ctx)
 	if err == nil {
 		h.result = h.transfer(ctx, all)
