--- a/capacity/cases.go
+++ b/capacity/cases.go
@@ -20,8 +20,9 @@
 	inlineChanges = 25
 	// shardCores is the share of one core that a shard may use.
 	shardCores = 0.5
-	// updatesPerMessage is membership.MaxUpdates.
-	updatesPerMessage = 6
+	// updatesPerSecond bounds the changes that a host sends, as in
+	// core/membership.
+	updatesPerSecond = 36
 )
 
 type caseLine struct {
@@ -69,14 +70,13 @@
 	after := s.Requests / (float64(s.Hosts) - lost)
 	cpu := m.slope("request.entry.cpu") + m.slope("request.owner.cpu")
 	bytes := 2 * lost * m.churnBytes(s)
-	sent := m.last("members.messages."+s.wiring()) / 4 * updatesPerMessage
 	return []caseLine{
 		{name, "hosts lost", lost, unitPlain, "hosts / data centres"},
 		{name, "requests/s of each other host", after, "requests/s", "requests / hosts left"},
 		{name, "CPU of entry and owner", cpu * after, unitCore, "slopes x requests/s"},
 		{name, "control bytes at each other host", bytes, unitBytes, "2 state changes x hosts lost x bytes of a change"},
 		{name, "time at 16 KB/s", bytes / limitBytes, unitSeconds, "bytes / 16 KB/s"},
-		{name, "time to send all changes at the normal message rate", 2 * lost * retransmissions(s.Hosts) / sent, unitSeconds, "2 x hosts lost x retransmissions / (messages sent x 6 changes)"},
+		{name, "time to send all changes", 2 * lost * retransmissions(s.Hosts) / updatesPerSecond, unitSeconds, "2 x hosts lost x retransmissions / 36 a second, the bound of core/membership"},
 		{name, "CPU for views at each other host", m.slope("members.view.cpu") * float64(s.Hosts) * 2 * lost, unitSeconds, "`members.view.cpu` x hosts x state changes, one view for each change"},
 	}
 }
--- a/capacity/figures.go
+++ b/capacity/figures.go
@@ -113,7 +113,7 @@
 }
 
 // retransmissions is how often a host sends a change, as in core/membership.
-func retransmissions(hosts int) float64 { return float64(3 * bits.Len(uint(hosts+1))) }
+func retransmissions(hosts int) float64 { return float64(2 * bits.Len(uint(hosts+1))) }
 
 // churnBytes is what one change of a host's state costs each host.
 func (m costModel) churnBytes(s Scale) float64 {
--- a/capacity/members.go
+++ b/capacity/members.go
@@ -16,9 +16,8 @@
 const (
 	// tableStep is the resolution of the virtual time of the tables.
 	tableStep = 50 * time.Millisecond
-	// settleTime and settlePerHost pass before messages are counted. A table
-	// that has read the host list first spreads all of it, which takes time in
-	// proportion to the fleet.
+	// settleTime and settlePerHost pass before messages are counted, so that
+	// the joins are over: every host announces itself at a bounded rate.
 	settleTime    = 30 * time.Second
 	settlePerHost = 500 * time.Millisecond
 	// countTime is how long they are counted.
@@ -230,7 +229,7 @@
 func churnFit() (Fit, error) {
 	fit := Fit{
 		Name: "members.churn", Per: "host change/s in the fleet", Unit: "bytes/s per host, sent and received",
-		Mechanism: fmt.Sprintf("core/membership digests: each host sends a change 3*log2(hosts) times, here %d", 3*bits.Len(2*churnHosts+1)),
+		Mechanism: fmt.Sprintf("core/membership digests: each host sends a change 2*log2(hosts) times, here %d", 2*bits.Len(2*churnHosts+1)),
 	}
 	for _, rate := range []float64{0, 0.35, 1, 3} {
 		f := newTableFleet(churnHosts, targetDataCentres)
