capacity: measure the heap with garbage while changes are applied

Cause: the live heap hides what the collector has not freed yet. Change: section peaks applies changes to a daemon's state at GOGC 100 and 25.

--- a/capacity/figures.go
+++ b/capacity/figures.go
@@ -146,6 +146,8 @@
 		{role, "membership table and view", members, unitBytes, 0, []string{"members.memory"}, "slope x hosts"},
 		{role, "report counters", reports, unitBytes, 0, []string{"report.held"}, "slope x rows of one day, at most 4,096"},
 		{role, "memory of control state", m.state(s) + members + reports, unitBytes, limitMemory, nil, "sum of the above, live heap"},
+		{role, "heap with garbage, GOGC=100", m.at("peak.100", objects) + members + reports, unitBytes, limitMemory, []string{"peak.100"}, "configuration state while changes are applied + membership + reports; request traffic adds to it"},
+		{role, "heap with garbage, GOGC=25", m.at("peak.25", objects) + members + reports, unitBytes, limitMemory, []string{"peak.25"}, "the same with a collector that runs more often"},
 		{role, "membership, no changes", base, unitRate, 0, []string{"members.bytes." + s.wiring()}, "value at the largest measured fleet"},
 		{role, "membership, host changes", churn, unitRate, 0, []string{"members.churn"}, "slope x host changes/s x retransmissions(hosts)/retransmissions(measured)"},
 		{role, "configuration", config, unitRate, 0, []string{"change.head"}, "(head + 8 KB of changes) x 4/3 x changes/s, received once and sent once"},
--- a/capacity/measured.go
+++ b/capacity/measured.go
@@ -105,7 +105,7 @@
 }
 
 // Sections names the groups of measurements in the order of the page.
-var Sections = []string{"memory", "membership", "changes", "hosts", "hostlist", "requests", "reports"}
+var Sections = []string{"memory", "peaks", "membership", "changes", "hosts", "hostlist", "requests", "reports"}
 
 // Command is the command that repeats a section.
 func Command(section string) string { return "make capacity SECTION=" + section }
@@ -115,7 +115,7 @@
 // measured.
 func Measure(name string) (Section, error) {
 	run := map[string]func() ([]Fit, error){
-		"memory": measureMemory, "membership": measureMembership, "changes": measureChanges,
+		"memory": measureMemory, "peaks": measurePeaks, "membership": measureMembership, "changes": measureChanges,
 		"hosts": measureHosts, "hostlist": measureHostList, "requests": measureRequests, "reports": measureReports,
 	}[name]
 	if run == nil {
