capacity: total of a relay's control bytes, bounds below the smallest size

Cause: lines extrapolated below the smallest measured size gave negative values, and a relay's row left out what every daemon sends.

--- a/capacity/cases.go
+++ b/capacity/cases.go
@@ -194,12 +194,11 @@
 func (m costModel) objectParts(s Scale) []part {
 	n := float64(s.objects())
 	encoded, base := m.After.Encoded*base64Factor/n, m.last("members.bytes."+s.wiring())
-	objects := func(x float64) string { return fmt.Sprintf("%.0f objects", max(x, 0)) }
+	objects := func(x float64) string { return fmt.Sprintf("%.3f million objects", max(x, 0)/1e6) }
 	headRate := 2 * base64Factor * s.changeRate()
 	head, _ := m.Fit("change.head")
 	return []part{
 		{"pull of a starting host within 2 s", "30 Mbit/s between regions", objects(linkBytes * pullSeconds / encoded), encoded * n / pullSeconds / linkBytes},
-		{"start of a host within 9 s", "16 KB/s", objects(limitBytes * 9 / encoded), encoded * n / 9 / limitBytes},
 		{"heartbeats and heads, at the target's changes", "16 KB/s", objects(((limitBytes-base)/headRate - inlineBytes - head.Intercept) / head.Slope), (base + headRate*m.headBytes(s)) / limitBytes},
 		{"CPU time of one change at usher-api", "9 s until in effect", objects(9 / m.slope("change.writer.cpu")), m.at("change.writer.cpu", n) / 9},
 		{"configuration state of a daemon", "128 MB", objects(limitMemory / m.After.Total() * n), m.After.Total() / limitMemory},
--- a/capacity/figures.go
+++ b/capacity/figures.go
@@ -85,11 +85,16 @@
 	return f.Slope
 }
 
+// at returns the line's value at x. Below the smallest measured size it is the
+// value measured there, an upper bound.
 func (m costModel) at(name string, x float64) float64 {
 	f, ok := m.Fit(name)
-	if !ok {
+	if !ok || len(f.Points) == 0 {
 		return math.NaN()
 	}
+	if x < f.Points[0].X {
+		return f.Points[0].Y
+	}
 	return f.At(x)
 }
 
@@ -129,15 +134,28 @@
 	return m.perObject("decoded", s.Sizes) + m.perObject("packed", s.Sizes) + m.perObject("compiled", s.Sizes)
 }
 
+// controlBytes are the bytes a second of every daemon, sent and received.
+func (m costModel) controlBytes(s Scale) float64 {
+	return m.last("members.bytes."+s.wiring()) + m.churnBytes(s)*s.hostChangeRate() + m.configBytes(s) + m.flushBytes(s)
+}
+
+// configBytes are those of heads received once and sent once for each change.
+func (m costModel) configBytes(s Scale) float64 {
+	return 2 * base64Factor * m.headBytes(s) * s.changeRate()
+}
+
+func (m costModel) flushBytes(s Scale) float64 {
+	return m.slope("report.bytes") * s.rows() / flushSeconds
+}
+
 // daemonFigures are those of every daemon, whatever its roles.
 func (m costModel) daemonFigures(s Scale) []figure {
 	const role = "every daemon"
 	hosts, objects := float64(s.Hosts), float64(s.objects())
 	members, reports := m.slope("members.memory")*hosts, m.slope("report.held")*s.rows()
 	base, churn := m.last("members.bytes."+s.wiring()), m.churnBytes(s)*s.hostChangeRate()
-	config := 2 * base64Factor * m.headBytes(s) * s.changeRate()
+	config, written := m.configBytes(s), m.flushBytes(s)
 	cpuMembers := m.at("members.cpu."+s.wiring(), hosts) + m.slope("members.view.cpu")*hosts*s.hostChangeRate()
-	written := m.slope("report.bytes") * s.rows() / flushSeconds
 	cpuConfig := (m.at("change.daemon.cpu", objects) + m.at("change.compile.cpu", objects)) * s.changeRate()
 	return []figure{
 		{role, "configuration objects", m.perObject("decoded", s.Sizes), unitBytes, 0, objectFits("decoded"), "slopes x objects"},
@@ -152,7 +170,7 @@
 		{role, "membership, host changes", churn, unitRate, 0, []string{"members.churn"}, "slope x host changes/s x retransmissions(hosts)/retransmissions(measured)"},
 		{role, "configuration", config, unitRate, 0, []string{"change.head"}, "(head + 8 KB of changes) x 4/3 x changes/s, received once and sent once"},
 		{role, "report flushes", written, unitRate, 0, []string{"report.bytes"}, "slope x rows / 60 s; rows with a full histogram are larger"},
-		{role, "control bytes", base + churn + config + written, unitRate, limitBytes, nil, "sum of the above"},
+		{role, "control bytes", m.controlBytes(s), unitRate, limitBytes, nil, "sum of the above"},
 		{role, "control messages", m.last("members.messages."+s.wiring()) + 4*s.changeRate(), unitMessages, 0, []string{"members.messages." + s.wiring(), "hosts.messages"}, "value at the largest measured fleet, and a call and answer received and sent for each change"},
 		{role, "CPU of membership", cpuMembers, unitCore, 0, []string{"members.cpu." + s.wiring(), "members.view.cpu"}, "line at hosts + slope x hosts x host changes/s"},
 		{role, "CPU of configuration", cpuConfig, unitCore, 0, []string{"change.daemon.cpu", "change.compile.cpu"}, "CPU of a change x changes/s"},
@@ -195,7 +213,7 @@
 		{"relay", "watch of the head", watch, unitCalls, 0, []string{"rate.calls"}, "one each 30 s and one a change"},
 		{"relay", "head received", head * s.changeRate(), unitRate, 0, []string{"change.head"}, "(head + 8 KB of changes) x changes/s"},
 		{"relay", "host list received", list, unitRate, 0, []string{"hostlist.bytes"}, "whole list, once a second"},
-		{"relay", "control bytes, beyond those of every daemon", list + head*s.changeRate(), unitRate, limitBytes, nil, "sum of the above"},
+		{"relay", "control bytes", list + head*s.changeRate() + m.controlBytes(s), unitRate, limitBytes, nil, "sum of the above and those of every daemon"},
 		{"usher-api", "CPU of changes", m.at("change.writer.cpu", objects) * s.changeRate(), unitCore, 0, []string{"change.writer.cpu"}, "CPU of a change x changes/s, one process"},
 		{"usher-api", "CPU time of one change", m.at("change.writer.cpu", objects), unitSeconds, 9, []string{"change.writer.cpu"}, "against 9 s until a change is in effect"},
 		{"usher-api", "store calls", m.last("change.calls") * s.changeRate(), unitCalls, 0, []string{"change.calls"}, "calls of a change x changes/s"},
