standin/relay: a cut after the request passes on no response

TestCutPoints failed once under load: the server's answer passed between the write of the request and the close.

--- a/standin/relay/link.go
+++ b/standin/relay/link.go
@@ -88,6 +88,10 @@
 		l.begun = true
 	}
 	l.answered = d == ToClient
+	if l.cutting && d == ToClient && l.point.direction() == ToServer {
+		// The server answered before the connection was closed.
+		return BeforeResponse, true
+	}
 	return l.point, l.cutting && l.point.direction() == d
 }
 
