core/pool: lookups take any free slot, so that stalls show

Cause: with the least loaded server chosen for every request, a stalled server kept a single unanswered attempt while others were idle, which alone never ejects. Change: repeatable requests go to the next server in turn with a free slot; requests that may not be repeated still go to the least loaded one.

--- a/core/pool/dispatch.go
+++ b/core/pool/dispatch.go
@@ -194,7 +194,7 @@
 	}
 	var s *server
 	if serving {
-		s = p.leastLoaded(now, Serving, r.tried)
+		s = p.servingServer(now, r)
 	}
 	if s != nil || !r.Repeatable {
 		return s
@@ -208,6 +208,33 @@
 	return p.leastLoaded(now, Suspect, nil)
 }
 
+// servingServer returns a serving server that the request has not tried, or nil. A
+// repeatable request takes any server with a free slot, in turn: the least
+// loaded one would leave a stalled server with a single unanswered attempt for
+// as long as others are idle, which is too little evidence against it. A
+// request that may not be repeated takes the least loaded one, and so avoids
+// servers with unanswered attempts.
+func (p *Pool) servingServer(now time.Time, r *request) *server {
+	if r.Repeatable {
+		return p.nextFree(now, r.tried)
+	}
+	return p.leastLoaded(now, Serving, r.tried)
+}
+
+// nextFree returns the next serving server in turn that has a free slot.
+func (p *Pool) nextFree(now time.Time, except []*server) *server {
+	n := len(p.servers)
+	for i := range n {
+		at := (p.cursor + i) % n
+		s := p.servers[at]
+		if s.status == Serving && s.inUse < s.allowed(now, p.cfg.Readmission.RampTime) && !slices.Contains(except, s) {
+			p.cursor = (at + 1) % n
+			return s
+		}
+	}
+	return nil
+}
+
 // untried reports whether a server that the request may use, free or not, has
 // not been tried.
 func (p *Pool) untried(r *request) bool {
--- a/experiment/pooltrial/cmd/main.go
+++ b/experiment/pooltrial/cmd/main.go
@@ -11,11 +11,13 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"github.com/agateusher/agateusher/core/detector"
 	"github.com/agateusher/agateusher/experiment/pooltrial"
 )
 
 type options struct {
 	Seed    uint64 `long:"seed" default:"1" description:"seed of all random sources"`
+	Trials  int    `long:"trials" default:"60" description:"trials of each row of the detection table"`
 	Seconds int    `long:"seconds" default:"60" description:"virtual length of each run"`
 }
 
@@ -33,6 +35,21 @@
 	printOverload(w, length, opts.Seed)
 	printRetries(w, length, opts.Seed)
 	printStalls(w, length, opts.Seed)
+	printDetection(w, opts.Trials)
+}
+
+// detectionRate is the requests a second for each server of the targets.
+const detectionRate = 10
+
+// printDetection shows the real pool with the real detector and floor.
+func printDetection(w *tabwriter.Writer, trials int) {
+	fmt.Fprintln(w, "profile\tfault\trequests/s a server\tmedian\tp99\tmissed\tattempts at it\tunknown\tfalse ejections")
+	for _, profile := range []detector.Profile{detector.Ridemark(), detector.Consortium()} {
+		for _, fault := range []pooltrial.Fault{pooltrial.FaultStall, pooltrial.FaultErrors, pooltrial.FaultSlow} {
+			fmt.Fprintln(w, pooltrial.MeasureDetections(profile, fault, detectionRate, trials))
+		}
+	}
+	flush(w)
 }
 
 // loadAfter is the load after the overload.
--- a/experiment/pooltrial/owner.go
+++ b/experiment/pooltrial/owner.go
@@ -35,6 +35,13 @@
 	Waits Samples
 	// Dispatched counts attempts, First those that were the request's first.
 	Dispatched, First int
+	// OnChange, if not nil, is called for each change of a server's status.
+	OnChange func(pool.ServerChanged)
+	// servers names the server of each running attempt, dispatchedTo counts the
+	// attempts at each server, and faults names the ones that fail.
+	servers      map[model.AttemptID]model.ServerID
+	dispatchedTo map[model.ServerID]int
+	faults       map[model.ServerID]Fault
 	// OnAnswer is called for each answered request.
 	OnAnswer func()
 }
@@ -68,6 +75,10 @@
 		requests: make(map[model.RequestID]*openRequest),
 		accounts: make(map[model.WorkspaceID]*Account),
 		stalled:  make(map[model.ServerID]bool),
+
+		servers:      make(map[model.AttemptID]model.ServerID),
+		dispatchedTo: make(map[model.ServerID]int),
+		faults:       make(map[model.ServerID]Fault),
 		measured: true, unconfirmed: cfg.Unconfirmed,
 	}
 	pc := pool.Config{Detector: healthy{}, Plan: func(floor.Input) floor.Result { return floor.Result{} }}
@@ -132,6 +143,10 @@
 			o.dispatch(d)
 		case pool.Abandon:
 			o.abandon(d.Attempt)
+		case pool.ServerChanged:
+			if o.OnChange != nil {
+				o.OnChange(d)
+			}
 		case pool.Complete:
 			o.complete(d.Request)
 		case pool.Refuse:
@@ -157,19 +172,30 @@
 			o.Waits = append(o.Waits, o.clock.Now().Sub(open.arrival))
 		}
 	}
+	o.servers[d.Attempt] = d.Server
+	o.dispatchedTo[d.Server]++
+	fault := o.faults[d.Server]
+	failures, factor := o.failures, 1
+	switch fault {
+	case FaultErrors:
+		failures = errorShare
+	case FaultSlow:
+		factor = slowFactor
+	}
 	kind := pool.Answered
-	if o.random.Float64() < o.failures {
+	if o.random.Float64() < failures {
 		kind = pool.FailedAfterSend
 	}
-	if o.stalled[d.Server] {
+	if o.stalled[d.Server] || fault == FaultStall {
 		o.running[d.Attempt] = &Event{}
 		return
 	}
-	o.running[d.Attempt] = o.clock.After(o.service(o.random), func() { o.finish(d.Attempt, kind) })
+	o.running[d.Attempt] = o.clock.After(time.Duration(factor)*o.service(o.random), func() { o.finish(d.Attempt, kind) })
 }
 
 func (o *Owner) finish(a model.AttemptID, kind pool.ResultKind) {
 	delete(o.running, a)
+	delete(o.servers, a)
 	o.apply(o.pool.Finish(o.clock.Now(), pool.AttemptResult{Attempt: a, Kind: kind}))
 }
 
