--- a/experiment/pooltrial/owner.go
+++ b/experiment/pooltrial/owner.go
@@ -79,7 +79,7 @@
 		servers:      make(map[model.AttemptID]model.ServerID),
 		dispatchedTo: make(map[model.ServerID]int),
 		faults:       make(map[model.ServerID]Fault),
-		measured: true, unconfirmed: cfg.Unconfirmed,
+		measured:     true, unconfirmed: cfg.Unconfirmed,
 	}
 	pc := pool.Config{Detector: healthy{}, Plan: func(floor.Input) floor.Result { return floor.Result{} }}
 	for i := range Servers {
