experiment/membersim: the virtual-time harness as a package of its own

Cause: the harness was test code of core/membership, although it is the tool of the measurements, and needed the table's internals.

Change: the harness is a documented package on the public interface of core/membership; the scenarios and the measurement are its tests.

--- a/core/membership/measure_test.go
+++ b/experiment/membersim/measure_test.go
@@ -1,4 +1,4 @@
-package membership
+package membersim
 
 import (
 	"flag"
@@ -7,6 +7,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/agateusher/agateusher/core/membership"
 )
 
 var measureFlag = flag.Bool("measure", false, "print the table of docs/measurements/membership.txt")
@@ -27,46 +29,46 @@
 func measure(t *testing.T, hosts int) figures {
 	g := NewWithT(t)
 	f := figures{hosts: hosts}
-	s := newSim(hosts, 4, uint64(hosts))
+	s := NewFleet(hosts, 4, uint64(hosts))
 	const (
 		steady = 30 * time.Second
 		settle = 90 * time.Second // until the news of the common start is old
 	)
-	s.encode = true
-	s.run(steady)
-	for _, n := range s.order {
-		f.start = max(f.start, float64(n.bytes)/steady.Seconds())
+	s.Encode = true
+	s.Run(steady)
+	for _, n := range s.Order {
+		f.start = max(f.start, float64(n.Bytes)/steady.Seconds())
 	}
-	s.encode = false
-	s.run(settle)
-	for _, n := range s.order {
-		n.bytes, n.msgs = 0, 0
+	s.Encode = false
+	s.Run(settle)
+	for _, n := range s.Order {
+		n.Bytes, n.Messages = 0, 0
 	}
-	s.encode = true
-	s.run(steady)
-	for _, n := range s.order {
-		f.bytes += float64(n.bytes) / steady.Seconds() / float64(hosts)
-		f.messages += float64(n.msgs) / steady.Seconds() / float64(hosts)
-		f.peak = max(f.peak, float64(n.bytes)/steady.Seconds())
+	s.Encode = true
+	s.Run(steady)
+	for _, n := range s.Order {
+		f.bytes += float64(n.Bytes) / steady.Seconds() / float64(hosts)
+		f.messages += float64(n.Messages) / steady.Seconds() / float64(hosts)
+		f.peak = max(f.peak, float64(n.Bytes)/steady.Seconds())
 	}
-	s.encode = false
-	victim := s.order[1]
-	victim.up = false
+	s.Encode = false
+	victim := s.Order[1]
+	victim.Up = false
 	f.kill = s.mustAgree(g)
-	victim = s.order[2]
-	victim.up, victim.silent = false, true
+	victim = s.Order[2]
+	victim.Up, victim.Silent = false, true
 	f.silent = s.mustAgree(g)
-	leaving := s.order[3]
-	leaving.do(func() []Decision { return leaving.table.Leave(s.now) })
-	took, ok := s.until(20*time.Second, func() bool { return s.agree(s.running(leaving.host.ID)...) })
+	leaving := s.Order[3]
+	leaving.Do(func() []membership.Decision { return leaving.Table.Leave(s.Now) })
+	took, ok := s.Until(20*time.Second, func() bool { return s.Agree(s.Running(leaving.Host.ID)...) })
 	g.Expect(ok).To(BeTrue())
 	f.leave = took
 	f.falseVerdicts, f.hostHours = falseVerdicts(hosts)
 	return f
 }
 
-func (s *sim) mustAgree(g *WithT) time.Duration {
-	took, ok := s.until(20*time.Second, func() bool { return s.agree(s.running()...) })
+func (s *Fleet) mustAgree(g *WithT) time.Duration {
+	took, ok := s.Until(20*time.Second, func() bool { return s.Agree(s.Running()...) })
 	g.Expect(ok).To(BeTrue())
 	return took
 }
@@ -74,20 +76,20 @@
 // falseVerdicts counts hosts that were declared unreachable at 5% loss although
 // they ran; one that several hosts saw counts once.
 func falseVerdicts(hosts int) (int, float64) {
-	s := newSim(hosts, 4, uint64(1000+hosts))
-	s.run(10 * time.Second)
-	s.loss = 0.05
+	s := NewFleet(hosts, 4, uint64(1000+hosts))
+	s.Run(10 * time.Second)
+	s.Loss = 0.05
 	period := 20 * time.Second
 	if *measureFlag {
 		period = 2 * time.Minute
 	}
-	started := s.now
-	s.run(period)
-	seen := map[Update]bool{}
-	for _, n := range s.order {
-		for _, c := range n.changes {
-			if c.To == Unreachable && c.at.After(started) {
-				seen[Update{Host: c.Host, Version: Version{Counter: uint64(c.at.Sub(started) / (10 * time.Second))}}] = true
+	started := s.Now
+	s.Run(period)
+	seen := map[membership.Update]bool{}
+	for _, n := range s.Order {
+		for _, c := range n.Changes {
+			if c.To == membership.Unreachable && c.At.After(started) {
+				seen[membership.Update{Host: c.Host, Version: membership.Version{Counter: uint64(c.At.Sub(started) / (10 * time.Second))}}] = true
 			}
 		}
 	}
