--- a/core/membership/machine_test.go
+++ b/core/membership/machine_test.go
@@ -13,12 +13,16 @@
 	"github.com/agateusher/agateusher/core/model"
 )
 
-// TestMain fixes the seed of rapid unless the command line sets one.
+// TestMain fixes the seed of rapid and the number of checks unless the command
+// line sets them.
 func TestMain(m *testing.M) {
 	flag.Parse()
 	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
 		_ = flag.Set("rapid.seed", "1")
 	}
+	if f := flag.Lookup("rapid.checks"); f.Value.String() == f.DefValue {
+		_ = flag.Set("rapid.checks", "2000")
+	}
 	os.Exit(m.Run())
 }
 
