--- a/core/membership/machine_test.go
+++ b/core/membership/machine_test.go
@@ -83,7 +83,7 @@
 			}
 			m.probes = append(m.probes, x)
 		case StateChanged:
-			if x.To == Suspect || x.To == Unreachable {
+			if x.To == Suspect || x.To == Unreachable || x.To == Gone {
 				m.verdict(t, x)
 			}
 		}
@@ -98,6 +98,12 @@
 			return
 		}
 	}
+	if x.To == Gone {
+		if x.From != Unreachable && x.From != Leaving {
+			t.Fatalf("%s is gone although it was %s", x.Host, x.From)
+		}
+		return
+	}
 	said := m.oracle.said[x.Host]
 	v := m.table.View().Hosts[x.Host]
 	if !m.oracle.failed[x.Host] && said.State < Suspect {
