--- a/core/membership/machine_test.go
+++ b/core/membership/machine_test.go
@@ -13,12 +13,16 @@
 	"github.com/agateusher/agateusher/core/model"
 )
 
-// TestMain fixes the seed of rapid unless the command line sets one.
+// TestMain fixes the seed of rapid and the number of checks unless the command
+// line sets them.
 func TestMain(m *testing.M) {
 	flag.Parse()
 	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
 		_ = flag.Set("rapid.seed", "1")
 	}
+	if f := flag.Lookup("rapid.checks"); f.Value.String() == f.DefValue {
+		_ = flag.Set("rapid.checks", "2000")
+	}
 	os.Exit(m.Run())
 }
 
@@ -79,7 +83,7 @@
 			}
 			m.probes = append(m.probes, x)
 		case StateChanged:
-			if x.To == Suspect || x.To == Unreachable {
+			if x.To == Suspect || x.To == Unreachable || x.To == Gone {
 				m.verdict(t, x)
 			}
 		}
@@ -94,6 +98,12 @@
 			return
 		}
 	}
+	if x.To == Gone {
+		if x.From != Unreachable && x.From != Leaving {
+			t.Fatalf("%s is gone although it was %s", x.Host, x.From)
+		}
+		return
+	}
 	said := m.oracle.said[x.Host]
 	v := m.table.View().Hosts[x.Host]
 	if !m.oracle.failed[x.Host] && said.State < Suspect {
