e2e: planned stops interrupt no request

Backend servers are slowed around each planned stop, so that requests are under way when the notice ends. Seen failing with a daemon that closes its listeners instead of shutting them down (several interrupted requests).

--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -38,7 +38,9 @@
 	deadline     = 2 * time.Second
 	readyTimeout = 10 * time.Second
 	stopNotice   = 300 * time.Millisecond
-	testSecret   = "0123456789abcdef-test"
+	// slowFactor makes the mean service time 200 ms, two thirds of stopNotice.
+	slowFactor = 40
+	testSecret = "0123456789abcdef-test"
 )
 
 // testFleet is a fleet of processes.
@@ -231,6 +233,7 @@
 			f.t.Error(v)
 		}
 	}
+	f.checkUninterrupted(operations)
 	if len(count) > 0 {
 		f.t.Errorf("violations: %v", count)
 	}
@@ -241,6 +244,19 @@
 	}
 }
 
+// checkUninterrupted fails the test for a request that got no whole response
+// although its entry was neither killed nor paused: planned stops must not
+// interrupt any.
+func (f *testFleet) checkUninterrupted(operations []*proof.Operation) {
+	for _, o := range operations {
+		for _, s := range o.Sends {
+			if s.Err != nil && !s.Left && !f.entryWasGone(&proof.Operation{Sends: []proof.Send{s}}) {
+				f.t.Errorf("interrupted: %s through %s after %s: %v", o.ID, s.Entry, s.Ended.Sub(s.Sent), s.Err)
+			}
+		}
+	}
+}
+
 // entryWasGone reports whether an entry that a lookup used was killed or paused
 // meanwhile. Its caller cannot be answered by an entry that does not run.
 func (f *testFleet) entryWasGone(o *proof.Operation) bool {
@@ -330,12 +346,26 @@
 	h.setUsable(true)
 }
 
-// stop stops the daemon as planned and tells it so a number of times.
+// stop stops the daemon as planned and tells it so a number of times. Backend
+// servers are slow meanwhile, so that requests are under way when the daemon's
+// notice ends.
 func (h *host) stop(times int) {
+	h.fleet.slow(slowFactor)
+	time.Sleep(stopNotice)
 	h.setUsable(false)
 	for range times {
 		h.current().signal(syscall.SIGTERM)
 		time.Sleep(stopNotice / 3)
 	}
+	time.Sleep(stopNotice)
+	h.fleet.slow(1)
 	h.current().stopped()
 }
+
+// slow multiplies the backend servers' service times.
+func (f *testFleet) slow(factor float64) {
+	for _, l := range f.servers {
+		_, err := f.standins.SetFaults(f.t.Context(), l.ID, backend.Faults{LatencyFactor: factor})
+		NewWithT(f.t).Expect(err).NotTo(HaveOccurred())
+	}
+}
