core/pool: a lookup outlives three stalled servers

Cause: a request has at most three live attempts, and those at servers that were ejected meanwhile counted, so that it waited for three stalled servers. They no longer count, and a request at the limit is looked at again after each hedge delay. TestLookupOutlivesThreeStalledServers fails without the change.

--- a/core/pool/retries.go
+++ b/core/pool/retries.go
@@ -6,7 +6,9 @@
 )
 
 const (
-	// maxLive bounds the attempts of one request that run at a time.
+	// maxLive bounds the attempts of one request that run at a time at servers
+	// in service. Those at servers that were ejected meanwhile do not count: the
+	// request would otherwise wait for them until its deadline.
 	maxLive = 3
 	// patientHedges is how often a hedge leaves the free slots to the queue
 	// before it claims the next one: a request that is still unanswered then is
@@ -157,12 +159,23 @@
 // planHedge sets when the request is hedged after a dispatch.
 func (p *Pool) planHedge(now time.Time, r *request) {
 	r.hedgeAt = time.Time{}
-	if r.Repeatable && p.cfg.HedgePercentile > 0 && len(r.live) < maxLive {
+	if r.Repeatable && p.cfg.HedgePercentile > 0 {
 		r.hedgeAt = now.Add(p.hedgeDelay.Delay())
 	}
 	p.setWake(r)
 }
 
+// promising counts the live attempts at servers in service.
+func (r *request) promising() int {
+	n := 0
+	for _, a := range r.live {
+		if a.server.inService() {
+			n++
+		}
+	}
+	return n
+}
+
 func (p *Pool) setWake(r *request) {
 	r.wake = earlier(r.hedgeAt, r.Deadline)
 	p.wakes.Set(r)
@@ -173,11 +186,15 @@
 func (p *Pool) hedge(now time.Time, r *request) {
 	r.hedgeAt = time.Time{}
 	defer p.setWake(r)
-	if len(r.live) == 0 || len(r.live) >= maxLive || r.urgent {
+	if len(r.live) == 0 || r.urgent {
 		return
 	}
-	r.hedgeWaits++
 	again := now.Add(p.hedgeDelay.Delay())
+	if r.promising() >= maxLive {
+		r.hedgeAt = again
+		return
+	}
+	r.hedgeWaits++
 	if !p.budget.Available() {
 		r.hedgeAt = again
 		return
@@ -202,7 +219,7 @@
 func (p *Pool) rescue(now time.Time, s *server) {
 	for _, a := range s.live {
 		r := a.request
-		if r.Repeatable && len(r.live) < maxLive && !r.urgent && p.budget.Withdraw() {
+		if r.Repeatable && r.promising() < maxLive && !r.urgent && p.budget.Withdraw() {
 			p.makeUrgent(r)
 		}
 	}
--- a/core/pool/retries_test.go
+++ b/core/pool/retries_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/agateusher/agateusher/core/detector"
+	"github.com/agateusher/agateusher/core/floor"
 	"github.com/agateusher/agateusher/core/model"
 	"github.com/agateusher/agateusher/core/pool"
 )
@@ -167,6 +168,35 @@
 	g.Expect(out).To(ConsistOf(HaveField("Request", model.RequestID("b"))))
 }
 
+// Guards against a lookup that waits until its deadline for three servers that
+// were ejected while they had it, although a fourth is free.
+func TestLookupOutlivesThreeStalledServers(t *testing.T) {
+	g := NewWithT(t)
+	f := newFixture(6, 2, func(c *pool.Config) {
+		c.HedgePercentile, c.RetryBurst = 0.95, 10
+		c.Limits = floor.Limits{MinServers: 3}
+	})
+	tried := map[model.ServerID]bool{}
+	note := func(ds []pool.Decision) {
+		for _, d := range pick[pool.Dispatch](ds) {
+			tried[d.Server] = true
+		}
+	}
+	note(f.pool.Submit(at(0), lookup("a", 0)))
+	ms := 0
+	for ; len(tried) < 3 && ms < 900; ms += 10 {
+		note(f.pool.Tick(at(ms)))
+	}
+	g.Expect(tried).To(HaveLen(3))
+	for s := range tried {
+		f.detector.scores[s] = 5
+	}
+	for ; len(tried) < 4 && ms < 900; ms += 10 {
+		note(f.pool.Tick(at(ms)))
+	}
+	g.Expect(tried).To(HaveLen(4))
+}
+
 // Guards against hedges of stuck lookups that take the slots reserved for
 // postings.
 func TestHedgesLeaveTheReserve(t *testing.T) {
