capacity: measure the size of a change, count store calls after the start

Cause: the starting hosts' first reads of the head were counted as calls of the changes, and the size of a delta was not measured.

--- a/capacity/cases.go
+++ b/capacity/cases.go
@@ -16,8 +16,6 @@
 	meanConfirmSeconds = 22.5
 	hourSeconds        = 3_600
 	outageHours        = 3
-	// inlineChanges is how many changes of one server fit into a head.
-	inlineChanges = 25
 	// shardCores is the share of one core that a shard may use.
 	shardCores = 0.5
 	// updatesPerSecond bounds the changes that a host sends, as in
@@ -90,12 +88,14 @@
 	relays := s.relays() / float64(s.Regions)
 	return []caseLine{
 		{name, "changes missed in an hour", changes, unitPlain, "changes/s x 3,600"},
-		{name, "changes that a head carries", inlineChanges, unitPlain, "8 KB of about 300 bytes each; after more, chunks are read"},
+		{name, "changes that a head carries", math.Floor(inlineBytes / m.slope("change.inline")), unitPlain, "8 KB / `change.inline`; after more, chunks are read"},
 		{name, "chunks that differ", chunks, unitPlain, "chunks x (1 - (1 - 1/chunks)^changes), changes at random"},
 		{name, "bytes for one host", bytes, unitBytes, "chunks x mean chunk x 4/3"},
 		{name, "time for one relay over 30 Mbit/s", bytes / linkBytes, unitSeconds, "bytes / 3.75 MB/s, alone on the link"},
 		{name, "time if all relays of a region read at once", relays * bytes / linkBytes, unitSeconds, "x relays of the region"},
 		{name, "time for the other hosts at 16 KB/s", bytes / limitBytes, unitSeconds, "inside the data centre"},
+		{name, "bytes of the changes alone", changes * m.slope("change.inline"), unitBytes, "`change.inline` x changes, what a delta would carry"},
+		{name, "time for them at 16 KB/s", changes * m.slope("change.inline") / limitBytes, unitSeconds, "bytes / 16 KB/s"},
 	}
 }
 
--- a/capacity/changes.go
+++ b/capacity/changes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"time"
 
@@ -112,7 +113,26 @@
 		calls.Points = append(calls.Points, Point{objects, float64(x.calls) / measuredChanges})
 		chunk.Points = append(chunk.Points, Point{objects, float64(x.chunkBytes) / measuredChanges})
 	}
-	return []Fit{writer, daemon, compiled, start, head, calls, chunk}, nil
+	inline, err := inlineFit()
+	return []Fit{writer, daemon, compiled, start, head, calls, chunk, inline}, err
+}
+
+// inlineFit measures changes of one server as a head carries them.
+func inlineFit() (Fit, error) {
+	f := Fit{Name: "change.inline", Per: "change", Unit: "bytes", Mechanism: "configstore AcceptedChange.Change: a change of one server in the head"}
+	fixture := fixture{sizes: TargetSizes}
+	for _, n := range []int{10, 100, 1_000} {
+		bytes := 0
+		for i := range n {
+			data, err := json.Marshal(fixture.change(i))
+			if err != nil {
+				return f, err
+			}
+			bytes += len(data)
+		}
+		f.Points = append(f.Points, Point{float64(n), float64(bytes)})
+	}
+	return f, nil
 }
 
 func changeCosts(n Sizes) (x changeFigures, _ Sizes, err error) {
--- a/capacity/hosts.go
+++ b/capacity/hosts.go
@@ -26,6 +26,9 @@
 	// rateWindow is how long store calls are counted for each change rate: the
 	// platform's limit for a watch, so that each waiting watch counts once.
 	rateWindow = 30 * time.Second
+	// confirmTime passes before calls are counted: at its start every host
+	// reads the head once.
+	confirmTime = 3 * time.Second
 	// targetChanges is the number of changes a day at the target.
 	targetChanges = 9_600
 	daySeconds    = 86_400
@@ -237,6 +240,7 @@
 }
 
 func (l *lightFleet) callsAt(rate float64) (float64, error) {
+	time.Sleep(confirmTime)
 	before, start := l.fixture.platform.Calls().Total(), time.Now()
 	ticker := time.NewTicker(time.Duration(float64(time.Second) / rate))
 	defer ticker.Stop()
