--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -367,7 +367,9 @@
 		handler       http.Handler
 	}{
 		{"admin", l.Admin, d.admin()},
-		{"fleet", l.Fleet, d.fleetHandler(secrets)},
+		{"fleet", l.Fleet, owner.Handler(d.keys, owner.HandlerOptions{
+			Secrets: secrets, MaxBody: lim.MaxRequestBytes, Propagator: d.tracing.Propagator,
+		})},
 		{"caller", l.Caller, d.entry},
 	} {
 		s, err := newListener(x.name, x.address, x.handler, lim)
--- a/internal/proof/random/fleet_test.go
+++ b/internal/proof/random/fleet_test.go
@@ -13,6 +13,7 @@
 
 	. "github.com/onsi/gomega"
 	"github.com/uber-go/tally/v4"
+	"go.opentelemetry.io/otel/propagation"
 
 	"github.com/agateusher/agateusher/core/idempotency"
 	"github.com/agateusher/agateusher/core/model"
@@ -185,7 +186,7 @@
 		Host: h.id, Catalog: func() entry.Catalog { return c }, Directory: d, Local: p.owner, Client: client,
 		Tracing: h.fleet.tracing, Log: h.fleet.log, Scope: tally.NoopScope, MaxBody: maxBody,
 	})
-	p.peers, p.address = h.listen("127.0.0.1:0", owner.Handler(p.owner, fleet.Secrets{[]byte(secret)}, maxBody))
+	p.peers, p.address = h.listen("127.0.0.1:0", owner.Handler(p.owner, owner.HandlerOptions{Secrets: fleet.Secrets{[]byte(secret)}, MaxBody: maxBody, Propagator: propagation.TraceContext{}}))
 	p.callers, _ = h.listen(h.caller, p.entry)
 	for _, other := range h.fleet.hosts {
 		if r := other.peers[h.id]; r != nil {
--- a/owner/handler.go
+++ b/owner/handler.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"net/http"
@@ -16,12 +17,35 @@
 // maxControlBody bounds the body of a control message on the fleet listener.
 const maxControlBody = 64 << 10
 
+// Role does what arrives on the fleet listener. Owner implements it; a daemon
+// may wrap it.
+type Role interface {
+	// Do runs a forwarded request.
+	Do(ctx context.Context, q *fleet.Request) fleet.Response
+	// IssueKeys issues idempotency keys.
+	IssueKeys(q fleet.KeysRequest) fleet.KeysResponse
+	// SiblingDemand takes the demand of another pool of the same service.
+	SiblingDemand(now time.Time, d fleet.Demand)
+	// AdoptHealth takes over a leaving owner's verdicts.
+	AdoptHealth(h fleet.PoolHealth)
+}
+
+var _ Role = (*Owner)(nil)
+
+// HandlerOptions configures Handler.
+type HandlerOptions struct {
+	Secrets fleet.Secrets
+	// MaxBody bounds a forwarded request's body in bytes.
+	MaxBody    int64
+	Propagator propagation.TextMapPropagator
+}
+
 // Handler serves the fleet listener. Only authentic requests get through.
-func Handler(w *Owner, secrets fleet.Secrets, maxBody int64) http.Handler {
+func Handler(w Role, o HandlerOptions) http.Handler {
 	r := chi.NewRouter()
-	r.Use(secrets.Require)
+	r.Use(o.Secrets.Require)
 	r.Post(fleet.PathForward, func(rw http.ResponseWriter, req *http.Request) {
-		serveForward(w, rw, req, maxBody)
+		serveForward(w, o, rw, req)
 	})
 	r.Post(fleet.PathKeys, func(rw http.ResponseWriter, req *http.Request) {
 		serveKeys(w, rw, req)
@@ -44,8 +68,8 @@
 	return r
 }
 
-func serveForward(w *Owner, rw http.ResponseWriter, req *http.Request, maxBody int64) {
-	q, err := fleet.DecodeRequest(req, maxBody)
+func serveForward(w Role, o HandlerOptions, rw http.ResponseWriter, req *http.Request) {
+	q, err := fleet.DecodeRequest(req, o.MaxBody)
 	switch {
 	case errors.Is(err, fleet.ErrTooLarge):
 		resp := fleet.NotRun(model.ReasonBadRequest, 0)
@@ -59,12 +83,12 @@
 		http.Error(rw, err.Error(), http.StatusBadRequest)
 		return
 	}
-	ctx := w.o.Tracing.Propagator.Extract(req.Context(), propagation.HeaderCarrier(req.Header))
+	ctx := o.Propagator.Extract(req.Context(), propagation.HeaderCarrier(req.Header))
 	resp := w.Do(ctx, q)
 	fleet.WriteResponse(rw, &resp)
 }
 
-func serveKeys(w *Owner, rw http.ResponseWriter, req *http.Request) {
+func serveKeys(w Role, rw http.ResponseWriter, req *http.Request) {
 	var q fleet.KeysRequest
 	if !readControl(rw, req, &q) {
 		return
