--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -161,6 +161,7 @@
 	d.members = newMembers(membership.Host{ID: host.ID, Info: membership.Info{
 		DataCentre: host.DataCentre, Region: host.Region, FleetAddress: l.Fleet, PeerAddress: l.Peer,
 	}}, d.incarnation, d.store, d.peers, d.log, d.metrics.Scope)
+	d.members.seeds = d.settings.Fleet.Seeds
 	d.members.changed = d.hostChanged
 	return nil
 }
--- a/daemon/members.go
+++ b/daemon/members.go
@@ -39,6 +39,10 @@
 // members drives the membership table and answers questions from its view. It
 // implements entry.Directory and Locator.
 type members struct {
+	// seeds are used until the host list has been read once.
+	seeds  []SeedSettings
+	listed atomic.Bool
+
 	self   membership.Host
 	store  objectapi.Store
 	client *peerrpc.Client
@@ -241,8 +245,12 @@
 		if ctx.Err() == nil {
 			m.log.WithField("event", "host_list_failed").WithError(err).Warn("cannot read the host list; keeping the last one")
 		}
+		if !m.listed.Load() {
+			m.useSeeds()
+		}
 		return
 	}
+	m.listed.Store(true)
 	list := make([]membership.Listed, len(hosts))
 	for i, h := range hosts {
 		list[i] = membership.Listed{Host: membership.Host{ID: h.ID, Info: membership.Info{
@@ -252,6 +260,20 @@
 	m.do(func(t *membership.Table, now time.Time) []membership.Decision { return t.HostList(now, list) })
 }
 
+// useSeeds starts from the hosts of the settings while the host list has never
+// been read.
+func (m *members) useSeeds() {
+	list := make([]membership.Listed, len(m.seeds))
+	for i, s := range m.seeds {
+		list[i] = membership.Listed{Host: membership.Host{ID: s.ID, Info: membership.Info{
+			DataCentre: s.DataCentre, Region: s.Region, FleetAddress: s.Fleet, PeerAddress: s.Peer,
+		}}}
+	}
+	if len(list) > 0 {
+		m.do(func(t *membership.Table, now time.Time) []membership.Decision { return t.HostList(now, list) })
+	}
+}
+
 // isRelay says whether this host is one of the relays of its data centre.
 func (m *members) isRelay() bool {
 	dc := m.self.DataCentre
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -55,6 +55,18 @@
 type FleetSettings struct {
 	// Secrets authenticate daemons; the first signs, all verify.
 	Secrets []string `json:"secrets" validate:"min=1,max=2,dive,min=16" sensitive:"true"`
+	// Seeds are some hosts of the fleet, for a start while the platform's host
+	// list is away; all others are learned from them.
+	Seeds []SeedSettings `json:"seeds,omitempty" validate:"dive"`
+}
+
+// SeedSettings name another host and its listeners.
+type SeedSettings struct {
+	ID         model.HostID     `json:"id" validate:"required,max=255"`
+	DataCentre model.DataCentre `json:"dataCentre" validate:"required"`
+	Region     model.Region     `json:"region" validate:"required"`
+	Fleet      string           `json:"fleet" validate:"hostname_port"`
+	Peer       string           `json:"peer" validate:"hostname_port"`
 }
 
 // KeySettings configure idempotency keys.
