--- a/entry/entry.go
+++ b/entry/entry.go
@@ -59,6 +59,7 @@
 	o      Options
 	peers  *peers
 	places *placements
+	keys   *keyCache
 
 	requests *telemetry.Counters
 	duration tally.Histogram
@@ -67,7 +68,7 @@
 // New returns an entry. Close ends it.
 func New(o Options) *Entry {
 	return &Entry{
-		o: o, peers: newPeers(o.Client, o.Log, o.Scope), places: newPlacements(),
+		o: o, peers: newPeers(o.Client, o.Log, o.Scope), places: newPlacements(), keys: newKeyCache(),
 		requests: telemetry.NewCounters(o.Scope, "requests", "outcome", "reason"),
 		duration: o.Scope.Histogram("request_duration", telemetry.LatencyBuckets),
 	}
--- a/entry/keys.go
+++ b/entry/keys.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/agateusher/agateusher/core/idempotency"
 	"github.com/agateusher/agateusher/core/model"
 	"github.com/agateusher/agateusher/fleet"
 )
@@ -119,11 +120,14 @@
 	return resp, err
 }
 
-// pendingKey is a key that is being issued while a lookup runs.
-type pendingKey struct{ key chan string }
+// pendingKey is a key that is at hand, or is being issued while a lookup runs.
+type pendingKey struct {
+	ready  string
+	issued chan string
+}
 
-// attachKey starts to issue a key for the named route. The lookup does not wait
-// for it longer than for its own answer, since the caller can ask PathKeys.
+// attachKey provides a key for the named route, from the cache or by issuing a
+// batch while the lookup runs.
 func (e *Entry) attachKey(ctx context.Context, route model.RouteName, workspace model.WorkspaceID) pendingKey {
 	if route == "" {
 		return pendingKey{}
@@ -132,36 +136,46 @@
 	if !ok || r.Repeatable {
 		return pendingKey{}
 	}
-	p := pendingKey{key: make(chan string, 1)}
+	scope := idempotency.Scope{Workspace: workspace, Route: route}
+	if key, ok := e.keys.take(time.Now(), scope, e.peers.usable); ok {
+		return pendingKey{ready: key}
+	}
+	p := pendingKey{issued: make(chan string, 1)}
 	choices := e.o.Catalog().Pools(r.Service)
 	go func() {
+		defer close(p.issued)
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), keysTimeout)
 		defer cancel()
-		resp, reason := e.keysFrom(ctx, choices, fleet.KeysRequest{Workspace: workspace, Route: route, Count: 1})
-		if reason == model.ReasonNone {
-			p.key <- resp.Keys[0]
+		resp, reason := e.keysFrom(ctx, choices, fleet.KeysRequest{Workspace: workspace, Route: route, Count: keyBatch})
+		if reason == model.ReasonNone && len(resp.Keys) > 0 {
+			p.issued <- resp.Keys[0]
+			e.keys.put(time.Now(), scope, resp.Keys[1:])
 		}
-		close(p.key)
 	}()
 	return p
 }
 
-// attachWait is how long an answer is held back for its key.
+// attachWait is how long an answer is held back for its key. The caller can
+// ask PathKeys instead.
 const attachWait = 50 * time.Millisecond
 
 // addTo puts the key on an answer.
 func (p pendingKey) addTo(r *fleet.Response) {
-	if p.key == nil || r.Outcome != model.Answered {
+	if r.Outcome != model.Answered {
 		return
 	}
-	select {
-	case key, ok := <-p.key:
-		if ok {
-			if r.Header == nil {
-				r.Header = http.Header{}
-			}
-			r.Header.Set(fleet.HeaderKey, key)
+	key := p.ready
+	if p.issued != nil {
+		select {
+		case key = <-p.issued:
+		case <-time.After(attachWait):
 		}
-	case <-time.After(attachWait):
 	}
+	if key == "" {
+		return
+	}
+	if r.Header == nil {
+		r.Header = http.Header{}
+	}
+	r.Header.Set(fleet.HeaderKey, key)
 }
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -76,6 +76,13 @@
 	return append(ordered, last...)
 }
 
+// usable says whether a host is not suspected.
+func (p *peers) usable(id model.HostID) bool {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	return !p.suspects[id]
+}
+
 // forward passes a request to an owner. With watch, it gives up when the owner
 // answers no pings.
 func (p *peers) forward(ctx context.Context, to fleet.Peer, q *fleet.Request, watch bool) (fleet.Response, error) {
