--- a/daemon/bench_test.go
+++ b/daemon/bench_test.go
@@ -15,8 +15,8 @@
 
 // BenchmarkPath compares a request sent directly to a backend server with one
 // that goes through the owner's own entry (one hop) and through another entry
-// (two hops). The times are whole exchanges over loopback with the stand-in's
-// own cost in them.
+// (two hops). The times are whole exchanges over loopback, on all cores, with the stand-in's own
+// cost in them.
 func BenchmarkPath(b *testing.B) {
 	f := newTimedFleet(b, 2, 8, backend.Distribution{Kind: backend.Fixed, Mean: time.Microsecond}, func(s *Settings) { s.Log.Level = "error" })
 	owner := f.nodes[0].daemon.directory().Owners(model.PoolID{Service: "booking", DataCentre: "lagos-1"}, 1)[0]
@@ -32,9 +32,11 @@
 	for _, name := range []string{"direct", "one-hop", "two-hops"} {
 		b.Run(name, func(b *testing.B) {
 			b.ReportAllocs()
-			for b.Loop() {
-				exchange(b, client, addresses[name])
-			}
+			b.RunParallel(func(pb *testing.PB) {
+				for pb.Next() {
+					exchange(b, client, addresses[name])
+				}
+			})
 		})
 	}
 }
