--- a/capacity/changes.go
+++ b/capacity/changes.go
@@ -84,6 +84,7 @@
 type changeFigures struct {
 	writer, follower, compile, start time.Duration
 	headBytes                        int
+	storeBytes                       float64
 	calls                            int64
 	chunkBytes                       int64
 }
@@ -98,6 +99,7 @@
 	head := Fit{Name: "change.head", Per: "object", Unit: "bytes", Mechanism: "configstore Head with 10 changes in it: read whole by each host for each change"}
 	calls := Fit{Name: "change.calls", Per: "object", Unit: "store calls/change", Mechanism: "configstore Store.Apply: read head, write chunks, write head"}
 	chunk := Fit{Name: "change.chunk", Per: "object", Unit: "bytes written/change", Mechanism: "configstore Store.Apply: the chunk of the changed server and the head"}
+	memory := Fit{Name: "writer.memory", Per: "object", Unit: "bytes", Mechanism: "configstore Store in usher-api: all objects and the plain chunks that it loaded last"}
 	for _, d := range []int{100, 10, 1} {
 		x, n, err := changeCosts(scaled(d))
 		if err != nil {
@@ -110,11 +112,25 @@
 		compiled.Points = append(compiled.Points, each(x.compile))
 		start.Points = append(start.Points, Point{objects, x.start.Seconds()})
 		head.Points = append(head.Points, Point{objects, float64(x.headBytes)})
+		memory.Points = append(memory.Points, Point{objects, x.storeBytes})
 		calls.Points = append(calls.Points, Point{objects, float64(x.calls) / measuredChanges})
 		chunk.Points = append(chunk.Points, Point{objects, float64(x.chunkBytes) / measuredChanges})
 	}
 	inline, err := inlineFit()
-	return []Fit{writer, daemon, compiled, start, head, calls, chunk, inline}, err
+	return []Fit{writer, daemon, compiled, start, head, calls, chunk, memory, inline}, err
+}
+
+// storeBytes is the live heap of a Store that has loaded the configuration, as
+// usher-api holds it.
+func (f *fixture) storeBytes() (float64, error) {
+	var err error
+	held := added(func() any {
+		s := configstore.NewStore(f.api)
+		var loaded configstore.Loaded
+		loaded, err = s.Load(context.Background())
+		return [2]any{s, loaded}
+	})
+	return held, err
 }
 
 // inlineFit measures changes of one server as a head carries them.
@@ -140,6 +156,9 @@
 	if err != nil {
 		return x, n, err
 	}
+	if x.storeBytes, err = f.storeBytes(); err != nil {
+		return x, n, err
+	}
 	raw, err := f.head()
 	if err != nil {
 		return x, n, err
--- a/capacity/figures.go
+++ b/capacity/figures.go
@@ -216,6 +216,7 @@
 		{"relay", "control bytes", list + head*s.changeRate() + m.controlBytes(s), unitRate, limitBytes, nil, "sum of the above and those of every daemon"},
 		{"usher-api", "CPU of changes", m.at("change.writer.cpu", objects) * s.changeRate(), unitCore, 0, []string{"change.writer.cpu"}, "CPU of a change x changes/s, one process"},
 		{"usher-api", "CPU time of one change", m.at("change.writer.cpu", objects), unitSeconds, 9, []string{"change.writer.cpu"}, "against 9 s until a change is in effect"},
+		{"usher-api", "memory of the configuration", m.at("writer.memory", objects), unitBytes, 0, []string{"writer.memory"}, "line at the number of objects; usher-api is no daemon"},
 		{"usher-api", "store calls", m.last("change.calls") * s.changeRate(), unitCalls, 0, []string{"change.calls"}, "calls of a change x changes/s"},
 		{"object API", "writes of reports", float64(s.Hosts) * math.Ceil(m.slope("report.writes")*s.rows()) / flushSeconds, unitCalls, 0, []string{"report.writes"}, "hosts x parts / 60 s"},
 		{"object API", "writes", writes, unitCalls, limitWrites, []string{"change.calls"}, "reports, and two a change"},
