--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -161,6 +161,7 @@
 	d.members = newMembers(membership.Host{ID: host.ID, Info: membership.Info{
 		DataCentre: host.DataCentre, Region: host.Region, FleetAddress: l.Fleet, PeerAddress: l.Peer,
 	}}, d.incarnation, d.store, d.peers, d.log, d.metrics.Scope)
+	d.members.seeds = d.settings.Fleet.Seeds
 	d.members.changed = d.hostChanged
 	return nil
 }
@@ -367,7 +368,9 @@
 		handler       http.Handler
 	}{
 		{"admin", l.Admin, d.admin()},
-		{"fleet", l.Fleet, d.fleetHandler(secrets)},
+		{"fleet", l.Fleet, owner.Handler(d.keys, owner.HandlerOptions{
+			Secrets: secrets, MaxBody: lim.MaxRequestBytes, Propagator: d.tracing.Propagator,
+		})},
 		{"caller", l.Caller, d.entry},
 	} {
 		s, err := newListener(x.name, x.address, x.handler, lim)
