--- a/capacity/cases.go
+++ b/capacity/cases.go
@@ -170,7 +170,7 @@
 	slices.SortStableFunc(parts, func(a, b part) int { return cmp.Compare(b.ratio, a.ratio) })
 	var rows [][]string
 	for _, p := range parts {
-		rows = append(rows, []string{p.name, p.limit, p.reached, number(p.ratio)})
+		rows = append(rows, []string{p.name, p.limit, p.reached, fmt.Sprintf("%.2f", p.ratio)})
 	}
 	return table([]string{"part", "limit", "reached at", "target / limit"}, rows)
 }
--- a/capacity/figures.go
+++ b/capacity/figures.go
@@ -136,7 +136,13 @@
 
 // controlBytes are the bytes a second of every daemon, sent and received.
 func (m costModel) controlBytes(s Scale) float64 {
-	return m.last("members.bytes."+s.wiring()) + m.churnBytes(s)*s.hostChangeRate() + m.configBytes(s) + m.flushBytes(s)
+	return m.last("members.bytes."+s.wiring()) + m.churnBytes(s)*s.hostChangeRate() + m.configBytes(s) + m.startBytes(s) + m.flushBytes(s)
+}
+
+// startBytes are those of the whole configuration that starting hosts receive
+// and others send, spread over all hosts.
+func (m costModel) startBytes(s Scale) float64 {
+	return 2 * base64Factor * m.perObject("encoded", s.Sizes) * (s.Restarts + s.Failures) / daySeconds / float64(s.Hosts)
 }
 
 // configBytes are those of heads received once and sent once for each change.
@@ -169,6 +175,7 @@
 		{role, "membership, no changes", base, unitRate, 0, []string{"members.bytes." + s.wiring()}, "value at the largest measured fleet"},
 		{role, "membership, host changes", churn, unitRate, 0, []string{"members.churn"}, "slope x host changes/s x retransmissions(hosts)/retransmissions(measured)"},
 		{role, "configuration", config, unitRate, 0, []string{"change.head"}, "(head + 8 KB of changes) x 4/3 x changes/s, received once and sent once"},
+		{role, "configuration of starting hosts", m.startBytes(s), unitRate, 0, objectFits("encoded"), "slopes x objects x 4/3 x starts/s / hosts, received and sent, a mean over all hosts"},
 		{role, "report flushes", written, unitRate, 0, []string{"report.bytes"}, "slope x rows / 60 s; rows with a full histogram are larger"},
 		{role, "control bytes", m.controlBytes(s), unitRate, limitBytes, nil, "sum of the above"},
 		{role, "control messages", m.last("members.messages."+s.wiring()) + 4*s.changeRate(), unitMessages, 0, []string{"members.messages." + s.wiring(), "hosts.messages"}, "value at the largest measured fleet, and a call and answer received and sent for each change"},
