--- a/operator/apiserver/server.go
+++ b/operator/apiserver/server.go
@@ -115,6 +115,12 @@
 	v.log.WithFields(telemetry.Fields{"event": "listening", "address": v.Address()}).Info("usher-api started")
 	failed := make(chan error, 1)
 	go func() { failed <- v.http.Serve(v.listener) }()
+	collectCtx, stopCollecting := context.WithCancel(ctx)
+	collecting := v.collect(collectCtx)
+	defer func() {
+		stopCollecting()
+		<-collecting
+	}()
 	select {
 	case err := <-failed:
 		return fmt.Errorf("operator listener: %w", err)
@@ -123,6 +129,19 @@
 	return v.stop()
 }
 
+// collect removes the chunks that changes leave behind, until ctx ends. It runs
+// here because daemons only read the configuration.
+func (v *Server) collect(ctx context.Context) <-chan struct{} {
+	done := make(chan struct{})
+	duty := configstore.NewCollector(configstore.NewStore(v.api), configstore.CollectorOptions{Logger: v.log}).Duty()
+	go func() {
+		defer close(done)
+		// The collector logs its failures and goes on.
+		_ = duty.Run(ctx)
+	}()
+	return done
+}
+
 func (v *Server) stop() error {
 	v.stopping.Store(true)
 	v.log.WithField("event", "stopping").Info("usher-api is stopping")
