core/pool: leave a server that sheds alone for a while

Cause: the shedding servers' slots looked free, so each got its turn of all requests and the repeats used up the retry budget. Change: a server that sheds gets nothing for one mean slot time, doubled with each shed in a row up to 200 ms.

--- a/core/pool/attempts.go
+++ b/core/pool/attempts.go
@@ -26,6 +26,14 @@
 // 4 delays to 82-87%, and 2 delays to 92-94% (pooltrial).
 const holdDelays = 2
 
+const (
+	// maxShedTime bounds how long a server that sheds gets no request, so that
+	// one that recovers is soon used again.
+	maxShedTime = 200 * time.Millisecond
+	// maxShedLevel bounds the doublings, so that the shift cannot overflow.
+	maxShedLevel = 10
+)
+
 // dispatch starts an attempt of the request at the server.
 func (p *Pool) dispatch(now time.Time, r *request, s *server, hedge bool) {
 	p.checkDispatch(now, r, s, hedge)
@@ -84,6 +92,7 @@
 	if p.evidence(res) != detector.Cancelled {
 		p.settle(now, a.server, res)
 	}
+	p.backOff(now, a.server, res.Kind)
 	if res.Kind == FailedBeforeSend || res.Kind == Shed {
 		r.unrun++
 	}
@@ -111,6 +120,20 @@
 	}
 }
 
+// backOff keeps requests away from a server that shed one: it says that it has
+// no room, whatever slots it is configured with. The time doubles with each shed
+// in a row. Without it a server that sheds everything gets every request that
+// finds its slots free, and uses up the retry budget of the pool.
+func (p *Pool) backOff(now time.Time, s *server, kind ResultKind) {
+	switch kind {
+	case Shed:
+		s.shedUntil = now.Add(min(p.meanService<<s.sheds, maxShedTime))
+		s.sheds = min(s.sheds+1, maxShedLevel)
+	case Answered:
+		s.sheds = 0
+	}
+}
+
 // finishEnded handles the end of an attempt that this side had given up. If the
 // result shows that the server ended it, its slot is free.
 func (p *Pool) finishEnded(now time.Time, a *attempt, kind ResultKind) {
--- a/core/pool/dispatch.go
+++ b/core/pool/dispatch.go
@@ -135,9 +135,9 @@
 		switch {
 		case s.status == Serving:
 			allowed += slots
-			free += max(0, slots-s.inUse)
+			free += s.free(now, p.cfg.Readmission.RampTime)
 		case s.status == Suspect:
-			lastResort = lastResort || s.inUse < slots
+			lastResort = lastResort || s.free(now, p.cfg.Readmission.RampTime) > 0
 		case s.status == Probation:
 			lastResort = lastResort || (s.inUse == 0 && p.budget.Available())
 		}
@@ -227,7 +227,7 @@
 	for i := range n {
 		at := (p.cursor + i) % n
 		s := p.servers[at]
-		if s.status == Serving && s.inUse < s.allowed(now, p.cfg.Readmission.RampTime) && !slices.Contains(except, s) {
+		if s.status == Serving && s.free(now, p.cfg.Readmission.RampTime) > 0 && !slices.Contains(except, s) {
 			p.cursor = (at + 1) % n
 			return s
 		}
@@ -272,7 +272,7 @@
 			continue
 		}
 		allowed := s.allowed(now, p.cfg.Readmission.RampTime)
-		if s.inUse < allowed && (best < 0 || s.inUse*bestAllowed < bestUse*allowed) {
+		if s.free(now, p.cfg.Readmission.RampTime) > 0 && (best < 0 || s.inUse*bestAllowed < bestUse*allowed) {
 			best, bestUse, bestAllowed = at, s.inUse, allowed
 		}
 	}
--- a/core/pool/health.go
+++ b/core/pool/health.go
@@ -62,6 +62,9 @@
 	if s.unproven {
 		wake = earlier(wake, s.probationFrom.Add(p.cfg.Readmission.MaxProbation))
 	}
+	if now.Before(s.shedUntil) && (p.queue.Len() > 0 || len(p.urgent) > 0) {
+		wake = earlier(wake, s.shedUntil)
+	}
 	return wake
 }
 
--- a/core/pool/state.go
+++ b/core/pool/state.go
@@ -38,6 +38,10 @@
 	holdLevel int
 	// returned is when the server last came back from an ejection.
 	returned time.Time
+	// sheds counts requests in a row that the server shed; until shedUntil it
+	// gets no further one.
+	sheds     int
+	shedUntil time.Time
 }
 
 // leaving reports whether operators take the server out of service.
@@ -59,6 +63,14 @@
 	return min(s.slots, 1+int(int64(s.slots)*int64(elapsed)/int64(ramp)))
 }
 
+// free returns the slots that may take a request now.
+func (s *server) free(now time.Time, ramp time.Duration) int {
+	if now.Before(s.shedUntil) {
+		return 0
+	}
+	return max(0, s.allowed(now, ramp)-s.inUse)
+}
+
 // nextRampStep returns when allowed grows next; zero: no ramp.
 func (s *server) nextRampStep(now time.Time, ramp time.Duration) time.Time {
 	if s.allowed(now, ramp) >= s.slots {
--- a/core/pool/view.go
+++ b/core/pool/view.go
@@ -17,7 +17,7 @@
 			HeldUntil: s.heldUntil, Evidence: p.detector.Evidence(now, s.id),
 		})
 		if s.status == Serving {
-			v.FreeSlots += max(0, allowed-s.inUse)
+			v.FreeSlots += s.free(now, p.cfg.Readmission.RampTime)
 		}
 	}
 	if capacity := p.capacity(now, true); capacity > 0 && v.FreeSlots == 0 {
