--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(CURDIR)/bin
 GOFILES = $(shell git ls-files '*.go')
 
-.PHONY: build demo test soak bench capacity lint tools generate clean
+.PHONY: build demo test soak fuzz bench capacity lint tools generate clean
 
 ## build: build all programs into bin/
 build:
@@ -22,6 +22,14 @@
 	AGATEUSHER_SOAK=1 $(GO) test -v -timeout 0 ./internal/proof/random ./experiment/detection
 	$(GO) test -timeout 0 ./core/pool ./core/idempotency ./core/membership ./core/fairqueue -rapid.checks=20000 -rapid.steps=100
 
+## fuzz: explore each fuzz target for FUZZTIME; make test runs their corpora
+FUZZTIME ?= 10s
+fuzz:
+	$(GO) test -run '^$$' -fuzz '^FuzzParse$$' -fuzztime $(FUZZTIME) ./settings
+	$(GO) test -run '^$$' -fuzz '^FuzzParseFile$$' -fuzztime $(FUZZTIME) ./cli
+	$(GO) test -run '^$$' -fuzz '^FuzzObjects$$' -fuzztime $(FUZZTIME) ./core/snapshot
+	$(GO) test -run '^$$' -fuzz '^FuzzDecode$$' -fuzztime $(FUZZTIME) ./core/idempotency
+
 ## bench: print the measured tables
 bench:
 	$(GO) run ./experiment/pooltrial/cmd --seed 1 --seconds 60
--- a/core/idempotency/handover.go
+++ b/core/idempotency/handover.go
@@ -66,9 +66,9 @@
 }
 
 // Adopt returns the ledger of an exported incarnation at its successor. It
-// issues no keys. Responses over limits are not kept, their marks are. The time that the export travelled lengthens the keys'
-// lifetime and the kept records' alike, so no mark is dropped while its key is
-// accepted.
+// issues no keys. Responses over limits are not kept, their marks are. The time
+// that the export travelled lengthens the keys' lifetime and that of the kept
+// records alike, so no mark is dropped while its key is accepted.
 func Adopt(x Exported, secrets Secrets, limits Limits, now time.Time) *Ledger {
 	limits.Lifetime = x.Lifetime
 	l := NewLedger(x.Host, x.Issuer, secrets, limits, now.Add(-x.Age))
