--- a/entry/entry.go
+++ b/entry/entry.go
@@ -102,10 +102,22 @@
 	if q == nil {
 		resp = withoutLedger(r, resp)
 	}
-	took := time.Since(started)
-	status := writeResponse(w, id, resp)
-	span.SetAttributes(attribute.String("agateusher.outcome", resp.Outcome.String()), attribute.Int("http.response.status_code", status))
-	e.record(q, r, id, &resp, status, took, deadline, span)
+	d := done{request: q, id: id, response: &resp, took: time.Since(started), deadline: deadline, trace: span.SpanContext()}
+	d.status = writeResponse(w, id, resp)
+	span.SetAttributes(attribute.String("agateusher.outcome", resp.Outcome.String()), attribute.Int("http.response.status_code", d.status))
+	e.record(r, d)
+}
+
+// done is a request that has been answered.
+type done struct {
+	// request is nil if the request was refused before it was read.
+	request  *fleet.Request
+	id       model.RequestID
+	response *fleet.Response
+	status   int
+	took     time.Duration
+	deadline time.Duration
+	trace    trace.SpanContext
 }
 
 // withoutLedger turns "not run" into "unknown" for a request with a key that
@@ -118,21 +130,22 @@
 	return resp
 }
 
-func (e *Entry) record(q *fleet.Request, r *http.Request, id model.RequestID, resp *fleet.Response, status int, took, deadline time.Duration, span trace.Span) {
-	e.requests.Inc(resp.Outcome.String(), string(resp.Reason))
-	e.duration.RecordDuration(took)
-	if q != nil && e.o.Observer != nil {
-		e.o.Observer.RequestDone(q.Pool.Service, q.Workspace, resp, took)
-	}
-	if !slowOrFailed(*resp, took, deadline) {
+// record counts a request, and logs it if it failed or was slow.
+func (e *Entry) record(r *http.Request, d done) {
+	e.requests.Inc(d.response.Outcome.String(), string(d.response.Reason))
+	e.duration.RecordDuration(d.took)
+	if d.request != nil && e.o.Observer != nil {
+		e.o.Observer.RequestDone(d.request.Pool.Service, d.request.Workspace, d.response, d.took)
+	}
+	if !slowOrFailed(*d.response, d.took, d.deadline) {
 		return
 	}
 	fields := telemetry.Fields{
-		"event": "request", "request_id": id, "method": r.Method, "path": r.URL.Path, "status": status,
-		"outcome": resp.Outcome.String(), "reason": resp.Reason, "took_us": took.Microseconds(),
+		"event": "request", "request_id": d.id, "method": r.Method, "path": r.URL.Path, "status": d.status,
+		"outcome": d.response.Outcome.String(), "reason": d.response.Reason, "took_us": d.took.Microseconds(),
 	}
-	if sc := span.SpanContext(); sc.HasTraceID() {
-		fields["trace_id"] = sc.TraceID().String()
+	if d.trace.HasTraceID() {
+		fields["trace_id"] = d.trace.TraceID().String()
 	}
 	e.o.Log.WithFields(fields).Info("request failed or was slow")
 }
