daemon: BenchmarkPath spreads direct calls over the servers

Since it runs on all cores, ten clients sent their direct calls to one server of two slots, which shed them, so that the benchmark and make bench failed.

--- a/daemon/bench_test.go
+++ b/daemon/bench_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -20,21 +21,28 @@
 func BenchmarkPath(b *testing.B) {
 	f := newTimedFleet(b, 2, 8, backend.Distribution{Kind: backend.Fixed, Mean: time.Microsecond}, func(s *Settings) { s.Log.Level = "error" })
 	owner := f.nodes[0].daemon.directory().Owners(model.PoolID{Service: "booking", DataCentre: "lagos-1"}, 1)[0]
-	addresses := map[string]string{"direct": f.backends.Listings()[0].Address}
+	addresses := map[string][]string{}
+	for _, l := range f.backends.Listings() {
+		addresses["direct"] = append(addresses["direct"], l.Address)
+	}
 	for _, n := range f.nodes {
 		if n.daemon.settings.Host.ID == owner.Host {
-			addresses["one-hop"] = n.caller
+			addresses["one-hop"] = []string{n.caller}
 		} else {
-			addresses["two-hops"] = n.caller
+			addresses["two-hops"] = []string{n.caller}
 		}
 	}
 	client := &http.Client{Transport: fleet.NewTransport(fleet.TransportOptions{DialTimeout: time.Second, IdleTimeout: time.Minute, MaxIdlePerHost: 64})}
 	for _, name := range []string{"direct", "one-hop", "two-hops"} {
 		b.Run(name, func(b *testing.B) {
 			b.ReportAllocs()
+			// Direct calls are spread over the servers, which would shed otherwise.
+			var workers atomic.Int64
 			b.RunParallel(func(pb *testing.PB) {
+				list := addresses[name]
+				address := list[int(workers.Add(1))%len(list)]
 				for pb.Next() {
-					exchange(b, client, addresses[name])
+					exchange(b, client, address)
 				}
 			})
 		})
