Serve the platform's callers: usher-edge, its adapter and shared evidence

usher-edge reads pipelined requests, chooses a backend server from evidence that the daemons of a data centre share by datagrams, and forwards directly. The configuration and the set of servers are followed from the platform's store by one relay a data centre.

--- /dev/null
+++ b/catalog/keeper.go
@@ -0,0 +1,223 @@
+package catalog
+
+import (
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/agateusher/agateusher/core/invariant"
+	"github.com/agateusher/agateusher/core/model"
+)
+
+// View is what is in force at one moment. It is immutable.
+type View struct {
+	Config *Config
+	Routes *Table
+	// Servers that may take requests, and those that are leaving.
+	Servers []Server
+	// Revision that the set of servers includes.
+	Revision Revision
+}
+
+// Epoch returns the configuration's epoch; zero: none.
+func (v *View) Epoch() model.Epoch {
+	if v.Config == nil {
+		return 0
+	}
+	return v.Config.Epoch
+}
+
+// Export is the whole content, for another daemon. Ages are relative to the
+// moment of the export.
+type Export struct {
+	Config       *Config            `json:"config"`
+	ConfigCursor Revision           `json:"configCursor"`
+	ConfigAge    time.Duration      `json:"configAge"`
+	Servers      map[string]*Server `json:"servers"`
+	Revision     Revision           `json:"revision"`
+	ServerCursor Revision           `json:"serverCursor"`
+	ServerAge    time.Duration      `json:"serverAge"`
+}
+
+// Keeper holds the content. It is safe for concurrent use.
+type Keeper struct {
+	// Changed is called after each change, not concurrently.
+	changed func(*View)
+
+	mu           sync.Mutex
+	config       *Config
+	routes       *Table
+	configCursor Revision
+	configAt     time.Time
+	servers      map[string]*Server
+	revision     Revision
+	serverCursor Revision
+	serverAt     time.Time
+}
+
+// NewKeeper returns an empty keeper.
+func NewKeeper(changed func(*View)) *Keeper {
+	return &Keeper{changed: changed, servers: map[string]*Server{}}
+}
+
+// never is the age of content that was never confirmed.
+const never = time.Hour
+
+// Ages returns how long ago the store confirmed the configuration and the
+// servers.
+func (k *Keeper) Ages(now time.Time) (config, servers time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return age(now, k.configAt), age(now, k.serverAt)
+}
+
+func age(now, at time.Time) time.Duration {
+	if at.IsZero() {
+		return never
+	}
+	return now.Sub(at)
+}
+
+// Versions returns the epoch and the revision in force; zero: none.
+func (k *Keeper) Versions() (model.Epoch, Revision) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.config == nil {
+		return 0, k.revision
+	}
+	return k.config.Epoch, k.revision
+}
+
+// Confirm records that a daemon with the same content had it confirmed at a
+// time.
+func (k *Keeper) Confirm(epoch model.Epoch, r Revision, at time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.config != nil && k.config.Epoch == epoch && at.After(k.configAt) {
+		k.configAt = at
+	}
+	if k.revision == r && r != 0 && at.After(k.serverAt) {
+		k.serverAt = at
+	}
+}
+
+// putConfig applies a configuration that the store confirmed at a time; nil
+// means that nothing has changed.
+func (k *Keeper) putConfig(c *Config, cursor Revision, at time.Time) (applied bool) {
+	k.mu.Lock()
+	if c != nil && (k.config == nil || c.Epoch > k.config.Epoch) {
+		invariant.Check(k.config == nil || c.Epoch > k.config.Epoch, invariant.EpochUpward, "epoch %s", c.Epoch)
+		k.config, k.routes, applied = c, NewTable(c), true
+	}
+	k.configCursor = max(k.configCursor, cursor)
+	if at.After(k.configAt) {
+		k.configAt = at
+	}
+	k.mu.Unlock()
+	if applied {
+		k.publish()
+	}
+	return applied
+}
+
+// putServers replaces the set if it is newer.
+func (k *Keeper) putServers(set map[string]*Server, r, cursor Revision, at time.Time) (applied bool) {
+	k.mu.Lock()
+	if r > k.revision {
+		k.servers, k.revision, applied = set, r, true
+	}
+	k.serverCursor = max(k.serverCursor, cursor)
+	if at.After(k.serverAt) {
+		k.serverAt = at
+	}
+	k.mu.Unlock()
+	if applied {
+		k.publish()
+	}
+	return applied
+}
+
+// snapshotServers returns a copy of the set, its revision and the position to
+// watch from.
+func (k *Keeper) snapshotServers() (map[string]*Server, Revision) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return maps.Clone(k.servers), k.serverCursor
+}
+
+func (k *Keeper) cursorOfConfig() Revision {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.configCursor
+}
+
+// ExpireLapsed removes servers whose entries did not come back in time.
+func (k *Keeper) ExpireLapsed(now time.Time) (expired []model.ServerID) {
+	k.mu.Lock()
+	for name, s := range k.servers {
+		if !s.LapsedUntil.IsZero() && now.After(s.LapsedUntil) {
+			expired = append(expired, s.ID)
+			k.servers = maps.Clone(k.servers)
+			delete(k.servers, name)
+		}
+	}
+	k.mu.Unlock()
+	if len(expired) > 0 {
+		k.publish()
+	}
+	return expired
+}
+
+// Export returns the whole content.
+func (k *Keeper) Export(now time.Time) Export {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	e := Export{
+		Config: k.config, ConfigCursor: k.configCursor, ConfigAge: age(now, k.configAt),
+		Servers: make(map[string]*Server, len(k.servers)), Revision: k.revision,
+		ServerCursor: k.serverCursor, ServerAge: age(now, k.serverAt),
+	}
+	for name, s := range k.servers {
+		copied := *s
+		copied.Warmup = max(0, s.WarmAt.Sub(now))
+		if !s.LapsedUntil.IsZero() {
+			copied.LapsedFor = max(time.Millisecond, s.LapsedUntil.Sub(now))
+		}
+		e.Servers[name] = &copied
+	}
+	return e
+}
+
+// Import applies the content of another daemon as far as it is newer.
+func (k *Keeper) Import(now time.Time, e Export) {
+	if e.Config != nil {
+		k.putConfig(e.Config, e.ConfigCursor, now.Add(-e.ConfigAge))
+	}
+	if e.Revision == 0 {
+		return
+	}
+	for _, s := range e.Servers {
+		s.WarmAt = now.Add(s.Warmup)
+		if s.LapsedFor > 0 {
+			s.LapsedUntil = now.Add(s.LapsedFor)
+		}
+	}
+	k.putServers(e.Servers, e.Revision, e.ServerCursor, now.Add(-e.ServerAge))
+}
+
+// View returns what is in force.
+func (k *Keeper) View() *View {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	v := &View{Config: k.config, Routes: k.routes, Revision: k.revision, Servers: make([]Server, 0, len(k.servers))}
+	for _, s := range k.servers {
+		v.Servers = append(v.Servers, *s)
+	}
+	return v
+}
+
+func (k *Keeper) publish() {
+	if k.changed != nil {
+		k.changed(k.View())
+	}
+}
--- /dev/null
+++ b/cmd/usher-edge/main.go
@@ -0,0 +1,75 @@
+// Command usher-edge is the daemon that runs on every host of the consortium
+// platform.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/agateusher/agateusher/edge"
+	"github.com/agateusher/agateusher/platform"
+	"github.com/agateusher/agateusher/telemetry"
+)
+
+// Exit codes.
+const (
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+// memoryShare is the part of the process's memory that the collector keeps the
+// heap below; the rest is for stacks and unread bytes.
+const memoryShare = 0.6
+
+type options struct {
+	Settings string `long:"settings" short:"s" value-name:"FILE" description:"settings file, JSON with comments; the platform's own path by default"`
+	Check    bool   `long:"check" description:"validate the settings and exit"`
+}
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+func run(args []string) int {
+	var o options
+	if _, err := flags.NewParser(&o, flags.Default).ParseArgs(args); err != nil {
+		var help *flags.Error
+		if errors.As(err, &help) && help.Type == flags.ErrHelp {
+			return 0
+		}
+		return exitUsage
+	}
+	if o.Settings == "" {
+		o.Settings = platform.SettingsPath()
+	}
+	s, err := edge.LoadSettings(o.Settings)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	if o.Check {
+		fmt.Println("settings are valid")
+		return 0
+	}
+	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMiB<<20)))
+	node, err := edge.New(s, os.Stdout, func(scope telemetry.Scope, log telemetry.Logger) edge.Platform {
+		store := platform.NewStore(s.Store, scope, log)
+		return edge.Platform{Source: store, Registry: store, Headers: platform.Headers{}, ReadinessPath: platform.ReadinessPath}
+	})
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailure
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := node.Run(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailure
+	}
+	return 0
+}
--- /dev/null
+++ b/core/balance/choose.go
@@ -0,0 +1,210 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/agateusher/agateusher/core/model"
+)
+
+// Costs weigh the reasons against a server, in units of one request's worth.
+type Costs struct {
+	// ByteDataCentre is the cost of one byte to another data centre of the region.
+	ByteDataCentre float64
+	// ByteRegion is the cost of one byte to another region.
+	ByteRegion float64
+	// Late is the cost of an answer after its target latency.
+	Late float64
+	// Unreachable is the cost of a path that failed lately.
+	Unreachable float64
+	// Shedding is the cost of a server that refused a request just now.
+	Shedding float64
+}
+
+// Query describes the attempt that needs a server.
+type Query struct {
+	Service model.ServiceName
+	// Repeatable marks an idempotent request.
+	Repeatable bool
+	// Spare is set if the request may be sent once more should this attempt fail.
+	Spare bool
+	// Target is the latency within which an answer has its full worth.
+	Target time.Duration
+	// Bytes is the expected size of the exchange.
+	Bytes int
+	// Tried lists servers that the request has been sent to.
+	Tried []Key
+	// Tiebreak orders servers of equal cost; any number.
+	Tiebreak uint64
+}
+
+// Choice is a server with what decided for it.
+type Choice struct {
+	Server  Server
+	Cost    float64
+	Failing float64
+	// Outstanding attempts at the server, this one left out.
+	Outstanding int
+	// EvidenceAge is the time since an attempt there last ended; negative if
+	// none did.
+	EvidenceAge time.Duration
+	// Probe marks an attempt that was sent to gather evidence.
+	Probe bool
+	// Candidates is the number of servers considered.
+	Candidates int
+}
+
+const (
+	// probeInterval is how long evidence about a server may age before an
+	// idempotent request with a spare attempt is used to renew it.
+	probeInterval = 700 * time.Millisecond
+	// suspectInterval is the same for servers that seem to fail.
+	suspectInterval = 900 * time.Millisecond
+	// suspected is the probability from which a server counts as a suspect.
+	suspected = 0.5
+	// guardedFor is how long after a request that must not repeat evidence is
+	// gathered for the next one.
+	guardedFor = 5 * time.Second
+	// remoteLoadLifetime is how long a load report counts.
+	remoteLoadLifetime = 2 * time.Second
+	// remoteShare is the part of its slots that a server in another data
+	// centre is assumed to use if there is no report.
+	remoteShare = 0.5
+)
+
+// Choose returns the server for an attempt. It returns false if the service has
+// no server that was not tried.
+func (t *Table) Choose(now time.Time, q Query) (Choice, bool) {
+	group, ok := t.services[q.Service]
+	if !ok {
+		return Choice{}, false
+	}
+	if !q.Repeatable {
+		group.guarded = now
+	}
+	if q.Repeatable && q.Spare && now.Sub(group.guarded) < guardedFor {
+		if s := t.probeTarget(now, group, q); s != nil {
+			c := t.describe(now, group, s, q)
+			c.Probe = true
+			return c, true
+		}
+	}
+	var best Choice
+	found := false
+	for i := range group.servers {
+		s := group.servers[(i+int(q.Tiebreak%uint64(len(group.servers))))%len(group.servers)]
+		if tried(q.Tried, s.Key) {
+			continue
+		}
+		c := t.describe(now, group, s, q)
+		if !found || c.Cost < best.Cost {
+			best, found = c, true
+		}
+	}
+	return best, found
+}
+
+// probeTarget returns the server of this data centre whose evidence is due for
+// renewal, nil if there is none.
+func (t *Table) probeTarget(now time.Time, group *service, q Query) *server {
+	var oldest *server
+	for _, s := range group.servers {
+		if s.DataCentre != t.opts.DataCentre || tried(q.Tried, s.Key) || s.outstanding > 0 ||
+			now.Before(s.unreachableUntil) || now.Before(s.shedUntil) {
+			continue
+		}
+		due := probeInterval
+		if t.opts.Model.At(s.belief, now) >= suspected {
+			due = suspectInterval
+		}
+		if now.Sub(s.heard) < due || now.Sub(s.probed) < due {
+			continue
+		}
+		if oldest == nil || s.heard.Before(oldest.heard) {
+			oldest = s
+		}
+	}
+	return oldest
+}
+
+func (t *Table) describe(now time.Time, group *service, s *server, q Query) Choice {
+	c := Choice{Server: s.Server, Failing: t.opts.Model.At(s.belief, now), Outstanding: s.outstanding, EvidenceAge: -1, Candidates: len(group.servers)}
+	if !s.heard.IsZero() {
+		c.EvidenceAge = now.Sub(s.heard)
+	}
+	if remote := s.DataCentre != t.opts.DataCentre; remote {
+		if now.Sub(s.remote.At) < remoteLoadLifetime {
+			c.Outstanding += s.remote.Outstanding
+			if s.remote.At.After(s.heard) {
+				c.Failing = max(c.Failing, s.remote.Failing)
+			}
+		} else {
+			c.Outstanding += int(remoteShare * float64(s.Slots))
+		}
+	}
+	c.Cost = t.opts.Model.FailureChance(c.Failing) + t.lateness(now, group, s, c.Outstanding, q) + t.transfer(s, q)
+	if now.Before(s.unreachableUntil) {
+		c.Cost += t.opts.Costs.Unreachable
+	}
+	if now.Before(s.shedUntil) {
+		c.Cost += t.opts.Costs.Shedding
+	}
+	return c
+}
+
+// lateness estimates the cost of waiting for a slot and of a slow server.
+func (t *Table) lateness(now time.Time, group *service, s *server, outstanding int, q Query) float64 {
+	if q.Target <= 0 {
+		return 0
+	}
+	work := group.latency
+	if s.latency > work && now.Sub(s.timed) < slowMemory {
+		work = s.latency
+	}
+	if now.Before(s.WarmAt) {
+		work *= 2
+	}
+	waiting := max(0, outstanding-s.Slots+1)
+	expected := work + work*time.Duration(waiting)/time.Duration(max(1, s.Slots))
+	share := float64(expected) / float64(q.Target)
+	// A busy slot is a small cost of its own: servers slow down when nearly full.
+	busy := busyCost * float64(outstanding) / float64(max(1, s.Slots))
+	return busy + t.opts.Costs.Late*min(share*share, maxLateness)
+}
+
+const (
+	// busyCost orders servers of equal evidence by their load.
+	busyCost = 0.02
+	// maxLateness bounds the lateness of very long queues.
+	maxLateness = 4
+)
+
+func (t *Table) transfer(s *server, q Query) float64 {
+	switch {
+	case s.DataCentre == t.opts.DataCentre:
+		return 0
+	case s.Region == t.opts.Region:
+		return t.opts.Costs.ByteDataCentre * float64(q.Bytes)
+	}
+	return t.opts.Costs.ByteRegion * float64(q.Bytes)
+}
+
+func tried(list []Key, k Key) bool {
+	for _, x := range list {
+		if x == k {
+			return true
+		}
+	}
+	return false
+}
+
+// budgetMargin is the part of the retry budget that is spent; the rest covers
+// attempts of other daemons that have not been heard of yet.
+const budgetMargin = 0.75
+
+// AllowRepeat reports whether the service's budget has room for another arrival.
+func (t *Table) AllowRepeat(now time.Time, name model.ServiceName) bool {
+	group := t.service(name)
+	b := t.opts.Budget
+	allowed := b.Ratio*float64(group.arrivals.count(now)) + b.Slack/float64(t.dataCentres)
+	return float64(group.repeats.count(now)+1) <= budgetMargin*allowed
+}
--- /dev/null
+++ b/core/balance/observe.go
@@ -0,0 +1,181 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/agateusher/agateusher/core/model"
+)
+
+const (
+	// latencyWeight is the weight of one sample in the moving averages.
+	latencyWeight = 0.25
+	// slowMemory is how long a server's own latency counts after its last sample.
+	slowMemory = 6 * time.Second
+	// attemptLifetime bounds how long an attempt counts as outstanding if its
+	// end is never heard of; it is above the usual time-outs of routes.
+	attemptLifetime = 12 * time.Second
+	// stallFactor times the mean latency, and at least stallMin, is when an
+	// unanswered attempt becomes evidence.
+	stallFactor = 3
+	stallMin    = 500 * time.Millisecond
+	// stallRatio is how much likelier such an attempt is at a failing server.
+	stallRatio = 6
+	// shedPause is how long a server that shed a request is passed over; it
+	// doubles with each shed in a row up to shedPauseMax.
+	shedPause    = 40 * time.Millisecond
+	shedPauseMax = 320 * time.Millisecond
+)
+
+// Result is how an attempt ended.
+type Result uint8
+
+const (
+	// Succeeded: a whole answer that is not a server's own failure.
+	Succeeded Result = iota + 1
+	// Failed: a failure of the server, or an answer that cannot be used.
+	Failed
+	// Shed: the server refused without running the request.
+	Shed
+	// Abandoned: this side ended the attempt; it says nothing about the server.
+	Abandoned
+)
+
+// Started records an attempt of this or another daemon of the data centre.
+// Repeat marks an arrival beyond the first of its request.
+func (t *Table) Started(now time.Time, k Key, a AttemptKey, repeat bool) {
+	s, ok := t.servers[k]
+	if !ok {
+		return
+	}
+	group := t.service(s.Service)
+	if repeat {
+		group.repeats.add(now)
+	} else {
+		group.arrivals.add(now)
+	}
+	if _, ok := t.attempts[a]; ok {
+		return
+	}
+	s.outstanding++
+	s.probed = now
+	t.attempts[a] = &attempt{server: s, started: now}
+}
+
+// Finished records the end of an attempt and returns the change of belief.
+func (t *Table) Finished(now time.Time, k Key, a AttemptKey, r Result, latency time.Duration) Change {
+	stalled := t.release(a)
+	s, ok := t.servers[k]
+	if !ok {
+		return Change{}
+	}
+	before := t.opts.Model.At(s.belief, now)
+	switch r {
+	case Succeeded:
+		s.belief = t.opts.Model.Succeeded(s.belief, now)
+		s.heard, s.sheds = now, 0
+		t.sample(now, s, latency)
+	case Failed:
+		if !stalled {
+			s.belief = t.opts.Model.Failed(s.belief, now)
+		}
+		s.heard, s.sheds = now, 0
+	case Shed:
+		s.shedUntil = now.Add(min(shedPauseMax, shedPause<<min(s.sheds, 8)))
+		s.sheds++
+	case Abandoned:
+	}
+	return Change{Server: s.ID, Before: before, After: t.opts.Model.At(s.belief, now)}
+}
+
+// Change is a change of belief about a server.
+type Change struct {
+	Server        model.ServerID
+	Before, After float64
+}
+
+// Unreachable records that this daemon could not open a connection, which is
+// evidence about the path and not about the server.
+func (t *Table) Unreachable(now time.Time, k Key, hold time.Duration) {
+	if s, ok := t.servers[k]; ok {
+		s.unreachableUntil = now.Add(hold)
+	}
+}
+
+// Reported records what a server's own data centre reports about it.
+func (t *Table) Reported(k Key, l Load) {
+	if s, ok := t.servers[k]; ok && s.DataCentre != t.opts.DataCentre {
+		s.remote = l
+	}
+}
+
+// Report lists the load of this data centre's servers, for other data centres.
+func (t *Table) Report(now time.Time, each func(Key, Load)) {
+	for k, s := range t.servers {
+		if s.DataCentre == t.opts.DataCentre {
+			each(k, Load{Outstanding: s.outstanding, Failing: t.opts.Model.At(s.belief, now), At: now})
+		}
+	}
+}
+
+// HostGone forgets the outstanding attempts of a daemon that has ended.
+func (t *Table) HostGone(h model.HostID) {
+	for a := range t.attempts {
+		if a.Host == h {
+			t.release(a)
+		}
+	}
+}
+
+// Tick turns attempts that have been unanswered for long into evidence, and
+// forgets those whose end was not heard. It returns the changes.
+func (t *Table) Tick(now time.Time) []Change {
+	var changes []Change
+	for key, a := range t.attempts {
+		age := now.Sub(a.started)
+		if age > attemptLifetime {
+			t.release(key)
+			continue
+		}
+		if !a.stalled && age > t.stallAfter(a.server) {
+			a.stalled = true
+			before := t.opts.Model.At(a.server.belief, now)
+			a.server.belief = t.opts.Model.Weigh(a.server.belief, now, stallRatio)
+			changes = append(changes, Change{Server: a.server.ID, Before: before, After: t.opts.Model.At(a.server.belief, now)})
+		}
+	}
+	return changes
+}
+
+func (t *Table) stallAfter(s *server) time.Duration {
+	return max(stallMin, stallFactor*t.service(s.Service).latency)
+}
+
+// Latency returns the mean latency of a service's successful attempts; zero if
+// there were none.
+func (t *Table) Latency(name model.ServiceName) time.Duration { return t.service(name).latency }
+
+func (t *Table) release(a AttemptKey) (stalled bool) {
+	found, ok := t.attempts[a]
+	if !ok {
+		return false
+	}
+	delete(t.attempts, a)
+	found.server.outstanding--
+	return found.stalled
+}
+
+func (t *Table) sample(now time.Time, s *server, latency time.Duration) {
+	group := t.service(s.Service)
+	group.latency = average(group.latency, latency)
+	if now.Sub(s.timed) > slowMemory {
+		s.latency = 0
+	}
+	s.latency, s.timed = average(s.latency, latency), now
+}
+
+func average(mean, sample time.Duration) time.Duration {
+	if mean == 0 {
+		return sample
+	}
+	return mean + time.Duration(latencyWeight*float64(sample-mean))
+}
--- /dev/null
+++ b/core/balance/table.go
@@ -0,0 +1,154 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/agateusher/agateusher/core/model"
+)
+
+// Key identifies one incarnation of a backend server.
+type Key uint64
+
+// AttemptKey identifies an attempt within the data centre.
+type AttemptKey struct {
+	Host   model.HostID
+	Number uint64
+}
+
+// Server is a backend server that may receive requests.
+type Server struct {
+	Key        Key
+	ID         model.ServerID
+	Service    model.ServiceName
+	DataCentre model.DataCentre
+	Region     model.Region
+	// Address is "ip:port".
+	Address string
+	// Slots is the number of requests that it runs at a time.
+	Slots int
+	// WarmAt is when it is expected to be at full speed.
+	WarmAt time.Time
+}
+
+// Options configure a Table.
+type Options struct {
+	// DataCentre and Region are where this daemon runs.
+	DataCentre model.DataCentre
+	Region     model.Region
+	Model      Model
+	Costs      Costs
+	// Budget bounds the retries of a service.
+	Budget Budget
+}
+
+// Budget bounds arrivals beyond the first of each request, over all daemons.
+type Budget struct {
+	// Ratio is the share of the requests that may be repeated.
+	Ratio float64
+	// Slack is added to that for each service, in requests per window. Each
+	// data centre spends its equal part.
+	Slack float64
+	// Window is the span that both are counted over.
+	Window time.Duration
+}
+
+// Table holds the servers of all services with the evidence about them.
+type Table struct {
+	opts     Options
+	servers  map[Key]*server
+	services map[model.ServiceName]*service
+	attempts map[AttemptKey]*attempt
+	// dataCentres is the number of data centres that share a retry budget.
+	dataCentres int
+}
+
+type service struct {
+	servers  []*server
+	arrivals window
+	repeats  window
+	// latency is the moving average of successful attempts.
+	latency time.Duration
+	// guarded is set while requests that must not repeat were seen lately.
+	guarded time.Time
+}
+
+type server struct {
+	Server
+	belief Belief
+	// outstanding attempts of this data centre.
+	outstanding int
+	// remote is the number of attempts that the server's own data centre reports.
+	remote Load
+	// heard is when an attempt last ended here with evidence.
+	heard time.Time
+	// probed is when an attempt was last sent.
+	probed time.Time
+	// latency is the moving average of successful attempts.
+	latency time.Duration
+	timed   time.Time
+	// shedUntil is when the server is expected to accept requests again.
+	shedUntil time.Time
+	sheds     int
+	// unreachableUntil is the end of this daemon's own doubt about the path.
+	unreachableUntil time.Time
+}
+
+type attempt struct {
+	server  *server
+	started time.Time
+	stalled bool
+}
+
+// Load is what the daemons of a server's own data centre report about it.
+type Load struct {
+	Outstanding int
+	Failing     float64
+	At          time.Time
+}
+
+// NewTable returns a table without servers.
+func NewTable(o Options) *Table {
+	return &Table{
+		opts: o, servers: map[Key]*server{}, services: map[model.ServiceName]*service{},
+		attempts: map[AttemptKey]*attempt{}, dataCentres: 1,
+	}
+}
+
+// SetServers replaces the set of servers. Evidence about servers that stay is
+// kept. dataCentres is the number of data centres of the fleet.
+func (t *Table) SetServers(now time.Time, list []Server, dataCentres int) {
+	t.dataCentres = max(1, dataCentres)
+	kept := make(map[Key]*server, len(list))
+	for _, s := range t.services {
+		s.servers = s.servers[:0]
+	}
+	for _, next := range list {
+		s, ok := t.servers[next.Key]
+		if !ok {
+			s = &server{belief: t.opts.Model.NewBelief(now)}
+		}
+		s.Server = next
+		kept[next.Key] = s
+		group := t.service(next.Service)
+		group.servers = append(group.servers, s)
+	}
+	t.servers = kept
+}
+
+func (t *Table) service(name model.ServiceName) *service {
+	s, ok := t.services[name]
+	if !ok {
+		s = &service{arrivals: window{span: t.opts.Budget.Window}, repeats: window{span: t.opts.Budget.Window}}
+		t.services[name] = s
+	}
+	return s
+}
+
+// Server returns the server with the key.
+func (t *Table) Server(k Key) (Server, bool) {
+	s, ok := t.servers[k]
+	if !ok {
+		return Server{}, false
+	}
+	return s.Server, true
+}
--- /dev/null
+++ b/edge/forward.go
@@ -0,0 +1,276 @@
+package edge
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/agateusher/agateusher/catalog"
+	"github.com/agateusher/agateusher/core/balance"
+	"github.com/agateusher/agateusher/core/invariant"
+	"github.com/agateusher/agateusher/core/model"
+)
+
+const (
+	// defaultTimeout applies to a route without one.
+	defaultTimeout = 30 * time.Second
+	// answerMargin is how long before its end a request is answered, so that
+	// the answer arrives in time.
+	answerMargin = 10 * time.Millisecond
+	// minAttemptTime is the least time in which an attempt is worth starting.
+	minAttemptTime = 30 * time.Millisecond
+	// hedgeFactor times the mean latency of the service, and at least hedgeMin,
+	// is when an idempotent request is sent to a second server.
+	hedgeFactor = 2.2
+	hedgeMin    = 350 * time.Millisecond
+	// maxDials bounds the servers that are tried for a connection.
+	maxDials = 5
+	// unreachableHold is how long a path counts as doubtful after a failed dial.
+	unreachableHold = 4 * time.Second
+	// misdirectedHold outlasts the entry of a server whose address was reused.
+	misdirectedHold = 10 * time.Second
+)
+
+// flight is one request on its way.
+type flight struct {
+	node    *Node
+	request *request
+	route   *catalog.Route
+	service model.ServiceName
+	end     time.Time
+	results chan attemptResult
+
+	active  map[uint64]context.CancelFunc
+	sent    int           // servers that were sent the request
+	passed  []balance.Key // servers that no attempt may go to
+	dials   int
+	arrived bool // an attempt reached a server
+	mayRun  bool // an attempt may have run
+	last    *response
+	reason  model.Reason
+	notes   []string
+}
+
+type attemptResult struct {
+	number  uint64
+	choice  balance.Choice
+	verdict Verdict
+	resp    *response
+	err     error
+	latency time.Duration
+}
+
+// serve answers one request. ctx ends when the caller goes away.
+func (n *Node) serve(ctx context.Context, q *request) *response {
+	view := n.view.Load()
+	if view == nil || view.Config == nil {
+		return n.refuse(q, model.ReasonNoConfiguration)
+	}
+	path, _, _ := strings.Cut(q.target, "?")
+	route, ok := view.Routes.Match(q.host, path)
+	if !ok {
+		return n.own(q, http.StatusNotFound, model.ReasonNoRoute)
+	}
+	timeout := route.Timeout
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	if q.patience > 0 {
+		timeout = min(timeout, q.patience)
+	}
+	f := &flight{
+		node: n, request: q, route: route, service: pickPart(route.Parts), end: q.received.Add(timeout - answerMargin),
+		results: make(chan attemptResult, maxDials+1), active: map[uint64]context.CancelFunc{},
+	}
+	resp := f.run(ctx)
+	n.finished(f, view, resp)
+	return resp
+}
+
+// pickPart draws a service by the weights of a route.
+func pickPart(parts []catalog.Part) model.ServiceName {
+	total := 0.0
+	for _, p := range parts {
+		total += p.Weight
+	}
+	x := rand.Float64() * total
+	for _, p := range parts {
+		if x -= p.Weight; x < 0 {
+			return p.Service
+		}
+	}
+	return parts[len(parts)-1].Service
+}
+
+// run makes attempts until there is an answer.
+func (f *flight) run(ctx context.Context) *response {
+	defer f.cancelAll()
+	if !f.launch(ctx) {
+		return f.fail()
+	}
+	end := time.NewTimer(time.Until(f.end))
+	defer end.Stop()
+	hedge := time.NewTimer(f.hedgeDelay())
+	defer hedge.Stop()
+	for {
+		select {
+		case r := <-f.results:
+			if resp, done := f.handle(ctx, r); done {
+				return resp
+			}
+		case <-hedge.C:
+			if f.mayHedge() {
+				f.launch(ctx)
+			}
+		case <-end.C:
+			f.reason = model.ReasonTimeout
+			return f.fail()
+		case <-ctx.Done():
+			f.reason = model.ReasonCancelled
+			return f.fail()
+		}
+	}
+}
+
+func (f *flight) hedgeDelay() time.Duration {
+	mean := f.node.state.latency(f.service)
+	return max(hedgeMin, time.Duration(hedgeFactor*float64(mean)))
+}
+
+func (f *flight) mayHedge() bool {
+	return f.route.Repeatable && len(f.active) == 1 && f.attemptsLeft() && f.node.state.allowRepeat(f.service)
+}
+
+// attemptsLeft reports whether another server may be sent the request.
+func (f *flight) attemptsLeft() bool {
+	return f.sent < f.route.MaxAttempts && f.dials < maxDials && time.Until(f.end) > minAttemptTime
+}
+
+// launch starts an attempt; false if there is no server for it.
+func (f *flight) launch(ctx context.Context) bool {
+	choice, number, ok := f.node.state.begin(balance.Query{
+		Service: f.service, Repeatable: f.route.Repeatable,
+		Spare:  f.route.Repeatable && f.sent+1 < f.route.MaxAttempts,
+		Target: f.route.Target, Bytes: f.node.sizes.estimate(f.route.Name, len(f.request.body)),
+		Tried: f.passed, Tiebreak: rand.Uint64(),
+	}, f.arrived)
+	if !ok {
+		f.reason = model.ReasonNoServer
+		return false
+	}
+	f.dials++
+	f.passed = append(f.passed, choice.Server.Key)
+	attempt, cancel := context.WithDeadline(f.attemptContext(ctx), f.end)
+	f.active[number] = cancel
+	f.sent++
+	left := time.Until(f.end)
+	began := time.Now()
+	go func() {
+		far := choice.Server.Region != f.node.settings.Host.Region
+		verdict, resp, err := f.node.exchanger.exchange(attempt, f.request, choice.Server, far, left)
+		f.results <- attemptResult{number: number, choice: choice, verdict: verdict, resp: resp, err: err, latency: time.Since(began)}
+	}()
+	return true
+}
+
+// attemptContext keeps a request that is not idempotent running when its caller
+// goes away: it may have taken effect.
+func (f *flight) attemptContext(ctx context.Context) context.Context {
+	if f.route.Repeatable {
+		return ctx
+	}
+	return context.WithoutCancel(ctx)
+}
+
+// handle takes the end of an attempt. It returns the answer if there is one.
+func (f *flight) handle(ctx context.Context, r attemptResult) (*response, bool) {
+	f.active[r.number]()
+	delete(f.active, r.number)
+	f.node.state.end(r)
+	f.note(r)
+	if r.verdict == Unconnected {
+		f.sent--
+	} else {
+		f.arrived = true
+	}
+	f.mayRun = f.mayRun || r.verdict.ran()
+	if r.verdict == Usable {
+		return r.resp, true
+	}
+	f.reason = reasonOf(r.verdict)
+	if r.verdict == ServerFailure {
+		f.last = r.resp
+	}
+	if f.mayRepeat(r.verdict) && f.launch(ctx) {
+		return nil, false
+	}
+	if len(f.active) > 0 {
+		return nil, false
+	}
+	return f.fail(), true
+}
+
+// mayRepeat reports whether the request may be sent to another server after an
+// attempt that ended with a verdict.
+func (f *flight) mayRepeat(v Verdict) bool {
+	if !f.attemptsLeft() || (!f.route.Repeatable && f.mayRun) {
+		return false
+	}
+	invariant.Check(f.route.Repeatable || !v.ran(), invariant.AtMostOnce, "request %s repeated after %s", f.request.id, v)
+	return v == Unconnected || f.node.state.allowRepeat(f.service)
+}
+
+func reasonOf(v Verdict) model.Reason {
+	switch v {
+	case Refused, Misdirected:
+		return model.ReasonShed
+	case Unconnected:
+		return model.ReasonConnect
+	case Cancelled:
+		return model.ReasonTimeout
+	case Spoilt, Foreign, Broken:
+		return model.ReasonTruncated
+	}
+	return model.ReasonServerFailed
+}
+
+// fail returns the answer of a request that no server answered.
+func (f *flight) fail() *response {
+	switch {
+	case f.last != nil && f.reason == model.ReasonServerFailed:
+		return f.last
+	case !f.mayRun && len(f.active) == 0:
+		return f.node.refuse(f.request, f.reason)
+	case f.reason == model.ReasonTimeout:
+		return f.node.own(f.request, http.StatusGatewayTimeout, f.reason)
+	}
+	return f.node.own(f.request, http.StatusBadGateway, f.reason)
+}
+
+// cancelAll ends the attempts that are still active. Those of a request that is
+// not idempotent run on if its caller has gone.
+func (f *flight) cancelAll() {
+	if len(f.active) == 0 {
+		return
+	}
+	if f.route.Repeatable || f.reason != model.ReasonCancelled {
+		for _, cancel := range f.active {
+			cancel()
+		}
+	}
+	go f.collect(len(f.active))
+}
+
+// collect waits for attempts whose answers are not needed.
+func (f *flight) collect(n int) {
+	for range n {
+		r := <-f.results
+		if r.verdict == Broken {
+			r.verdict = Cancelled
+		}
+		f.node.state.end(r)
+		f.active[r.number]()
+	}
+}
--- /dev/null
+++ b/edge/node.go
@@ -0,0 +1,250 @@
+package edge
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/agateusher/agateusher/catalog"
+	"github.com/agateusher/agateusher/core/model"
+	gen "github.com/agateusher/agateusher/gen/agateusher/v1"
+	"github.com/agateusher/agateusher/gossip"
+	"github.com/agateusher/agateusher/kernel"
+	"github.com/agateusher/agateusher/telemetry"
+)
+
+const (
+	metricsPrefix    = "usher_edge"
+	reasonBadRequest = model.ReasonBadRequest
+	// tickInterval is how often unanswered attempts are looked at.
+	tickInterval = 50 * time.Millisecond
+)
+
+// Registry is where daemons find each other.
+type Registry interface {
+	Hosts(ctx context.Context) ([]gossip.Host, error)
+	Register(ctx context.Context, h gossip.Host) error
+}
+
+// Platform is what a node needs from the platform.
+type Platform struct {
+	Source   catalog.Source
+	Registry Registry
+	Headers  Headers
+	// ReadinessPath is what the balancer asks for.
+	ReadinessPath string
+}
+
+// Node is one running daemon.
+type Node struct {
+	settings  Settings
+	started   time.Time
+	logger    *logrus.Logger
+	log       telemetry.Logger
+	lines     *lineWriter
+	requests  *requestLog
+	metrics   *telemetry.Metrics
+	answers   *telemetry.Counters
+	attempts  *telemetry.Counters
+	headers   Headers
+	platform  Platform
+	exchanger *exchanger
+	state     *state
+	sizes     sizes
+	keeper    *catalog.Keeper
+	follower  *catalog.Follower
+	link      *gossip.Link
+	puller    *puller
+	view      atomic.Pointer[catalog.View]
+	leaving   atomic.Bool
+	callers   net.Listener
+
+	mu      sync.Mutex
+	conns   map[*conn]struct{}
+	stopped bool
+}
+
+// StartError says which part of a node could not be set up.
+type StartError struct {
+	Part string
+	Err  error
+}
+
+// Error implements error.
+func (e *StartError) Error() string { return fmt.Sprintf("start %s: %v", e.Part, e.Err) }
+
+// Unwrap returns the cause.
+func (e *StartError) Unwrap() error { return e.Err }
+
+// New assembles a node; connect returns its platform. Logs go to w. Errors are
+// *StartError.
+func New(s Settings, w io.Writer, connect func(telemetry.Scope, telemetry.Logger) Platform) (*Node, error) {
+	n := &Node{
+		settings: s, started: time.Now(), lines: newLineWriter(w), metrics: telemetry.NewMetrics(metricsPrefix),
+		conns: map[*conn]struct{}{}, sizes: sizes{bytes: map[model.RouteName]float64{}},
+	}
+	var err error
+	if n.logger, err = telemetry.NewLogger(n.lines, s.Log.Level); err != nil {
+		return nil, &StartError{Part: "log", Err: err}
+	}
+	n.log = n.logger.WithField("host", s.Host.ID)
+	n.requests = newRequestLog(n.log, s.Log.RequestsPerSecond)
+	n.answers = telemetry.NewCounters(n.metrics.Scope, "answers", "status", "reason")
+	n.attempts = telemetry.NewCounters(n.metrics.Scope, "attempts", "verdict", "")
+	n.platform = connect(n.metrics.Scope, n.log)
+	n.headers = n.platform.Headers
+	n.exchanger = newExchanger(n.headers)
+	n.state = newState(s, n.log)
+	n.keeper = catalog.NewKeeper(n.apply)
+	self := gossip.Host{ID: s.Host.ID, DataCentre: s.Host.DataCentre, Region: s.Host.Region, Address: s.Listeners.Fleet}
+	if n.link, err = gossip.Listen(self, model.Incarnation(rand.Text()), peers{n}, n.log); err != nil {
+		return nil, &StartError{Part: "gossip", Err: err}
+	}
+	n.state.observe = n.link.Observe
+	n.follower = catalog.NewFollower(n.keeper, n.platform.Source, n.link.Rank, n.log)
+	n.puller = newPuller(n)
+	if n.callers, err = net.Listen("tcp4", s.Listeners.Caller); err != nil {
+		return nil, &StartError{Part: "caller listener", Err: err}
+	}
+	return n, nil
+}
+
+// Run serves until ctx ends, then stops as planned: it cuts no request that was
+// read.
+func (n *Node) Run(ctx context.Context) error {
+	work, stop := context.WithCancel(context.Background())
+	defer stop()
+	servers, err := n.servers()
+	if err != nil {
+		return err
+	}
+	duties := append(n.follower.Duties(), n.link.Duties()...)
+	duties = append(duties, servers...)
+	duties = append(duties,
+		kernel.Duty{Name: "callers", Run: n.acceptCallers},
+		kernel.Duty{Name: "evidence", Run: n.tick},
+		kernel.Duty{Name: "registry", Run: n.register},
+		kernel.Duty{Name: "pull", Run: n.puller.run},
+		kernel.Duty{Name: "log", Run: n.lines.run},
+		kernel.Duty{Name: "stop", Run: func(context.Context) error {
+			<-ctx.Done()
+			n.drain()
+			stop()
+			return nil
+		}})
+	n.log.WithFields(telemetry.Fields{"event": "started", "caller": n.settings.Listeners.Caller, "data_centre": n.settings.Host.DataCentre}).Info("daemon started")
+	err = kernel.RunDuties(work, duties...)
+	n.lines.flush()
+	return err
+}
+
+// apply puts a new view in force.
+func (n *Node) apply(v *catalog.View) {
+	n.state.setServers(v)
+	n.view.Store(v)
+}
+
+func (n *Node) limits() catalog.Limits {
+	if v := n.view.Load(); v != nil && v.Config != nil {
+		return v.Config.Limits
+	}
+	return defaultLimits
+}
+
+func (n *Node) acceptCallers(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = n.callers.Close() })
+	defer stop()
+	for {
+		socket, err := n.callers.Accept()
+		if err != nil {
+			if ctx.Err() != nil || n.isStopped() {
+				<-ctx.Done()
+				return nil
+			}
+			n.log.WithField("event", "accept_failed").WithError(err).Warn("a connection could not be accepted")
+			time.Sleep(tickInterval)
+			continue
+		}
+		go n.serveConn(socket)
+	}
+}
+
+func (n *Node) tick(ctx context.Context) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			n.state.tick()
+			for _, id := range n.keeper.ExpireLapsed(now) {
+				n.log.WithFields(telemetry.Fields{"event": "server_lapsed", "server": id}).Info("the entry of a backend server did not come back")
+			}
+		}
+	}
+}
+
+func (n *Node) addConn(c *conn) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.stopped {
+		return false
+	}
+	n.conns[c] = struct{}{}
+	return true
+}
+
+func (n *Node) removeConn(c *conn) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.conns, c)
+}
+
+func (n *Node) isStopped() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.stopped
+}
+
+// peers implements gossip.Handler.
+type peers struct{ *Node }
+
+// State implements gossip.Handler.
+func (p peers) State() gossip.State {
+	epoch, revision := p.keeper.Versions()
+	config, servers := p.keeper.Ages(time.Now())
+	return gossip.State{Leaving: p.leaving.Load(), Epoch: epoch, Revision: uint64(revision), ConfirmedAge: max(config, servers)}
+}
+
+// transitTime is added to the age that a heartbeat tells.
+const transitTime = 20 * time.Millisecond
+
+// PeerState implements gossip.Handler.
+func (p peers) PeerState(h gossip.Host, s gossip.State) {
+	epoch, revision := p.keeper.Versions()
+	if s.Epoch > epoch || catalog.Revision(s.Revision) > revision {
+		p.puller.want(h.Address)
+		return
+	}
+	p.keeper.Confirm(s.Epoch, catalog.Revision(s.Revision), time.Now().Add(-s.ConfirmedAge-transitTime))
+}
+
+// Observed implements gossip.Handler.
+func (p peers) Observed(h model.HostID, o *gen.Observation) { p.state.observed(h, o) }
+
+// Gone implements gossip.Handler.
+func (p peers) Gone(h model.HostID) { p.state.hostGone(h) }
+
+// Loads implements gossip.Handler.
+func (p peers) Loads() []*gen.ServerLoad { return p.state.loads() }
+
+// Loaded implements gossip.Handler.
+func (p peers) Loaded(loads []*gen.ServerLoad) { p.state.loaded(loads) }
--- /dev/null
+++ b/edge/requestlog.go
@@ -0,0 +1,50 @@
+package edge
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/agateusher/agateusher/catalog"
+	"github.com/agateusher/agateusher/telemetry"
+)
+
+// note keeps what decided one attempt, for the request's line.
+func (f *flight) note(r attemptResult) {
+	f.node.attempts.Inc(r.verdict.String(), "")
+	status := 0
+	if r.resp != nil {
+		status = r.resp.status
+	}
+	text := string(r.choice.Server.ID) + ":" + r.verdict.String() + ":" + strconv.Itoa(status) +
+		":" + strconv.FormatInt(r.latency.Milliseconds(), 10) + "ms" +
+		":failing=" + strconv.FormatFloat(round3(r.choice.Failing), 'f', -1, 64) +
+		":evidence=" + strconv.FormatInt(r.choice.EvidenceAge.Milliseconds(), 10) + "ms" +
+		":outstanding=" + strconv.Itoa(r.choice.Outstanding)
+	if r.choice.Probe {
+		text += ":probe"
+	}
+	f.notes = append(f.notes, text)
+}
+
+// finished writes the line of a request and records its latency.
+func (n *Node) finished(f *flight, v *catalog.View, resp *response) {
+	took := time.Since(f.request.received)
+	n.metrics.Scope.Histogram("request_latency", telemetry.LatencyBuckets).RecordDuration(took)
+	failed := resp.status >= http.StatusInternalServerError
+	if !failed {
+		n.sizes.sample(f.route.Name, len(resp.body))
+	}
+	fields := telemetry.Fields{
+		"event": "request", "id": f.request.id, "route": f.route.Name, "service": f.service, "status": resp.status,
+		"took": took.Round(time.Millisecond), "epoch": v.Epoch(), "revision": v.Revision, "attempts": strings.Join(f.notes, " "),
+	}
+	if f.reason != "" {
+		fields["reason"] = f.reason
+	}
+	if n := len(f.active); n > 0 {
+		fields["unanswered"] = n
+	}
+	n.requests.write(failed, "request answered", fields)
+}
--- /dev/null
+++ b/edge/state.go
@@ -0,0 +1,203 @@
+package edge
+
+import (
+	"sync"
+	"time"
+
+	"github.com/agateusher/agateusher/catalog"
+	"github.com/agateusher/agateusher/core/balance"
+	"github.com/agateusher/agateusher/core/model"
+	gen "github.com/agateusher/agateusher/gen/agateusher/v1"
+	"github.com/agateusher/agateusher/telemetry"
+)
+
+// state is the shared evidence about backend servers. It is safe for concurrent
+// use.
+type state struct {
+	self    model.HostID
+	regions map[model.DataCentre]model.Region
+	log     telemetry.Logger
+	// observe passes an observation on to the data centre.
+	observe func(*gen.Observation)
+
+	mu    sync.Mutex
+	table *balance.Table
+	next  uint64
+}
+
+func newState(s Settings, log telemetry.Logger) *state {
+	return &state{
+		self: s.Host.ID, regions: s.Regions, log: log,
+		table: balance.NewTable(balance.Options{
+			DataCentre: s.Host.DataCentre, Region: s.Host.Region, Model: beliefModel, Costs: costs,
+			Budget: balance.Budget{Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: s.Retries.Window.Std()},
+		}),
+	}
+}
+
+// setServers applies the servers of a view; those that are leaving take no
+// requests.
+func (s *state) setServers(v *catalog.View) {
+	list := make([]balance.Server, 0, len(v.Servers))
+	for i := range v.Servers {
+		x := &v.Servers[i]
+		if x.Leaving {
+			continue
+		}
+		list = append(list, balance.Server{
+			Key: balance.Key(x.Key()), ID: x.ID, Service: x.Service, DataCentre: x.DataCentre,
+			Region: s.regions[x.DataCentre], Address: x.Address, Slots: x.Slots, WarmAt: x.WarmAt,
+		})
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.SetServers(time.Now(), list, len(s.regions))
+}
+
+// begin chooses a server and records the attempt; false if there is none.
+func (s *state) begin(q balance.Query, repeat bool) (balance.Choice, uint64, bool) {
+	s.mu.Lock()
+	now := time.Now()
+	c, ok := s.table.Choose(now, q)
+	if !ok {
+		s.mu.Unlock()
+		return c, 0, false
+	}
+	s.next++
+	number := s.next
+	s.table.Started(now, c.Server.Key, balance.AttemptKey{Host: s.self, Number: number}, repeat)
+	s.mu.Unlock()
+	s.observe(&gen.Observation{Kind: gen.Observation_KIND_STARTED, Server: uint64(c.Server.Key), Attempt: number, Repeat: repeat})
+	return c, number, true
+}
+
+// observations maps verdicts to what the data centre is told.
+var observations = [...]struct {
+	kind   gen.Observation_Kind
+	result balance.Result
+}{
+	Usable:        {gen.Observation_KIND_SUCCEEDED, balance.Succeeded},
+	ServerFailure: {gen.Observation_KIND_FAILED, balance.Failed},
+	Refused:       {gen.Observation_KIND_SHED, balance.Shed},
+	Misdirected:   {gen.Observation_KIND_ABANDONED, balance.Abandoned},
+	Foreign:       {gen.Observation_KIND_FAILED, balance.Failed},
+	Spoilt:        {gen.Observation_KIND_FAILED, balance.Failed},
+	Broken:        {gen.Observation_KIND_FAILED, balance.Failed},
+	Unconnected:   {gen.Observation_KIND_ABANDONED, balance.Abandoned},
+	Cancelled:     {gen.Observation_KIND_ABANDONED, balance.Abandoned},
+}
+
+// end records the end of an attempt and tells the data centre.
+func (s *state) end(r attemptResult) {
+	o := observations[r.verdict]
+	key := r.choice.Server.Key
+	s.mu.Lock()
+	now := time.Now()
+	change := s.table.Finished(now, key, balance.AttemptKey{Host: s.self, Number: r.number}, o.result, r.latency)
+	switch r.verdict {
+	case Unconnected:
+		s.table.Unreachable(now, key, unreachableHold)
+	case Misdirected:
+		s.table.Unreachable(now, key, misdirectedHold)
+	}
+	s.mu.Unlock()
+	s.logChange(change, r.verdict.String(), s.self)
+	s.observe(&gen.Observation{Kind: o.kind, Server: uint64(key), Attempt: r.number, LatencyMs: uint32(r.latency.Milliseconds())})
+}
+
+// results maps what another daemon observed.
+var results = map[gen.Observation_Kind]balance.Result{
+	gen.Observation_KIND_SUCCEEDED: balance.Succeeded,
+	gen.Observation_KIND_FAILED:    balance.Failed,
+	gen.Observation_KIND_SHED:      balance.Shed,
+	gen.Observation_KIND_ABANDONED: balance.Abandoned,
+}
+
+// observed records what another daemon of the data centre observed.
+func (s *state) observed(h model.HostID, o *gen.Observation) {
+	key, attempt := balance.Key(o.Server), balance.AttemptKey{Host: h, Number: o.Attempt}
+	s.mu.Lock()
+	now := time.Now()
+	if o.Kind == gen.Observation_KIND_STARTED {
+		s.table.Started(now, key, attempt, o.Repeat)
+		s.mu.Unlock()
+		return
+	}
+	change := s.table.Finished(now, key, attempt, results[o.Kind], time.Duration(o.LatencyMs)*time.Millisecond)
+	s.mu.Unlock()
+	s.logChange(change, "peer", h)
+}
+
+// suspectLevel is the probability of failing at which a server counts as
+// suspect in logs.
+const suspectLevel = 0.5
+
+// logChange writes a line when a server becomes a suspect or stops being one.
+func (s *state) logChange(c balance.Change, evidence string, from model.HostID) {
+	before, after := c.Before >= suspectLevel, c.After >= suspectLevel
+	if before == after {
+		return
+	}
+	event := "server_trusted"
+	if after {
+		event = "server_suspected"
+	}
+	s.log.WithFields(telemetry.Fields{
+		"event": event, "server": c.Server, "evidence": evidence, "from": from,
+		"failing_before": round3(c.Before), "failing": round3(c.After),
+	}).Info("belief about a backend server changed")
+}
+
+// tick turns unanswered attempts into evidence.
+func (s *state) tick() {
+	s.mu.Lock()
+	changes := s.table.Tick(time.Now())
+	s.mu.Unlock()
+	for _, c := range changes {
+		s.logChange(c, "stall", s.self)
+	}
+}
+
+func (s *state) hostGone(h model.HostID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.HostGone(h)
+}
+
+func (s *state) latency(name model.ServiceName) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Latency(name)
+}
+
+func (s *state) allowRepeat(name model.ServiceName) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.AllowRepeat(time.Now(), name)
+}
+
+// thousand is the scale of probabilities in digests.
+const thousand = 1000
+
+// loads returns the digest of this data centre.
+func (s *state) loads() []*gen.ServerLoad {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []*gen.ServerLoad
+	s.table.Report(time.Now(), func(k balance.Key, l balance.Load) {
+		out = append(out, &gen.ServerLoad{Server: uint64(k), Outstanding: uint32(max(0, l.Outstanding)), Failing: uint32(l.Failing * thousand)})
+	})
+	return out
+}
+
+// loaded records the digest of another data centre.
+func (s *state) loaded(loads []*gen.ServerLoad) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	for _, l := range loads {
+		s.table.Reported(balance.Key(l.Server), balance.Load{Outstanding: int(l.Outstanding), Failing: float64(l.Failing) / thousand, At: now})
+	}
+}
+
+func round3(v float64) float64 { return float64(int(v*thousand+0.5)) / thousand }
