--- a/core/balance/choose.go
+++ b/core/balance/choose.go
@@ -12,6 +12,8 @@
 	ByteDataCentre float64
 	// ByteRegion is the cost of one byte to another region.
 	ByteRegion float64
+	// Retry is the cost of a failed attempt of a request that can be repeated.
+	Retry float64
 	// Late is the cost of an answer after its target latency.
 	Late float64
 	// Unreachable is the cost of a path that failed lately.
@@ -141,7 +143,7 @@
 			c.Outstanding += int(remoteShare * float64(s.Slots))
 		}
 	}
-	c.Cost = t.opts.Model.FailureChance(c.Failing) + t.lateness(now, group, s, c.Outstanding, q) + t.transfer(s, q)
+	c.Cost = t.failureCost(q)*t.opts.Model.FailureChance(c.Failing) + t.lateness(now, group, s, c.Outstanding, q) + t.transfer(s, q)
 	if now.Before(s.unreachableUntil) {
 		c.Cost += t.opts.Costs.Unreachable
 	}
@@ -151,6 +153,15 @@
 	return c
 }
 
+// failureCost is what a failed attempt costs: the whole request, or only the
+// time of an attempt if the request can be sent once more.
+func (t *Table) failureCost(q Query) float64 {
+	if q.Repeatable && q.Spare {
+		return t.opts.Costs.Retry
+	}
+	return 1
+}
+
 // lateness estimates the cost of waiting for a slot and of a slow server.
 func (t *Table) lateness(now time.Time, group *service, s *server, outstanding int, q Query) float64 {
 	if q.Target <= 0 {
@@ -175,7 +186,7 @@
 	// busyCost orders servers of equal evidence by their load.
 	busyCost = 0.02
 	// maxLateness bounds the lateness of very long queues.
-	maxLateness = 4
+	maxLateness = 1.5
 )
 
 func (t *Table) transfer(s *server, q Query) float64 {
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -99,7 +99,8 @@
 var costs = balance.Costs{
 	ByteDataCentre: 2e-5 / requestWorth,
 	ByteRegion:     1.5e-4 / requestWorth,
-	Late:           0.15,
+	Retry:          0.3,
+	Late:           0.5,
 	Unreachable:    0.6,
 	Shedding:       0.3,
 }
