--- a/core/balance/choose.go
+++ b/core/balance/choose.go
@@ -53,6 +53,8 @@
 	Probe bool
 	// Candidates is the number of servers considered.
 	Candidates int
+	// RunnerUp is the cost of the best other server; zero if there was none.
+	RunnerUp float64
 }
 
 const (
@@ -98,8 +100,14 @@
 			continue
 		}
 		c := t.describe(now, group, s, q)
-		if !found || c.Cost < best.Cost {
+		switch {
+		case !found:
 			best, found = c, true
+		case c.Cost < best.Cost:
+			c.RunnerUp = best.Cost
+			best = c
+		case best.RunnerUp == 0 || c.Cost < best.RunnerUp:
+			best.RunnerUp = c.Cost
 		}
 	}
 	return best, found
@@ -174,20 +182,17 @@
 	if now.Before(s.WarmAt) {
 		work *= 2
 	}
-	waiting := max(0, outstanding-s.Slots+1)
-	expected := work + work*time.Duration(waiting)/time.Duration(max(1, s.Slots))
+	slots := max(1, s.Slots)
+	waiting := max(0, outstanding-slots+1)
+	expected := work + work*time.Duration(waiting)/time.Duration(slots)
 	share := float64(expected) / float64(q.Target)
-	// A busy slot is a small cost of its own: servers slow down when nearly full.
-	busy := busyCost * float64(outstanding) / float64(max(1, s.Slots))
-	return busy + t.opts.Costs.Late*min(share*share, maxLateness)
+	load := float64(outstanding) / float64(slots)
+	return busyCost*load*load + t.opts.Costs.Late*min(share*share*share, 1)
 }
 
-const (
-	// busyCost orders servers of equal evidence by their load.
-	busyCost = 0.02
-	// maxLateness bounds the lateness of very long queues.
-	maxLateness = 1.5
-)
+// busyCost times the square of a server's load is a cost of its own: servers
+// slow down when nearly full and refuse requests when their queue is.
+const busyCost = 0.02
 
 func (t *Table) transfer(s *server, q Query) float64 {
 	switch {
--- a/core/balance/observe.go
+++ b/core/balance/observe.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"slices"
 	"time"
 
 	"github.com/agateusher/agateusher/core/model"
@@ -117,6 +118,16 @@
 	}
 }
 
+// Outstanding forgets the attempts of a daemon that are not in the list: their
+// ends were not heard.
+func (t *Table) Outstanding(h model.HostID, numbers []uint64) {
+	for a := range t.attempts {
+		if a.Host == h && !slices.Contains(numbers, a.Number) {
+			t.release(a)
+		}
+	}
+}
+
 // HostGone forgets the outstanding attempts of a daemon that has ended.
 func (t *Table) HostGone(h model.HostID) {
 	for a := range t.attempts {
--- a/edge/node.go
+++ b/edge/node.go
@@ -240,6 +240,14 @@
 // Observed implements gossip.Handler.
 func (p peers) Observed(h model.HostID, o *gen.Observation) { p.state.observed(h, o) }
 
+// Outstanding implements gossip.Handler.
+func (p peers) Outstanding() []uint64 { return p.state.outstanding() }
+
+// PeerOutstanding implements gossip.Handler.
+func (p peers) PeerOutstanding(h model.HostID, attempts []uint64) {
+	p.state.peerOutstanding(h, attempts)
+}
+
 // Gone implements gossip.Handler.
 func (p peers) Gone(h model.HostID) { p.state.hostGone(h) }
 
--- a/edge/requestlog.go
+++ b/edge/requestlog.go
@@ -21,7 +21,10 @@
 		":" + strconv.FormatInt(r.latency.Milliseconds(), 10) + "ms" +
 		":failing=" + strconv.FormatFloat(round3(r.choice.Failing), 'f', -1, 64) +
 		":evidence=" + strconv.FormatInt(r.choice.EvidenceAge.Milliseconds(), 10) + "ms" +
-		":outstanding=" + strconv.Itoa(r.choice.Outstanding)
+		":outstanding=" + strconv.Itoa(r.choice.Outstanding) +
+		":cost=" + strconv.FormatFloat(round3(r.choice.Cost), 'f', -1, 64) +
+		":next=" + strconv.FormatFloat(round3(r.choice.RunnerUp), 'f', -1, 64) +
+		":of=" + strconv.Itoa(r.choice.Candidates)
 	if r.choice.Probe {
 		text += ":probe"
 	}
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -93,14 +93,14 @@
 
 // beliefModel describes how backend servers fail: grey failures of several
 // seconds during which most requests fail.
-var beliefModel = balance.Model{FailWhenServing: 0.015, FailWhenFailing: 0.65, Onset: 0.04, Recovery: 0.25}
+var beliefModel = balance.Model{FailWhenServing: 0.015, FailWhenFailing: 0.75, Onset: 0.04, Recovery: 0.25}
 
 // costs weigh transfers at the platform's prices against a request's worth.
 var costs = balance.Costs{
 	ByteDataCentre: 2e-5 / requestWorth,
 	ByteRegion:     1.5e-4 / requestWorth,
-	Retry:          0.3,
-	Late:           0.5,
+	Retry:          0.5,
+	Late:           0.4,
 	Unreachable:    0.6,
 	Shedding:       0.3,
 }
--- a/edge/state.go
+++ b/edge/state.go
@@ -23,11 +23,12 @@
 	mu    sync.Mutex
 	table *balance.Table
 	next  uint64
+	own   map[uint64]struct{}
 }
 
 func newState(s Settings, log telemetry.Logger) *state {
 	return &state{
-		self: s.Host.ID, regions: s.Regions, log: log,
+		self: s.Host.ID, regions: s.Regions, log: log, own: map[uint64]struct{}{},
 		table: balance.NewTable(balance.Options{
 			DataCentre: s.Host.DataCentre, Region: s.Host.Region, Model: beliefModel, Costs: costs,
 			Budget: balance.Budget{Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: s.Retries.Window.Std()},
@@ -65,6 +66,7 @@
 	}
 	s.next++
 	number := s.next
+	s.own[number] = struct{}{}
 	s.table.Started(now, c.Server.Key, balance.AttemptKey{Host: s.self, Number: number}, repeat)
 	s.mu.Unlock()
 	s.observe(&gen.Observation{Kind: gen.Observation_KIND_STARTED, Server: uint64(c.Server.Key), Attempt: number, Repeat: repeat})
@@ -93,6 +95,7 @@
 	key := r.choice.Server.Key
 	s.mu.Lock()
 	now := time.Now()
+	delete(s.own, r.number)
 	change := s.table.Finished(now, key, balance.AttemptKey{Host: s.self, Number: r.number}, o.result, r.latency)
 	switch r.verdict {
 	case Unconnected:
@@ -158,6 +161,24 @@
 	}
 }
 
+// outstanding lists this daemon's attempts that have not ended.
+func (s *state) outstanding() []uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	numbers := make([]uint64, 0, len(s.own))
+	for n := range s.own {
+		numbers = append(numbers, n)
+	}
+	return numbers
+}
+
+// peerOutstanding forgets attempts of another daemon whose ends were not heard.
+func (s *state) peerOutstanding(h model.HostID, numbers []uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.Outstanding(h, numbers)
+}
+
 func (s *state) hostGone(h model.HostID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/gossip/link.go
+++ b/gossip/link.go
@@ -48,6 +48,10 @@
 	PeerState(h Host, s State)
 	// Observed is called for each observation of another daemon.
 	Observed(h model.HostID, o *gen.Observation)
+	// Outstanding returns this daemon's attempts that have not ended.
+	Outstanding() []uint64
+	// PeerOutstanding is called with the same of another daemon.
+	PeerOutstanding(h model.HostID, attempts []uint64)
 	// Gone is called when a daemon has ended or started again.
 	Gone(h model.HostID)
 	// Loads returns the digest of this data centre.
@@ -177,16 +181,19 @@
 // batch gathers the observations that are made together with the first.
 func (l *Link) batch(first *gen.Observation) *gen.Gossip {
 	time.Sleep(flushDelay)
-	m := l.message()
-	m.Observations = append(m.Observations, first)
-	for len(m.Observations) < maxBatch {
+	observations := []*gen.Observation{first}
+	for waiting := true; waiting && len(observations) < maxBatch; {
 		select {
 		case o := <-l.pending.Items():
-			m.Observations = append(m.Observations, o)
+			observations = append(observations, o)
 		default:
-			return m
+			waiting = false
 		}
 	}
+	// The list of outstanding attempts is made last, so that it includes those
+	// that the observations start.
+	m := l.message()
+	m.Observations = observations
 	return m
 }
 
@@ -197,6 +204,7 @@
 		DataCentre: string(l.self.DataCentre), Region: string(l.self.Region),
 		Leaving: s.Leaving, Epoch: uint64(s.Epoch), Revision: s.Revision,
 		ConfirmedAgeMs: uint32(s.ConfirmedAge.Milliseconds()),
+		Outstanding:    l.handler.Outstanding(),
 	}
 }
 
@@ -330,6 +338,7 @@
 	for _, o := range m.Observations {
 		l.handler.Observed(h.ID, o)
 	}
+	l.handler.PeerOutstanding(h.ID, m.Outstanding)
 }
 
 // forward passes a digest of another data centre on to this one. Without an
