--- a/core/balance/choose.go
+++ b/core/balance/choose.go
@@ -12,6 +12,9 @@
 	ByteDataCentre float64
 	// ByteRegion is the cost of one byte to another region.
 	ByteRegion float64
+	// Lost is the cost of an idempotent request that fails for good, and
+	// LostUnrepeatable that of another.
+	Lost, LostUnrepeatable float64
 	// Retry is the cost of a failed attempt of a request that can be repeated.
 	Retry float64
 	// Late is the cost of an answer after its target latency.
@@ -164,10 +167,13 @@
 // failureCost is what a failed attempt costs: the whole request, or only the
 // time of an attempt if the request can be sent once more.
 func (t *Table) failureCost(q Query) float64 {
-	if q.Repeatable && q.Spare {
+	switch {
+	case !q.Repeatable:
+		return t.opts.Costs.LostUnrepeatable
+	case q.Spare:
 		return t.opts.Costs.Retry
 	}
-	return 1
+	return t.opts.Costs.Lost
 }
 
 // lateness estimates the cost of waiting for a slot and of a slow server.
