--- a/core/balance/choose.go
+++ b/core/balance/choose.go
@@ -88,7 +88,7 @@
 	if !q.Repeatable {
 		group.guarded = now
 	}
-	if q.Repeatable && q.Spare && now.Sub(group.guarded) < guardedFor {
+	if q.Repeatable && q.Spare && now.Sub(group.guarded) < guardedFor && t.budgetUsed(now, group) < probeShare {
 		if s := t.probeTarget(now, group, q); s != nil {
 			c := t.describe(now, group, s, q)
 			c.Probe = true
@@ -154,7 +154,7 @@
 			c.Outstanding += int(remoteShare * float64(s.Slots))
 		}
 	}
-	c.Cost = t.failureCost(q)*t.opts.Model.FailureChance(c.Failing) + t.lateness(now, group, s, c.Outstanding, q) + t.transfer(s, q)
+	c.Cost = t.failureCost(now, q)*t.opts.Model.FailureChance(c.Failing) + t.lateness(now, group, s, c.Outstanding, q) + t.transfer(s, q)
 	if now.Before(s.unreachableUntil) {
 		c.Cost += t.opts.Costs.Unreachable
 	}
@@ -166,11 +166,11 @@
 
 // failureCost is what a failed attempt costs: the whole request, or only the
 // time of an attempt if the request can be sent once more.
-func (t *Table) failureCost(q Query) float64 {
+func (t *Table) failureCost(now time.Time, q Query) float64 {
 	switch {
 	case !q.Repeatable:
 		return t.opts.Costs.LostUnrepeatable
-	case q.Spare:
+	case q.Spare && t.budgetUsed(now, t.service(q.Service)) < repeatableShare:
 		return t.opts.Costs.Retry
 	}
 	return t.opts.Costs.Lost
@@ -219,14 +219,34 @@
 	return false
 }
 
-// budgetMargin is the part of the retry budget that is spent; the rest covers
-// attempts of other daemons that have not been heard of yet.
-const budgetMargin = 0.75
+const (
+	// budgetMargin is the part of the retry budget that is spent; the rest
+	// covers attempts of other daemons that have not been heard of yet.
+	budgetMargin = 0.9
+	// repeatableShare is the part of that which idempotent requests may use, so
+	// that some is left for requests that a server refused and that have no
+	// other way to be served.
+	repeatableShare = 0.7
+	// probeShare is the part up to which failures of probes are risked.
+	probeShare = 0.4
+)
+
+// AllowRepeat reports whether the service's budget has room for another arrival
+// of an idempotent request, or of another one.
+func (t *Table) AllowRepeat(now time.Time, name model.ServiceName, repeatable bool) bool {
+	share := 1.0
+	if repeatable {
+		share = repeatableShare
+	}
+	return t.budgetUsed(now, t.service(name)) < share
+}
 
-// AllowRepeat reports whether the service's budget has room for another arrival.
-func (t *Table) AllowRepeat(now time.Time, name model.ServiceName) bool {
-	group := t.service(name)
+// budgetUsed returns the used part of the retry budget that may be spent.
+func (t *Table) budgetUsed(now time.Time, group *service) float64 {
 	b := t.opts.Budget
-	allowed := b.Ratio*float64(group.arrivals.count(now)) + b.Slack/float64(t.dataCentres)
-	return float64(group.repeats.count(now)+1) <= budgetMargin*allowed
+	allowed := budgetMargin * (b.Ratio*float64(group.arrivals.count(now)) + b.Slack/float64(t.dataCentres))
+	if allowed < 1 {
+		return 1
+	}
+	return float64(group.repeats.count(now)+1) / allowed
 }
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -140,7 +140,7 @@
 }
 
 func (f *flight) mayHedge() bool {
-	return f.route.Repeatable && len(f.active) == 1 && f.attemptsLeft() && f.node.state.allowRepeat(f.service)
+	return f.route.Repeatable && len(f.active) == 1 && f.attemptsLeft() && f.node.state.allowRepeat(f.service, f.route.Repeatable)
 }
 
 // attemptsLeft reports whether another server may be sent the request.
@@ -219,7 +219,7 @@
 		return false
 	}
 	invariant.Check(f.route.Repeatable || !v.ran(), invariant.AtMostOnce, "request %s repeated after %s", f.request.id, v)
-	return v == Unconnected || f.node.state.allowRepeat(f.service)
+	return v == Unconnected || f.node.state.allowRepeat(f.service, f.route.Repeatable)
 }
 
 func reasonOf(v Verdict) model.Reason {
--- a/edge/state.go
+++ b/edge/state.go
@@ -191,10 +191,10 @@
 	return s.table.Latency(name)
 }
 
-func (s *state) allowRepeat(name model.ServiceName) bool {
+func (s *state) allowRepeat(name model.ServiceName, repeatable bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.table.AllowRepeat(time.Now(), name)
+	return s.table.AllowRepeat(time.Now(), name, repeatable)
 }
 
 // thousand is the scale of probabilities in digests.
