--- a/core/balance/choose.go
+++ b/core/balance/choose.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"slices"
 	"time"
 
 	"github.com/agateusher/agateusher/core/model"
@@ -36,8 +37,10 @@
 	Target time.Duration
 	// Bytes is the expected size of the exchange.
 	Bytes int
-	// Tried lists servers that the request has been sent to.
+	// Tried lists servers that the request must not be sent to.
 	Tried []Key
+	// Within limits the choice to these servers unless it is empty.
+	Within []Key
 	// Tiebreak orders servers of equal cost; any number.
 	Tiebreak uint64
 }
@@ -99,7 +102,7 @@
 	found := false
 	for i := range group.servers {
 		s := group.servers[(i+int(q.Tiebreak%uint64(len(group.servers))))%len(group.servers)]
-		if tried(q.Tried, s.Key) {
+		if slices.Contains(q.Tried, s.Key) || (len(q.Within) > 0 && !slices.Contains(q.Within, s.Key)) {
 			continue
 		}
 		c := t.describe(now, group, s, q)
@@ -121,7 +124,7 @@
 func (t *Table) probeTarget(now time.Time, group *service, q Query) *server {
 	var oldest *server
 	for _, s := range group.servers {
-		if s.DataCentre != t.opts.DataCentre || tried(q.Tried, s.Key) || s.outstanding > 0 ||
+		if s.DataCentre != t.opts.DataCentre || slices.Contains(q.Tried, s.Key) || s.outstanding > 0 ||
 			now.Before(s.unreachableUntil) || now.Before(s.shedUntil) {
 			continue
 		}
@@ -210,15 +213,6 @@
 	return t.opts.Costs.ByteRegion * float64(q.Bytes)
 }
 
-func tried(list []Key, k Key) bool {
-	for _, x := range list {
-		if x == k {
-			return true
-		}
-	}
-	return false
-}
-
 const (
 	// budgetMargin is the part of the retry budget that is spent; the rest
 	// covers attempts of other daemons that have not been heard of yet.
@@ -226,9 +220,9 @@
 	// repeatableShare is the part of that which idempotent requests may use, so
 	// that some is left for requests that a server refused and that have no
 	// other way to be served.
-	repeatableShare = 0.7
+	repeatableShare = 0.5
 	// probeShare is the part up to which failures of probes are risked.
-	probeShare = 0.4
+	probeShare = 0.3
 )
 
 // AllowRepeat reports whether the service's budget has room for another arrival
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -27,6 +27,8 @@
 	hedgeMin    = 350 * time.Millisecond
 	// maxDials bounds the servers that are tried for a connection.
 	maxDials = 5
+	// refusalPause is the pause before a server that refused is asked again.
+	refusalPause = 50 * time.Millisecond
 	// unreachableHold is how long a path counts as doubtful after a failed dial.
 	unreachableHold = 4 * time.Second
 	// misdirectedHold outlasts the entry of a server whose address was reused.
@@ -45,6 +47,7 @@
 	active  map[uint64]context.CancelFunc
 	sent    int           // servers that were sent the request
 	passed  []balance.Key // servers that no attempt may go to
+	refused []balance.Key // servers that refused and may be asked again
 	dials   int
 	arrived bool // an attempt reached a server
 	mayRun  bool // an attempt may have run
@@ -150,12 +153,42 @@
 
 // launch starts an attempt; false if there is no server for it.
 func (f *flight) launch(ctx context.Context) bool {
-	choice, number, ok := f.node.state.begin(balance.Query{
+	return f.send(ctx, f.query())
+}
+
+func (f *flight) query() balance.Query {
+	return balance.Query{
 		Service: f.service, Repeatable: f.route.Repeatable,
 		Spare:  f.route.Repeatable && f.sent+1 < f.route.MaxAttempts,
 		Target: f.route.Target, Bytes: f.node.sizes.estimate(f.route.Name, len(f.request.body)),
 		Tried: f.passed, Tiebreak: rand.Uint64(),
-	}, f.arrived)
+	}
+}
+
+// askAgain sends the request once more to one of the servers that refused it,
+// when it may not be sent to others. A refusal is no run.
+func (f *flight) askAgain(ctx context.Context, last balance.Key) bool {
+	if f.mayRun || len(f.active) > 0 || f.dials >= maxDials || time.Until(f.end) < minAttemptTime+refusalPause ||
+		!f.node.state.allowRepeat(f.service, f.route.Repeatable) {
+		return false
+	}
+	select {
+	case <-time.After(refusalPause):
+	case <-ctx.Done():
+		return false
+	}
+	q := f.query()
+	q.Within, q.Tried, q.Spare = f.refused, nil, false
+	if len(f.refused) > 1 {
+		q.Tried = []balance.Key{last}
+	}
+	f.sent--
+	return f.send(ctx, q)
+}
+
+// send starts an attempt at the server that a query chooses.
+func (f *flight) send(ctx context.Context, q balance.Query) bool {
+	choice, number, ok := f.node.state.begin(q, f.arrived)
 	if !ok {
 		f.reason = model.ReasonNoServer
 		return false
@@ -200,12 +233,18 @@
 		return r.resp, true
 	}
 	f.reason = reasonOf(r.verdict)
-	if r.verdict == ServerFailure {
+	switch r.verdict {
+	case ServerFailure:
 		f.last = r.resp
+	case Refused:
+		f.refused = append(f.refused, r.choice.Server.Key)
 	}
 	if f.mayRepeat(r.verdict) && f.launch(ctx) {
 		return nil, false
 	}
+	if r.verdict == Refused && f.askAgain(ctx, r.choice.Server.Key) {
+		return nil, false
+	}
 	if len(f.active) > 0 {
 		return nil, false
 	}
