--- a/core/balance/choose.go
+++ b/core/balance/choose.go
@@ -41,6 +41,9 @@
 	Tried []Key
 	// Within limits the choice to these servers unless it is empty.
 	Within []Key
+	// Hedge marks an attempt beside one that is unanswered: only a server with
+	// a free slot that seems to serve will do.
+	Hedge bool
 	// Tiebreak orders servers of equal cost; any number.
 	Tiebreak uint64
 }
@@ -52,6 +55,8 @@
 	Failing float64
 	// Outstanding attempts at the server, this one left out.
 	Outstanding int
+	// Expected is the estimated time to an answer; zero if it is not known.
+	Expected time.Duration
 	// EvidenceAge is the time since an attempt there last ended; negative if
 	// none did.
 	EvidenceAge time.Duration
@@ -106,6 +111,9 @@
 			continue
 		}
 		c := t.describe(now, group, s, q)
+		if q.Hedge && (c.Outstanding >= s.Slots || c.Failing >= suspected) {
+			continue
+		}
 		switch {
 		case !found:
 			best, found = c, true
@@ -157,7 +165,8 @@
 			c.Outstanding += int(remoteShare * float64(s.Slots))
 		}
 	}
-	c.Cost = t.failureCost(now, q)*t.opts.Model.FailureChance(c.Failing) + t.lateness(now, group, s, c.Outstanding, q) + t.transfer(s, q)
+	c.Expected = t.expected(now, group, s, c.Outstanding)
+	c.Cost = t.failureCost(now, q)*t.opts.Model.FailureChance(c.Failing) + t.lateness(c, q) + t.transfer(s, q)
 	if now.Before(s.unreachableUntil) {
 		c.Cost += t.opts.Costs.Unreachable
 	}
@@ -179,24 +188,31 @@
 	return t.opts.Costs.Lost
 }
 
-// lateness estimates the cost of waiting for a slot and of a slow server.
-func (t *Table) lateness(now time.Time, group *service, s *server, outstanding int, q Query) float64 {
-	if q.Target <= 0 {
-		return 0
-	}
-	work := group.latency
-	if s.latency > work && now.Sub(s.timed) < slowMemory {
-		work = s.latency
+// expected estimates the time to an answer, waiting for a slot included; zero if
+// the service time is not known.
+func (t *Table) expected(now time.Time, group *service, s *server, outstanding int) time.Duration {
+	work := group.work
+	if s.work > work && now.Sub(s.timed) < slowMemory {
+		work = s.work
 	}
 	if now.Before(s.WarmAt) {
-		work *= 2
-	}
-	slots := max(1, s.Slots)
-	waiting := max(0, outstanding-slots+1)
-	expected := work + work*time.Duration(waiting)/time.Duration(slots)
-	share := float64(expected) / float64(q.Target)
-	load := float64(outstanding) / float64(slots)
-	return busyCost*load*load + t.opts.Costs.Late*min(share*share*share, 1)
+		work *= coldFactor
+	}
+	return time.Duration(float64(work) * rounds(outstanding, s.Slots))
+}
+
+// coldFactor is how much longer a server takes while it warms up.
+const coldFactor = 2
+
+// lateness estimates the cost of waiting for a slot and of a slow server.
+func (t *Table) lateness(c Choice, q Query) float64 {
+	load := float64(c.Outstanding) / float64(max(1, c.Server.Slots))
+	cost := busyCost * load * load
+	if q.Target > 0 {
+		share := float64(c.Expected) / float64(q.Target)
+		cost += t.opts.Costs.Late * min(share*share*share, 1)
+	}
+	return cost
 }
 
 // busyCost times the square of a server's load is a cost of its own: servers
--- a/core/balance/observe.go
+++ b/core/balance/observe.go
@@ -15,7 +15,7 @@
 	// attemptLifetime bounds how long an attempt counts as outstanding if its
 	// end is never heard of; it is above the usual time-outs of routes.
 	attemptLifetime = 12 * time.Second
-	// stallFactor times the mean latency, and at least stallMin, is when an
+	// stallFactor times the mean service time, and at least stallMin, is when an
 	// unanswered attempt becomes evidence.
 	stallFactor = 3
 	stallMin    = 500 * time.Millisecond
@@ -57,14 +57,21 @@
 	if _, ok := t.attempts[a]; ok {
 		return
 	}
+	t.attempts[a] = &attempt{server: s, started: now, rounds: rounds(s.outstanding, s.Slots)}
 	s.outstanding++
 	s.probed = now
-	t.attempts[a] = &attempt{server: s, started: now}
+}
+
+// rounds returns how many service times an attempt takes at a server with so
+// many outstanding ones.
+func rounds(outstanding, slots int) float64 {
+	slots = max(1, slots)
+	return 1 + float64(max(0, outstanding-slots+1))/float64(slots)
 }
 
 // Finished records the end of an attempt and returns the change of belief.
 func (t *Table) Finished(now time.Time, k Key, a AttemptKey, r Result, latency time.Duration) Change {
-	stalled := t.release(a)
+	ended := t.release(a)
 	s, ok := t.servers[k]
 	if !ok {
 		return Change{}
@@ -74,9 +81,9 @@
 	case Succeeded:
 		s.belief = t.opts.Model.Succeeded(s.belief, now)
 		s.heard, s.sheds = now, 0
-		t.sample(now, s, latency)
+		t.sample(now, s, time.Duration(float64(latency)/ended.rounds))
 	case Failed:
-		if !stalled {
+		if !ended.stalled {
 			s.belief = t.opts.Model.Failed(s.belief, now)
 		}
 		s.heard, s.sheds = now, 0
@@ -147,7 +154,7 @@
 			t.release(key)
 			continue
 		}
-		if !a.stalled && age > t.stallAfter(a.server) {
+		if !a.stalled && age > t.stallAfter(a) {
 			a.stalled = true
 			before := t.opts.Model.At(a.server.belief, now)
 			a.server.belief = t.opts.Model.Weigh(a.server.belief, now, stallRatio)
@@ -157,31 +164,32 @@
 	return changes
 }
 
-func (t *Table) stallAfter(s *server) time.Duration {
-	return max(stallMin, stallFactor*t.service(s.Service).latency)
+func (t *Table) stallAfter(a *attempt) time.Duration {
+	work := float64(t.service(a.server.Service).work)
+	return max(stallMin, time.Duration(work*(stallFactor-1+a.rounds)))
 }
 
-// Latency returns the mean latency of a service's successful attempts; zero if
-// there were none.
-func (t *Table) Latency(name model.ServiceName) time.Duration { return t.service(name).latency }
+// Work returns the mean service time of a service; zero if it is not known.
+func (t *Table) Work(name model.ServiceName) time.Duration { return t.service(name).work }
 
-func (t *Table) release(a AttemptKey) (stalled bool) {
+// release ends an attempt; one whose start was not heard counts as unqueued.
+func (t *Table) release(a AttemptKey) attempt {
 	found, ok := t.attempts[a]
 	if !ok {
-		return false
+		return attempt{rounds: 1}
 	}
 	delete(t.attempts, a)
 	found.server.outstanding--
-	return found.stalled
+	return *found
 }
 
-func (t *Table) sample(now time.Time, s *server, latency time.Duration) {
+func (t *Table) sample(now time.Time, s *server, work time.Duration) {
 	group := t.service(s.Service)
-	group.latency = average(group.latency, latency)
+	group.work = average(group.work, work)
 	if now.Sub(s.timed) > slowMemory {
-		s.latency = 0
+		s.work = 0
 	}
-	s.latency, s.timed = average(s.latency, latency), now
+	s.work, s.timed = average(s.work, work), now
 }
 
 func average(mean, sample time.Duration) time.Duration {
--- a/core/balance/table.go
+++ b/core/balance/table.go
@@ -66,8 +66,9 @@
 	servers  []*server
 	arrivals window
 	repeats  window
-	// latency is the moving average of successful attempts.
-	latency time.Duration
+	// work is the moving average of the service time of successful attempts,
+	// waiting for a slot left out.
+	work time.Duration
 	// guarded is set while requests that must not repeat were seen lately.
 	guarded time.Time
 }
@@ -83,9 +84,9 @@
 	heard time.Time
 	// probed is when an attempt was last sent.
 	probed time.Time
-	// latency is the moving average of successful attempts.
-	latency time.Duration
-	timed   time.Time
+	// work is the moving average of the service time.
+	work  time.Duration
+	timed time.Time
 	// shedUntil is when the server is expected to accept requests again.
 	shedUntil time.Time
 	sheds     int
@@ -96,6 +97,9 @@
 type attempt struct {
 	server  *server
 	started time.Time
+	// rounds is the number of service times that the attempt was expected to
+	// take: its own, and its share of those queued before it.
+	rounds  float64
 	stalled bool
 }
 
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -21,7 +21,12 @@
 	answerMargin = 10 * time.Millisecond
 	// minAttemptTime is the least time in which an attempt is worth starting.
 	minAttemptTime = 30 * time.Millisecond
-	// hedgeFactor times the mean latency of the service, and at least hedgeMin,
+	// queueFactor times a route's target latency is the longest expected time to
+	// an answer that a request is queued for; repeatableQueueFactor is the same
+	// for idempotent requests, which make room first.
+	queueFactor           = 2.2
+	repeatableQueueFactor = 1.6
+	// hedgeFactor times the mean service time of the service, and at least hedgeMin,
 	// is when an idempotent request is sent to a second server.
 	hedgeFactor = 2.2
 	hedgeMin    = 350 * time.Millisecond
@@ -125,7 +130,9 @@
 			}
 		case <-hedge.C:
 			if f.mayHedge() {
-				f.launch(ctx)
+				q := f.query()
+				q.Hedge, q.Spare = true, false
+				f.send(ctx, q)
 			}
 		case <-end.C:
 			f.reason = model.ReasonTimeout
@@ -138,8 +145,22 @@
 }
 
 func (f *flight) hedgeDelay() time.Duration {
-	mean := f.node.state.latency(f.service)
-	return max(hedgeMin, time.Duration(hedgeFactor*float64(mean)))
+	work := f.node.state.work(f.service)
+	return max(hedgeMin, time.Duration(hedgeFactor*float64(work)))
+}
+
+// queueLimit is the expected time to an answer above which the request is
+// refused rather than queued: queues at servers that are full make every request
+// late, and servers that are nearly full work more slowly.
+func (f *flight) queueLimit() time.Duration {
+	if f.route.Target <= 0 || f.arrived {
+		return f.route.Timeout
+	}
+	factor := queueFactor
+	if f.route.Repeatable {
+		factor = repeatableQueueFactor
+	}
+	return time.Duration(factor * float64(f.route.Target))
 }
 
 func (f *flight) mayHedge() bool {
@@ -188,9 +209,9 @@
 
 // send starts an attempt at the server that a query chooses.
 func (f *flight) send(ctx context.Context, q balance.Query) bool {
-	choice, number, ok := f.node.state.begin(q, f.arrived)
-	if !ok {
-		f.reason = model.ReasonNoServer
+	choice, number, reason := f.node.state.begin(q, f.arrived, f.queueLimit())
+	if reason != model.ReasonNone {
+		f.reason = reason
 		return false
 	}
 	f.dials++
--- a/edge/state.go
+++ b/edge/state.go
@@ -55,14 +55,18 @@
 	s.table.SetServers(time.Now(), list, len(s.regions))
 }
 
-// begin chooses a server and records the attempt; false if there is none.
-func (s *state) begin(q balance.Query, repeat bool) (balance.Choice, uint64, bool) {
+// begin chooses a server and records the attempt. The reason is set if there is
+// no server for it.
+func (s *state) begin(q balance.Query, repeat bool, limit time.Duration) (balance.Choice, uint64, model.Reason) {
 	s.mu.Lock()
 	now := time.Now()
 	c, ok := s.table.Choose(now, q)
-	if !ok {
+	if !ok || c.Expected > limit {
 		s.mu.Unlock()
-		return c, 0, false
+		if ok {
+			return c, 0, model.ReasonQueueFull
+		}
+		return c, 0, model.ReasonNoServer
 	}
 	s.next++
 	number := s.next
@@ -70,7 +74,7 @@
 	s.table.Started(now, c.Server.Key, balance.AttemptKey{Host: s.self, Number: number}, repeat)
 	s.mu.Unlock()
 	s.observe(&gen.Observation{Kind: gen.Observation_KIND_STARTED, Server: uint64(c.Server.Key), Attempt: number, Repeat: repeat})
-	return c, number, true
+	return c, number, model.ReasonNone
 }
 
 // observations maps verdicts to what the data centre is told.
@@ -185,10 +189,10 @@
 	s.table.HostGone(h)
 }
 
-func (s *state) latency(name model.ServiceName) time.Duration {
+func (s *state) work(name model.ServiceName) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.table.Latency(name)
+	return s.table.Work(name)
 }
 
 func (s *state) allowRepeat(name model.ServiceName, repeatable bool) bool {
