--- a/core/balance/choose.go
+++ b/core/balance/choose.go
@@ -74,6 +74,10 @@
 	probeInterval = 700 * time.Millisecond
 	// suspectInterval is the same for servers that seem to fail.
 	suspectInterval = 900 * time.Millisecond
+	// starvedAfter is how long a server may be without any request before the
+	// next idempotent one is sent there: servers that are passed over for
+	// longer count as lost capacity.
+	starvedAfter = 1300 * time.Millisecond
 	// suspected is the probability from which a server counts as a suspect.
 	suspected = 0.5
 	// guardedFor is how long after a request that must not repeat evidence is
@@ -96,7 +100,7 @@
 	if !q.Repeatable {
 		group.guarded = now
 	}
-	if q.Repeatable && q.Spare && now.Sub(group.guarded) < guardedFor && t.budgetUsed(now, group) < probeShare {
+	if q.Repeatable && q.Spare {
 		if s := t.probeTarget(now, group, q); s != nil {
 			c := t.describe(now, group, s, q)
 			c.Probe = true
@@ -128,28 +132,36 @@
 }
 
 // probeTarget returns the server of this data centre whose evidence is due for
-// renewal, nil if there is none.
+// renewal by an idempotent request, nil if there is none.
 func (t *Table) probeTarget(now time.Time, group *service, q Query) *server {
+	// Evidence serves requests that must not repeat, as long as failed probes
+	// can be repeated.
+	renew := now.Sub(group.guarded) < guardedFor && t.budgetUsed(now, group) < probeShare
 	var oldest *server
 	for _, s := range group.servers {
 		if s.DataCentre != t.opts.DataCentre || slices.Contains(q.Tried, s.Key) || s.outstanding > 0 ||
-			now.Before(s.unreachableUntil) || now.Before(s.shedUntil) {
+			now.Before(s.unreachableUntil) || now.Before(s.shedUntil) || !t.probeDue(now, s, renew) {
 			continue
 		}
-		due := probeInterval
-		if t.opts.Model.At(s.belief, now) >= suspected {
-			due = suspectInterval
-		}
-		if now.Sub(s.heard) < due || now.Sub(s.probed) < due {
-			continue
-		}
-		if oldest == nil || s.heard.Before(oldest.heard) {
+		if oldest == nil || s.probed.Before(oldest.probed) {
 			oldest = s
 		}
 	}
 	return oldest
 }
 
+func (t *Table) probeDue(now time.Time, s *server, renew bool) bool {
+	idle := now.Sub(s.probed)
+	if idle >= starvedAfter {
+		return true
+	}
+	due := probeInterval
+	if t.opts.Model.At(s.belief, now) >= suspected {
+		due = suspectInterval
+	}
+	return renew && idle >= due && now.Sub(s.heard) >= due
+}
+
 func (t *Table) describe(now time.Time, group *service, s *server, q Query) Choice {
 	c := Choice{Server: s.Server, Failing: t.opts.Model.At(s.belief, now), Outstanding: s.outstanding, EvidenceAge: -1, Candidates: len(group.servers)}
 	if !s.heard.IsZero() {
