--- /dev/null
+++ b/edge/forward_test.go
@@ -0,0 +1,331 @@
+package edge_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/agateusher/agateusher/standin/consortium"
+)
+
+func all(b consortium.Behaviour) func(*consortium.Seen) consortium.Behaviour {
+	return func(*consortium.Seen) consortium.Behaviour { return b }
+}
+
+// first treats the first request in one way and later ones in another.
+func first(a, b consortium.Behaviour) func(*consortium.Seen) consortium.Behaviour {
+	n := 0
+	return func(*consortium.Seen) consortium.Behaviour {
+		if n++; n == 1 {
+			return a
+		}
+		return b
+	}
+}
+
+// Guards against a request that reaches the server changed, or an answer that
+// reaches the caller changed.
+func TestForwardsUnchanged(t *testing.T) {
+	s := newSite(t)
+	s.configure(2*time.Second, "")
+	server := s.server("i-1", service)
+	d := s.ready(s.daemon(s.settings("h1")))
+
+	a := s.do(d, request("POST", "/write/a%2Fb//c?q=1&q=%20", "id-1", "payload", "X-Other: yes\r\nConnection: X-Hop\r\nX-Hop: no\r\nAgateusher-Deadline-Ms: 1500\r\n"))
+	s.g.Expect(a.status).To(Equal(http.StatusOK))
+	s.g.Expect(a.body).To(Equal(consortium.Body("id-1")))
+	s.g.Expect(a.header.Get("Agateusher-Response-Signature")).To(Equal("i-1.id-1"))
+	s.g.Expect(a.header.Get("Agateusher-Request-Id")).To(Equal("id-1"))
+	x := server.Seen()[0]
+	s.g.Expect(x.Method + " " + x.Target + " " + x.Host).To(Equal("POST /write/a%2Fb//c?q=1&q=%20 api.example"))
+	s.g.Expect(string(x.Body)).To(Equal("payload"))
+	s.g.Expect(x.Header.Get("X-Other")).To(Equal("yes"))
+	s.g.Expect(x.Header).NotTo(HaveKey("X-Hop"))
+	s.g.Expect(x.Header.Get("Agateusher-Target-Instance")).To(Equal("i-1"))
+	var left int
+	_, err := fmt.Sscan(x.Header.Get("Agateusher-Deadline-Ms"), &left)
+	s.g.Expect(err).NotTo(HaveOccurred())
+	s.g.Expect(left).To(And(BeNumerically(">", 1000), BeNumerically("<=", 1500)))
+
+	chunked := "POST /write/c HTTP/1.1\r\nHost: api.example\r\nAgateusher-Request-Id: id-2\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+	s.g.Expect(s.do(d, chunked).status).To(Equal(http.StatusOK))
+	s.g.Expect(string(server.Seen()[1].Body)).To(Equal("abcde"))
+}
+
+// Guards against a second run of a request that may have run, and against a
+// success made of an answer that cannot be trusted.
+func TestOutcomesOfOneServer(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		behaviour consortium.Behaviour
+		// status of a request that must not repeat, with one server.
+		status int
+		// ran tells whether the server ran it.
+		ran bool
+	}{
+		{"good", consortium.Answer, 200, true},
+		{"failure", consortium.Fail, 500, true},
+		{"shed", consortium.Shed, 503, false},
+		{"misdirected", consortium.Misdirect, 503, false},
+		{"truncated", consortium.Truncate, 502, true},
+		{"reset", consortium.Cut, 502, true},
+		{"foreign", consortium.Foreign, 502, true},
+		{"unsigned", consortium.Unsigned, 502, true},
+		{"encoded", consortium.Encoded, 502, true},
+		{"unframed", consortium.Unframed, 200, true},
+		{"garbage", consortium.Garbage, 502, true},
+		{"extra", consortium.Extra, 200, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSite(t)
+			s.configure(2*time.Second, "")
+			one, two := s.server("i-1", service), s.server("i-2", service)
+			one.Behave(all(c.behaviour))
+			two.Behave(all(c.behaviour))
+			d := s.ready(s.daemon(s.settings("h1")))
+			a := s.write(d, "w")
+			s.g.Expect(a.status).To(Equal(c.status))
+			want := 0
+			if c.ran {
+				want = 1
+			}
+			s.g.Expect(runs("w", one, two)).To(Equal(want))
+			if a.status == http.StatusServiceUnavailable {
+				s.g.Expect(a.header.Get("Retry-After")).NotTo(BeEmpty())
+			}
+		})
+	}
+}
+
+// Guards against an idempotent request that fails although another server would
+// have answered it.
+func TestIdempotentRequestsMoveOn(t *testing.T) {
+	for _, b := range []consortium.Behaviour{
+		consortium.Fail, consortium.Shed, consortium.Misdirect, consortium.Truncate, consortium.Cut,
+		consortium.Foreign, consortium.Unsigned, consortium.Encoded, consortium.Garbage, consortium.Hang,
+	} {
+		t.Run(fmt.Sprint(b), func(t *testing.T) {
+			s := newSite(t)
+			s.configure(3*time.Second, "")
+			s.server("i-1", service).Behave(all(b))
+			s.server("i-2", service)
+			d := s.ready(s.daemon(s.settings("h1")))
+			for i := range 3 {
+				a := s.read(d, fmt.Sprint("r", i))
+				s.g.Expect(a.status).To(Equal(http.StatusOK))
+				s.g.Expect(a.body).To(Equal(consortium.Body(fmt.Sprint("r", i))))
+				s.g.Expect(a.took).To(BeNumerically("<", 1500*time.Millisecond))
+			}
+		})
+	}
+}
+
+// Guards against a request that must not repeat being lost to a server that did
+// not run it.
+func TestUnrunRequestsMoveOn(t *testing.T) {
+	for _, b := range []consortium.Behaviour{consortium.Shed, consortium.Misdirect} {
+		s := newSite(t)
+		s.configure(2*time.Second, "")
+		one, two := s.server("i-1", service), s.server("i-2", service)
+		one.Behave(all(b))
+		d := s.ready(s.daemon(s.settings("h1")))
+		for i := range 4 {
+			s.g.Expect(s.write(d, fmt.Sprint("w", i)).status).To(Equal(http.StatusOK))
+		}
+		s.g.Expect(one.Seen()).NotTo(BeEmpty())
+		s.g.Expect(two.Seen()).To(HaveLen(4))
+	}
+}
+
+// Guards against more servers than max_attempts: a refused request is sent again
+// only to servers that refused it.
+func TestRefusedEverywhere(t *testing.T) {
+	s := newSite(t)
+	s.configure(2*time.Second, "")
+	servers := []*consortium.Server{s.server("i-1", service), s.server("i-2", service), s.server("i-3", service)}
+	for _, x := range servers {
+		x.Behave(all(consortium.Shed))
+	}
+	d := s.ready(s.daemon(s.settings("h1")))
+	a := s.write(d, "w")
+	s.g.Expect(a.status).To(Equal(http.StatusServiceUnavailable))
+	asked := 0
+	for _, x := range servers {
+		if len(x.Seen()) > 0 {
+			asked++
+		}
+	}
+	s.g.Expect(asked).To(Equal(2))
+}
+
+// Guards against a closed port costing a request.
+func TestRefusedConnect(t *testing.T) {
+	s := newSite(t)
+	s.configure(2*time.Second, "")
+	dead := s.server("i-1", service)
+	dead.Close()
+	s.server("i-2", service)
+	d := s.ready(s.daemon(s.settings("h1")))
+	for i := range 4 {
+		s.g.Expect(s.write(d, fmt.Sprint("w", i)).status).To(Equal(http.StatusOK))
+	}
+}
+
+// Guards against a request that is kept waiting past its route's time, and
+// against "not run" said of a request that hangs at a server.
+func TestTimeout(t *testing.T) {
+	s := newSite(t)
+	s.configure(600*time.Millisecond, "")
+	server := s.server("i-1", service)
+	server.Behave(all(consortium.Hang))
+	d := s.ready(s.daemon(s.settings("h1")))
+	a := s.write(d, "w")
+	s.g.Expect(a.status).To(Equal(http.StatusGatewayTimeout))
+	s.g.Expect(a.took).To(BeNumerically("~", 600*time.Millisecond, 150*time.Millisecond))
+	s.g.Eventually(server.Cancelled).WithTimeout(time.Second).Should(Equal(1))
+}
+
+// Guards against work for callers that have gone, and against cancelling a
+// request that may have taken effect.
+func TestCallerGoesAway(t *testing.T) {
+	s := newSite(t)
+	s.configure(3*time.Second, "")
+	server := s.server("i-1", service)
+	server.SetWork(800 * time.Millisecond)
+	d := s.ready(s.daemon(s.settings("h1")))
+	reader, writer := s.dial(d), s.dial(d)
+	reader.send(request("GET", "/read/x", "r", "", ""))
+	writer.send(request("POST", "/write/x", "w", "payload", ""))
+	s.g.Eventually(func() int { return runs("r", server) + runs("w", server) }).WithTimeout(time.Second).Should(Equal(2))
+	_ = reader.Close()
+	_ = writer.Close()
+	s.g.Eventually(server.Cancelled).WithTimeout(400 * time.Millisecond).Should(Equal(1))
+	s.g.Eventually(func() bool {
+		for _, x := range server.Seen() {
+			if x.ID == "w" {
+				return x.Finished
+			}
+		}
+		return false
+	}).WithTimeout(2 * time.Second).Should(BeTrue())
+}
+
+// Guards against pipelined requests that wait for each other, and against
+// answers out of order.
+func TestPipelining(t *testing.T) {
+	s := newSite(t)
+	s.configure(3*time.Second, "")
+	for i := range 3 {
+		server := s.server(fmt.Sprint("i-", i), service)
+		server.SetWork(250 * time.Millisecond)
+	}
+	d := s.ready(s.daemon(s.settings("h1")))
+	c := s.dial(d)
+	var text strings.Builder
+	for i := range 5 {
+		text.WriteString(request("GET", "/read/x", fmt.Sprint("p", i), "", ""))
+	}
+	began := time.Now()
+	c.send(text.String())
+	for i := range 5 {
+		s.g.Expect(c.receive().body).To(Equal(consortium.Body(fmt.Sprint("p", i))))
+	}
+	s.g.Expect(time.Since(began)).To(BeNumerically("<", 4*250*time.Millisecond))
+}
+
+// Guards against requests outside the limits reaching a server, and against
+// smuggling by two lengths.
+func TestLimits(t *testing.T) {
+	s := newSite(t)
+	s.configure(2*time.Second, "")
+	server := s.server("i-1", service)
+	d := s.ready(s.daemon(s.settings("h1")))
+	for _, c := range []struct {
+		name, text string
+		status     int
+	}{
+		{"header", request("GET", "/read/x", "a", "", "X-Big: "+strings.Repeat("x", 20_000)+"\r\n"), 431},
+		{"body", request("POST", "/write/x", "b", strings.Repeat("x", 70_000), ""), 413},
+		{"syntax", "GET\r\n\r\n", 400},
+		{"two lengths", "POST /write/x HTTP/1.1\r\nHost: api.example\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nabcdef", 400},
+		{"no route", request("GET", "/nowhere/x", "c", "", ""), 404},
+		{"prefix without its slash", request("GET", "/read", "d", "", ""), 404},
+	} {
+		s.g.Expect(s.do(d, c.text).status).To(Equal(c.status), c.name)
+	}
+	s.g.Expect(server.Seen()).To(BeEmpty())
+}
+
+// Guards against shares of a split that drift, and against the overflow of one
+// part going to another.
+func TestSplit(t *testing.T) {
+	s := newSite(t)
+	s.configure(2*time.Second, "")
+	one, two := s.server("i-1", service), s.server("i-2", other)
+	d := s.ready(s.daemon(s.settings("h1")))
+	const n = 400
+	c := s.dial(d)
+	for i := range n {
+		c.send(request("GET", "/split/x", fmt.Sprint("s", i), "", ""))
+		s.g.Expect(c.receive().status).To(Equal(http.StatusOK))
+	}
+	s.g.Expect(float64(len(two.Seen())) / n).To(BeNumerically("~", 0.25, 0.1))
+	one.Behave(all(consortium.Shed))
+	before := len(two.Seen())
+	refused := 0
+	for i := range 40 {
+		c.send(request("GET", "/split/x", fmt.Sprint("t", i), "", ""))
+		if c.receive().status == http.StatusServiceUnavailable {
+			refused++
+		}
+	}
+	s.g.Expect(refused + len(two.Seen()) - before).To(Equal(40))
+}
+
+// Guards against a late second answer reaching the next request.
+func TestExtraAnswers(t *testing.T) {
+	s := newSite(t)
+	s.configure(2*time.Second, "")
+	s.server("i-1", service).Behave(first(consortium.Extra, consortium.Answer))
+	d := s.ready(s.daemon(s.settings("h1")))
+	c := s.dial(d)
+	for i := range 5 {
+		id := fmt.Sprint("e", i)
+		c.send(request("GET", "/read/x", id, "", ""))
+		s.g.Expect(c.receive().body).To(Equal(consortium.Body(id)))
+	}
+}
+
+// Guards against retries beyond the budget that all daemons share.
+func TestRetryBudget(t *testing.T) {
+	s := newSite(t)
+	s.configure(2*time.Second, "")
+	var servers []*consortium.Server
+	for i := range 4 {
+		server := s.server(fmt.Sprint("i-", i), service)
+		server.Behave(all(consortium.Fail))
+		servers = append(servers, server)
+	}
+	set1, set2 := s.settings("h1"), s.settings("h2")
+	set1.Retries.Slack, set2.Retries.Slack = 10, 10
+	d1, d2 := s.ready(s.daemon(set1)), s.ready(s.daemon(set2))
+	s.g.Eventually(func() string { return d1.log.String() + d2.log.String() }).WithTimeout(3 * time.Second).ShouldNot(BeEmpty())
+	time.Sleep(1500 * time.Millisecond) // both have read the registry
+	const n = 100
+	for i := range n {
+		d := d1
+		if i%2 == 0 {
+			d = d2
+		}
+		s.read(d, fmt.Sprint("b", i))
+	}
+	arrivals := 0
+	for _, x := range servers {
+		arrivals += len(x.Seen())
+	}
+	s.g.Expect(arrivals - n).To(And(BeNumerically(">", 5), BeNumerically("<=", 0.2*n+10)))
+}
--- /dev/null
+++ b/edge/lifecycle_test.go
@@ -0,0 +1,129 @@
+package edge_test
+
+import (
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/agateusher/agateusher/settings"
+	"github.com/agateusher/agateusher/standin/consortium"
+)
+
+// Guards against a daemon that answers 404, or says that it is ready, before it
+// knows a configuration.
+func TestWithoutConfiguration(t *testing.T) {
+	s := newSite(t)
+	s.store.SetFault(consortium.Silent)
+	d := s.daemon(s.settings("h1"))
+	a := s.read(d, "r")
+	s.g.Expect(a.status).To(Equal(http.StatusServiceUnavailable))
+	s.g.Expect(a.header.Get("Retry-After")).NotTo(BeEmpty())
+	s.g.Expect(readiness(d)).To(Equal(http.StatusServiceUnavailable))
+	s.configure(2*time.Second, "")
+	s.server("i-1", service)
+	s.store.SetFault(consortium.Healthy)
+	s.ready(d)
+	s.g.Expect(s.read(d, "r2").status).To(Equal(http.StatusOK))
+}
+
+// Guards against a planned stop that cuts a request or goes on taking new
+// connections.
+func TestPlannedStop(t *testing.T) {
+	s := newSite(t)
+	s.configure(3*time.Second, "")
+	server := s.server("i-1", service)
+	set := s.settings("h1")
+	set.Stop.Notice = settings.Duration(300 * time.Millisecond)
+	d := s.ready(s.daemon(set))
+	server.SetWork(700 * time.Millisecond)
+	c, idle := s.dial(d), s.dial(d)
+	c.send(request("POST", "/write/x", "w", "payload", ""))
+	s.g.Eventually(func() int { return runs("w", server) }).WithTimeout(time.Second).Should(Equal(1))
+	d.stop()
+	s.g.Eventually(func() int { return readiness(d) }).WithTimeout(time.Second).Should(Equal(http.StatusServiceUnavailable))
+	// A request on a kept connection is still served, and told that the
+	// connection ends.
+	server.SetWork(0)
+	idle.send(request("GET", "/read/x", "r", "", ""))
+	a := idle.receive()
+	s.g.Expect(a.status).To(Equal(http.StatusOK))
+	s.g.Expect(a.close).To(BeTrue())
+	s.g.Expect(c.receive().status).To(Equal(http.StatusOK))
+	s.g.Eventually(d.ended).WithTimeout(3 * time.Second).Should(Receive(BeNil()))
+	d.ended <- nil
+	_, err := net.DialTimeout("tcp4", d.settings.Listeners.Caller, time.Second)
+	s.g.Expect(err).To(HaveOccurred())
+}
+
+// Guards against a configuration that is not in force everywhere in time, or
+// that is lost while the store is away.
+func TestConfigurationSpreads(t *testing.T) {
+	s := newSite(t)
+	s.configure(2*time.Second, "")
+	s.server("i-1", service)
+	d1, d2 := s.ready(s.daemon(s.settings("h1"))), s.ready(s.daemon(s.settings("h2")))
+	added := `,"r-new":{"host":"api.example","path_prefix":"/new/","route_type":"idempotent","timeout_ms":1000,"target_latency_ms":500,"priority":2,"service":"registry","max_attempts":2}`
+	s.configure(2*time.Second, added)
+	changed := time.Now()
+	for _, d := range []*daemon{d1, d2} {
+		s.g.Eventually(func() int { return s.do(d, request("GET", "/new/x", "n", "", "")).status }).WithTimeout(2500 * time.Millisecond).Should(Equal(http.StatusOK))
+	}
+	s.g.Expect(time.Since(changed)).To(BeNumerically("<", 2500*time.Millisecond))
+	s.store.SetFault(consortium.Silent)
+	time.Sleep(time.Second)
+	for _, d := range []*daemon{d1, d2} {
+		s.g.Expect(s.do(d, request("GET", "/new/x", "n", "", "")).status).To(Equal(http.StatusOK))
+	}
+}
+
+// Guards against a leaving server that goes on receiving requests.
+func TestLeavingServer(t *testing.T) {
+	s := newSite(t)
+	s.configure(2*time.Second, "")
+	leaving, staying := s.server("i-1", service), s.server("i-2", service)
+	d := s.ready(s.daemon(s.settings("h1")))
+	s.register(leaving, service, "draining")
+	time.Sleep(2500 * time.Millisecond)
+	before := len(leaving.Seen())
+	for range 10 {
+		s.g.Expect(s.read(d, "r").status).To(Equal(http.StatusOK))
+	}
+	s.g.Expect(leaving.Seen()).To(HaveLen(before))
+	s.g.Expect(staying.Seen()).NotTo(BeEmpty())
+}
+
+// Guards against requests that reach another service at a reused address.
+func TestReusedAddress(t *testing.T) {
+	s := newSite(t)
+	s.configure(2*time.Second, "")
+	server := s.server("i-1", service)
+	spec, status := server.Entry(service, zone, "in_service", 2)
+	s.store.Put("servers", "i-old", spec, status)
+	d := s.ready(s.daemon(s.settings("h1")))
+	for range 6 {
+		s.g.Expect(s.write(d, "w").status).To(Equal(http.StatusOK))
+	}
+	for _, x := range server.Seen() {
+		if x.Header.Get("Agateusher-Target-Instance") == "i-old" {
+			s.g.Expect(x.Ran).To(BeFalse())
+		}
+	}
+}
+
+// Guards against a failure of a server that the other daemons of the data centre
+// have to find out for themselves.
+func TestEvidenceIsShared(t *testing.T) {
+	s := newSite(t)
+	s.configure(2*time.Second, "")
+	s.server("i-1", service).Behave(all(consortium.Fail))
+	s.server("i-2", service)
+	d1, d2 := s.ready(s.daemon(s.settings("h1"))), s.ready(s.daemon(s.settings("h2")))
+	time.Sleep(1500 * time.Millisecond) // both have read the registry
+	for range 3 {
+		s.read(d1, "r")
+	}
+	s.g.Eventually(d2.log.String).WithTimeout(time.Second).Should(ContainSubstring("event=server_suspected evidence=peer"))
+}
--- /dev/null
+++ b/standin/consortium/store.go
@@ -0,0 +1,319 @@
+package consortium
+
+import (
+	"encoding/json"
+	"maps"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// pathPrefix precedes the kind of an object.
+const pathPrefix = "/agateusher/objects/"
+
+// Fault is how the store treats calls.
+type Fault uint8
+
+const (
+	// Healthy answers.
+	Healthy Fault = iota
+	// Busy answers 503.
+	Busy
+	// Silent does not answer.
+	Silent
+	// Reset closes the connection without an answer.
+	Reset
+	// LoseAnswers executes calls and closes the connection without an answer.
+	LoseAnswers
+	// Limited answers 429.
+	Limited
+)
+
+// Object is a stored object.
+type Object struct {
+	Metadata struct {
+		Name           string `json:"name"`
+		Revision       uint64 `json:"revision"`
+		CreateRevision uint64 `json:"create_revision"`
+	} `json:"metadata"`
+	Spec   json.RawMessage `json:"spec"`
+	Status json.RawMessage `json:"status,omitempty"`
+}
+
+type event struct {
+	revision uint64
+	kind     string
+	removed  bool
+	object   Object
+}
+
+// Store is the platform's object store.
+type Store struct {
+	listener net.Listener
+	server   *http.Server
+
+	mu       sync.Mutex
+	objects  map[string]map[string]Object
+	history  []event
+	revision uint64
+	// kept is the oldest revision that a watch may start from.
+	kept    uint64
+	fault   Fault
+	delay   time.Duration
+	page    int
+	calls   int
+	changed chan struct{}
+}
+
+// NewStore starts a store on a loopback port.
+func NewStore() (*Store, error) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	s := &Store{listener: l, objects: map[string]map[string]Object{}, revision: 1, page: 500, changed: make(chan struct{})}
+	s.server = &http.Server{Handler: s, ReadHeaderTimeout: 5 * time.Second}
+	go func() { _ = s.server.Serve(l) }()
+	return s, nil
+}
+
+// Address returns "ip:port".
+func (s *Store) Address() string { return s.listener.Addr().String() }
+
+// Close stops the store.
+func (s *Store) Close() { _ = s.server.Close() }
+
+// SetFault changes how calls are treated.
+func (s *Store) SetFault(f Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = f
+	s.wake()
+}
+
+// SetDelay delays each answer.
+func (s *Store) SetDelay(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delay = d
+}
+
+// SetPage changes the number of objects on a page.
+func (s *Store) SetPage(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.page = n
+}
+
+// DropHistory makes watches from before now fail and cuts those that wait.
+func (s *Store) DropHistory() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history, s.kept = nil, s.revision+1
+	s.revision++
+	s.wake()
+}
+
+// Calls returns the number of calls so far.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// Put writes an object with raw JSON for its spec and status.
+func (s *Store) Put(kind, name, spec, status string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.put(kind, name, json.RawMessage(spec), json.RawMessage(status))
+}
+
+// Delete removes an object.
+func (s *Store) Delete(kind, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.remove(kind, name)
+}
+
+func (s *Store) put(kind, name string, spec, status json.RawMessage) Object {
+	if s.objects[kind] == nil {
+		s.objects[kind] = map[string]Object{}
+	}
+	s.revision++
+	o := s.objects[kind][name]
+	o.Metadata.Name, o.Metadata.Revision = name, s.revision
+	if o.Metadata.CreateRevision == 0 {
+		o.Metadata.CreateRevision = s.revision
+	}
+	o.Spec, o.Status = spec, status
+	s.objects[kind][name] = o
+	s.history = append(s.history, event{revision: s.revision, kind: kind, object: o})
+	s.wake()
+	return o
+}
+
+func (s *Store) remove(kind, name string) bool {
+	o, ok := s.objects[kind][name]
+	if !ok {
+		return false
+	}
+	s.revision++
+	delete(s.objects[kind], name)
+	s.history = append(s.history, event{revision: s.revision, kind: kind, removed: true, object: o})
+	s.wake()
+	return true
+}
+
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.calls++
+	fault, delay := s.fault, s.delay
+	s.mu.Unlock()
+	time.Sleep(delay)
+	switch fault {
+	case Busy:
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case Limited:
+		w.WriteHeader(http.StatusTooManyRequests)
+		return
+	case Silent:
+		<-r.Context().Done()
+		return
+	case Reset:
+		panic(http.ErrAbortHandler)
+	}
+	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, pathPrefix), "/")
+	switch {
+	case r.Method == http.MethodGet && r.URL.Query().Has("watch"):
+		s.watch(w, r, kind)
+	case r.Method == http.MethodGet:
+		s.list(w, r, kind)
+	default:
+		s.change(w, r, kind, name)
+	}
+}
+
+func (s *Store) answer(w http.ResponseWriter, status int, body any) {
+	s.mu.Lock()
+	lose := s.fault == LoseAnswers
+	s.mu.Unlock()
+	if lose {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body) // the caller has gone
+}
+
+type listAnswer struct {
+	Items   []Object `json:"items"`
+	HasMore bool     `json:"has_more"`
+	AsOf    uint64   `json:"as_of"`
+}
+
+func (s *Store) list(w http.ResponseWriter, r *http.Request, kind string) {
+	s.mu.Lock()
+	after := r.URL.Query().Get("after")
+	a := listAnswer{Items: []Object{}, AsOf: s.revision}
+	for _, name := range slices.Sorted(maps.Keys(s.objects[kind])) {
+		if name <= after {
+			continue
+		}
+		if len(a.Items) == s.page {
+			a.HasMore = true
+			break
+		}
+		a.Items = append(a.Items, s.objects[kind][name])
+	}
+	s.mu.Unlock()
+	s.answer(w, http.StatusOK, a)
+}
+
+type watchEvent struct {
+	Removed bool   `json:"removed"`
+	Object  Object `json:"object"`
+}
+
+type watchAnswer struct {
+	Events []watchEvent `json:"events"`
+	AsOf   uint64       `json:"as_of"`
+}
+
+func (s *Store) watch(w http.ResponseWriter, r *http.Request, kind string) {
+	from, _ := strconv.ParseUint(r.URL.Query().Get("watch"), 10, 64)
+	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
+	deadline := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		a, gone, changed := s.since(kind, from), from < s.kept, s.changed
+		cut := s.fault != Healthy && s.fault != LoseAnswers
+		s.mu.Unlock()
+		switch {
+		case cut:
+			panic(http.ErrAbortHandler)
+		case gone:
+			w.WriteHeader(http.StatusGone)
+			return
+		case len(a.Events) > 0:
+			s.answer(w, http.StatusOK, a)
+			return
+		}
+		select {
+		case <-changed:
+		case <-deadline:
+			s.answer(w, http.StatusOK, a)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *Store) since(kind string, from uint64) watchAnswer {
+	a := watchAnswer{Events: []watchEvent{}, AsOf: s.revision}
+	for _, e := range s.history {
+		if e.kind == kind && e.revision > from {
+			a.Events = append(a.Events, watchEvent{Removed: e.removed, Object: e.object})
+		}
+	}
+	return a
+}
+
+func (s *Store) change(w http.ResponseWriter, r *http.Request, kind, name string) {
+	var in Object
+	if r.Method != http.MethodDelete {
+		if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+	}
+	if name == "" {
+		name = in.Metadata.Name
+	}
+	s.mu.Lock()
+	old, exists := s.objects[kind][name]
+	status, out := http.StatusOK, old
+	switch {
+	case r.Method == http.MethodPost && exists:
+		status = http.StatusConflict
+	case r.Method == http.MethodPost, r.Method == http.MethodPut && exists:
+		out = s.put(kind, name, in.Spec, old.Status)
+	case r.Method == http.MethodDelete && exists:
+		s.remove(kind, name)
+	default:
+		status = http.StatusNotFound
+	}
+	s.mu.Unlock()
+	s.answer(w, status, out)
+}
