Fix SIGHUP, lapsed entries in a watch and a busy loop; tests of the platform packages

The settings are now read again and applied or refused as a whole. - Entries that lapsed while the store was away were dropped if the first answer after the outage was a watch's; found by TestLapsedEntries. - A store that says 410 to a full read was asked without a pause; found by TestHistoryGone.

--- /dev/null
+++ b/catalog/catalog_test.go
@@ -0,0 +1,278 @@
+package catalog
+
+import (
+	"context"
+	"errors"
+	"io"
+	"maps"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+
+	"github.com/agateusher/agateusher/core/model"
+	"github.com/agateusher/agateusher/kernel"
+)
+
+func quiet() *logrus.Logger {
+	l := logrus.New()
+	l.SetOutput(io.Discard)
+	return l
+}
+
+// Guards against routes that match a prefix in the middle of a segment.
+func TestMatch(t *testing.T) {
+	g := NewWithT(t)
+	table := NewTable(&Config{Routes: []Route{
+		{Name: "root", Host: "a.example", Prefix: "/"},
+		{Name: "ab", Host: "a.example", Prefix: "/ab/"},
+		{Name: "abc", Host: "a.example", Prefix: "/ab/c/"},
+		{Name: "other", Host: "b.example", Prefix: "/ab/"},
+	}})
+	for _, c := range []struct{ host, path, route string }{
+		{"a.example", "/ab/c/d", "abc"},
+		{"a.example", "/ab/c", "ab"},
+		{"a.example", "/ab/", "ab"},
+		{"a.example", "/ab", "root"},
+		{"a.example", "/abc/d", "root"},
+		{"A.Example:8080", "/ab/x", "ab"},
+		{"b.example", "/ab/c/", "other"},
+		{"b.example", "/", ""},
+		{"c.example", "/ab/", ""},
+		{"a.example", "*", ""},
+	} {
+		r, ok := table.Match(c.host, c.path)
+		g.Expect(ok).To(Equal(c.route != ""), c.path)
+		if ok {
+			g.Expect(string(r.Name)).To(Equal(c.route), c.path)
+		}
+	}
+}
+
+// Guards against content that goes backwards.
+func TestKeeperMovesForward(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	changes := 0
+	k := NewKeeper(func(*View) { changes++ })
+	k.putConfig(&Config{Epoch: 5}, 10, now)
+	k.putConfig(&Config{Epoch: 4}, 12, now)
+	k.putServers(map[string]*Server{"i-1": {ID: "i-1"}}, 20, 20, now)
+	k.putServers(map[string]*Server{}, 15, 15, now)
+	k.Import(now, Export{Config: &Config{Epoch: 3}, Servers: map[string]*Server{}, Revision: 7})
+	v := k.View()
+	g.Expect(v.Epoch()).To(Equal(model.Epoch(5)))
+	g.Expect(v.Servers).To(HaveLen(1))
+	g.Expect(changes).To(Equal(2))
+}
+
+// Guards against an import that loses how long a lapsed server counts, or whose
+// ages are those of the importer.
+func TestExportImport(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	a, b := NewKeeper(nil), NewKeeper(nil)
+	a.putConfig(&Config{Epoch: 2}, 5, now.Add(-time.Second))
+	a.putServers(map[string]*Server{"i-1": {ID: "i-1", LapsedUntil: now.Add(time.Second)}}, 6, 6, now.Add(-time.Second))
+	b.Import(now, a.Export(now))
+	config, servers := b.Ages(now)
+	g.Expect(config).To(Equal(time.Second))
+	g.Expect(servers).To(Equal(time.Second))
+	g.Expect(b.ExpireLapsed(now.Add(900 * time.Millisecond))).To(BeEmpty())
+	g.Expect(b.ExpireLapsed(now.Add(1100 * time.Millisecond))).To(Equal([]model.ServerID{"i-1"}))
+	b.Confirm(2, 6, now)
+	config, _ = b.Ages(now)
+	g.Expect(config).To(BeZero())
+	b.Confirm(1, 5, now.Add(time.Second))
+	config, _ = b.Ages(now.Add(time.Second))
+	g.Expect(config).To(Equal(time.Second))
+}
+
+// fakeSource is a store in virtual time.
+type fakeSource struct {
+	mu       sync.Mutex
+	epoch    model.Epoch
+	servers  map[string]*Server
+	events   []ServerEvent
+	revision Revision
+	fail     error
+	hang     bool
+	calls    int
+}
+
+var errDown = errors.New("down")
+
+func (f *fakeSource) call(ctx context.Context) error {
+	f.mu.Lock()
+	f.calls++
+	hang, fail := f.hang, f.fail
+	f.mu.Unlock()
+	if hang {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return fail
+}
+
+func (f *fakeSource) Config(ctx context.Context) (*Config, Revision, error) {
+	if err := f.call(ctx); err != nil {
+		return nil, 0, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return &Config{Epoch: f.epoch}, f.revision, nil
+}
+
+func (f *fakeSource) WatchConfig(ctx context.Context, after Revision, wait time.Duration) (*Config, Revision, error) {
+	if err := f.call(ctx); err != nil {
+		return nil, 0, err
+	}
+	time.Sleep(wait)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return &Config{Epoch: f.epoch}, f.revision, nil
+}
+
+func (f *fakeSource) Servers(ctx context.Context) (map[string]*Server, Revision, error) {
+	if err := f.call(ctx); err != nil {
+		return nil, 0, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return maps.Clone(f.servers), f.revision, nil
+}
+
+func (f *fakeSource) WatchServers(ctx context.Context, after Revision, wait time.Duration) ([]ServerEvent, Revision, error) {
+	if err := f.call(ctx); err != nil {
+		return nil, 0, err
+	}
+	f.mu.Lock()
+	if len(f.events) == 0 {
+		f.mu.Unlock()
+		time.Sleep(wait)
+		f.mu.Lock()
+	}
+	defer f.mu.Unlock()
+	events := f.events
+	f.events = nil
+	return events, f.revision, nil
+}
+
+// set changes the fake under its lock.
+func (f *fakeSource) set(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+}
+
+// follow runs a follower of the given rank in virtual time.
+func follow(t *testing.T, rank int, test func(g *WithT, f *fakeSource, k *Keeper)) {
+	synctest.Test(t, func(t *testing.T) {
+		source := &fakeSource{epoch: 1, revision: 10, servers: map[string]*Server{"i-1": {ID: "i-1"}, "i-2": {ID: "i-2"}}}
+		k := NewKeeper(nil)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() {
+			done <- kernel.RunDuties(ctx, NewFollower(k, source, func() int { return rank }, quiet()).Duties()...)
+		}()
+		defer func() {
+			cancel()
+			<-done
+		}()
+		time.Sleep(100 * time.Millisecond)
+		test(NewWithT(t), source, k)
+	})
+}
+
+func names(k *Keeper) []string {
+	var out []string
+	for _, s := range k.View().Servers {
+		out = append(out, string(s.ID))
+	}
+	return out
+}
+
+// Guards against a relay that learns of changes later than the bound.
+func TestRelayFollows(t *testing.T) {
+	follow(t, 0, func(g *WithT, f *fakeSource, k *Keeper) {
+		g.Expect(names(k)).To(ConsistOf("i-1", "i-2"))
+		f.set(func() {
+			f.epoch, f.revision = 2, 11
+			f.events = []ServerEvent{{Name: "i-1", Removed: true}, {Name: "i-3", Server: &Server{ID: "i-3"}}, {Name: "i-2"}}
+		})
+		time.Sleep(1100 * time.Millisecond)
+		g.Expect(k.View().Epoch()).To(Equal(model.Epoch(2)))
+		g.Expect(names(k)).To(ConsistOf("i-3"))
+	})
+}
+
+// Guards against daemons that all ask the store, and against ones that never do
+// when their relay is silent.
+func TestOthersAskOnlyWhenOverdue(t *testing.T) {
+	follow(t, 3, func(g *WithT, f *fakeSource, k *Keeper) {
+		before := f.calls
+		for range 20 {
+			time.Sleep(100 * time.Millisecond)
+			epoch, revision := k.Versions()
+			k.Confirm(epoch, revision, time.Now())
+		}
+		g.Expect(f.calls).To(Equal(before))
+		f.set(func() { f.epoch, f.revision = 2, 11 })
+		time.Sleep(2200 * time.Millisecond)
+		g.Expect(k.View().Epoch()).To(Equal(model.Epoch(2)))
+	})
+}
+
+// Guards against a watch on a connection that has gone silent.
+func TestSilentWatch(t *testing.T) {
+	follow(t, 0, func(g *WithT, f *fakeSource, k *Keeper) {
+		f.set(func() { f.hang = true })
+		time.Sleep(3 * time.Second)
+		f.set(func() { f.hang, f.epoch, f.revision = false, 2, 11 })
+		time.Sleep(2600 * time.Millisecond)
+		g.Expect(k.View().Epoch()).To(Equal(model.Epoch(2)))
+	})
+}
+
+// Guards against changes that are missed when the store drops its history.
+func TestHistoryGone(t *testing.T) {
+	follow(t, 0, func(g *WithT, f *fakeSource, k *Keeper) {
+		f.set(func() {
+			f.fail = ErrHistoryGone
+			delete(f.servers, "i-1")
+			f.revision = 20
+		})
+		time.Sleep(1100 * time.Millisecond)
+		f.set(func() { f.fail = nil })
+		time.Sleep(200 * time.Millisecond)
+		g.Expect(names(k)).To(ConsistOf("i-2"))
+	})
+}
+
+// Guards against servers that are dropped because their entries lapsed while the
+// store was away, and against ones that are kept for longer.
+func TestLapsedEntries(t *testing.T) {
+	follow(t, 0, func(g *WithT, f *fakeSource, k *Keeper) {
+		f.set(func() { f.fail = errDown })
+		time.Sleep(5 * time.Second)
+		g.Expect(names(k)).To(ConsistOf("i-1", "i-2"))
+		f.set(func() {
+			f.fail = nil
+			f.revision = 30
+			f.events = []ServerEvent{{Name: "i-1", Removed: true}, {Name: "i-2", Removed: true}}
+		})
+		// The first answer ends the outage; the second one brings the events.
+		time.Sleep(1800 * time.Millisecond)
+		g.Expect(names(k)).To(ConsistOf("i-1", "i-2"))
+		f.set(func() {
+			f.revision = 31
+			f.events = []ServerEvent{{Name: "i-2", Server: &Server{ID: "i-2"}}}
+		})
+		time.Sleep(1500 * time.Millisecond)
+		k.ExpireLapsed(time.Now())
+		g.Expect(names(k)).To(ConsistOf("i-2"))
+	})
+}
--- a/catalog/follower.go
+++ b/catalog/follower.go
@@ -124,8 +124,12 @@
 		return 0
 	case errors.Is(err, ErrHistoryGone):
 		l.follower.log.WithFields(telemetry.Fields{"event": "history_gone", "kind": l.kind}).Warn("the store dropped its history; reading everything")
+		pause = 0
+		if l.read {
+			pause = retryDelay
+		}
 		l.read = true
-		return 0
+		return pause
 	}
 	if l.failing.IsZero() {
 		l.failing = now
@@ -244,14 +248,18 @@
 		if _, ok := set[name]; ok {
 			continue
 		}
-		if l.lapsing(now) || (!l.failing.IsZero() && now.Sub(l.failing) > outageMin) {
+		if l.lapsing(now) {
 			set[name] = l.lapsed(s)
 		}
 	}
 }
 
-// lapsing reports whether a missing entry may come back.
+// lapsing reports whether a missing entry may come back: in the first answer
+// after an outage, and for a while after it.
 func (l *loop) lapsing(now time.Time) bool {
+	if !l.failing.IsZero() && now.Sub(l.failing) > outageMin {
+		return true
+	}
 	return !l.outageEnd.IsZero() && now.Sub(l.outageEnd) < lapseGrace
 }
 
--- a/cmd/usher-edge/main.go
+++ b/cmd/usher-edge/main.go
@@ -67,9 +67,28 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	go reload(ctx, node, o.Settings)
 	if err := node.Run(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailure
 	}
 	return 0
 }
+
+// reload reads the settings again at each SIGHUP.
+func reload(ctx context.Context, node *edge.Node, path string) {
+	changed := make(chan os.Signal, 1)
+	signal.Notify(changed, syscall.SIGHUP)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+			s, err := edge.LoadSettings(path)
+			if err == nil {
+				err = node.Reload(s)
+			}
+			node.LogReload(err)
+		}
+	}
+}
--- /dev/null
+++ b/core/balance/balance_test.go
@@ -0,0 +1,334 @@
+package balance_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/agateusher/agateusher/core/balance"
+	"github.com/agateusher/agateusher/core/model"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+var testModel = balance.Model{FailWhenServing: 0.015, FailWhenFailing: 0.75, Onset: 0.04, Recovery: 0.25}
+
+var testCosts = balance.Costs{
+	ByteDataCentre: 1e-5, ByteRegion: 1e-4, Lost: 1, LostUnrepeatable: 2, Retry: 0.3, Late: 0.4, Unreachable: 0.6, Shedding: 0.3,
+}
+
+const (
+	registry = model.ServiceName("registry")
+	self     = model.HostID("h1")
+)
+
+// bench drives a table in virtual time.
+type bench struct {
+	table *balance.Table
+	now   time.Time
+	next  uint64
+}
+
+func newBench(servers ...balance.Server) *bench {
+	b := &bench{now: start, table: balance.NewTable(balance.Options{
+		DataCentre: "a", Region: "r", Model: testModel, Costs: testCosts,
+		Budget: balance.Budget{Ratio: 0.2, Slack: 40, Window: 10 * time.Second},
+	})}
+	b.table.SetServers(b.now, servers, 2)
+	return b
+}
+
+func local(n int) []balance.Server {
+	var out []balance.Server
+	for i := range n {
+		out = append(out, balance.Server{Key: balance.Key(i + 1), ID: model.ServerID(fmt.Sprint("i-", i+1)), Service: registry, DataCentre: "a", Region: "r", Slots: 2})
+	}
+	return out
+}
+
+func (b *bench) begin(k balance.Key) balance.AttemptKey {
+	b.next++
+	a := balance.AttemptKey{Host: self, Number: b.next}
+	b.table.Started(b.now, k, a, false)
+	return a
+}
+
+// run makes one attempt at a server.
+func (b *bench) run(k balance.Key, r balance.Result, took time.Duration) {
+	a := b.begin(k)
+	b.now = b.now.Add(took)
+	b.table.Finished(b.now, k, a, r, took)
+}
+
+func (b *bench) choose(q balance.Query) balance.Choice {
+	q.Service = registry
+	c, _ := b.table.Choose(b.now, q)
+	return c
+}
+
+func write() balance.Query { return balance.Query{Target: time.Second} }
+
+func read() balance.Query {
+	return balance.Query{Repeatable: true, Spare: true, Target: time.Second}
+}
+
+// Guards against beliefs that leave the range of probabilities, or that evidence
+// moves the wrong way.
+func TestBeliefMoves(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := start
+		b := testModel.NewBelief(now)
+		for range rapid.IntRange(1, 50).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 5000).Draw(t, "gap")) * time.Millisecond)
+			before := testModel.At(b, now)
+			failed := rapid.Bool().Draw(t, "failed")
+			if failed {
+				b = testModel.Failed(b, now)
+			} else {
+				b = testModel.Succeeded(b, now)
+			}
+			after := testModel.At(b, now)
+			if after <= 0 || after >= 1 || (failed && after < before-1e-3) || (!failed && after > before+1e-3) {
+				t.Fatalf("belief moved from %v to %v, failed=%v", before, after, failed)
+			}
+		}
+	})
+}
+
+// Guards against evidence that never ages.
+func TestBeliefForgets(t *testing.T) {
+	g := NewWithT(t)
+	b := testModel.Failed(testModel.NewBelief(start), start)
+	g.Expect(testModel.At(b, start)).To(BeNumerically(">", 0.8))
+	g.Expect(testModel.At(b, start.Add(time.Minute))).To(BeNumerically("~", 0.138, 0.01))
+}
+
+// Guards against a request that must not repeat being sent to a server that
+// just failed while another serves.
+func TestAvoidsFailingServers(t *testing.T) {
+	g := NewWithT(t)
+	b := newBench(local(3)...)
+	b.run(1, balance.Failed, 5*time.Millisecond)
+	b.run(2, balance.Succeeded, 100*time.Millisecond)
+	b.run(3, balance.Failed, 5*time.Millisecond)
+	for range 20 {
+		g.Expect(b.choose(write()).Server.ID).To(Equal(model.ServerID("i-2")))
+	}
+}
+
+// Guards against a known-failing server that draws requests because the others
+// are busy: a late answer is better than none.
+func TestBusyBeatsFailing(t *testing.T) {
+	g := NewWithT(t)
+	b := newBench(local(2)...)
+	for range 5 {
+		b.run(1, balance.Succeeded, 150*time.Millisecond)
+		b.run(2, balance.Failed, time.Millisecond)
+	}
+	for range 5 {
+		b.begin(1)
+	}
+	g.Expect(b.choose(write()).Server.ID).To(Equal(model.ServerID("i-1")))
+}
+
+// Guards against a pool that refuses all requests when all of it looks ill.
+func TestAllSuspectsStillServe(t *testing.T) {
+	g := NewWithT(t)
+	b := newBench(local(2)...)
+	b.run(1, balance.Failed, time.Millisecond)
+	b.run(2, balance.Failed, time.Millisecond)
+	_, ok := b.table.Choose(b.now, balance.Query{Service: registry})
+	g.Expect(ok).To(BeTrue())
+}
+
+// Guards against the load of other daemons being ignored.
+func TestLoadIsShared(t *testing.T) {
+	g := NewWithT(t)
+	b := newBench(local(2)...)
+	b.run(1, balance.Succeeded, 100*time.Millisecond)
+	b.run(2, balance.Succeeded, 100*time.Millisecond)
+	for i := range 2 {
+		b.table.Started(b.now, 1, balance.AttemptKey{Host: "h2", Number: uint64(i)}, false)
+	}
+	g.Expect(b.choose(write()).Server.ID).To(Equal(model.ServerID("i-2")))
+}
+
+// Guards against phantom load from attempts whose end was not heard.
+func TestUnheardEnds(t *testing.T) {
+	g := NewWithT(t)
+	b := newBench(local(1)...)
+	for i := range 3 {
+		b.table.Started(b.now, 1, balance.AttemptKey{Host: "h2", Number: uint64(i)}, false)
+	}
+	g.Expect(b.choose(write()).Outstanding).To(Equal(3))
+	b.table.Outstanding("h2", []uint64{1})
+	g.Expect(b.choose(write()).Outstanding).To(Equal(1))
+	b.table.HostGone("h2")
+	g.Expect(b.choose(write()).Outstanding).To(BeZero())
+	b.begin(1)
+	b.now = b.now.Add(13 * time.Second)
+	b.table.Tick(b.now)
+	g.Expect(b.choose(write()).Outstanding).To(BeZero())
+}
+
+// Guards against a stall that is noticed only when it ends.
+func TestStallIsEvidence(t *testing.T) {
+	g := NewWithT(t)
+	b := newBench(local(2)...)
+	b.run(1, balance.Succeeded, 100*time.Millisecond)
+	b.run(2, balance.Succeeded, 100*time.Millisecond)
+	b.begin(1)
+	b.now = b.now.Add(600 * time.Millisecond)
+	changes := b.table.Tick(b.now)
+	g.Expect(changes).To(HaveLen(1))
+	g.Expect(changes[0].After).To(BeNumerically(">", changes[0].Before))
+	g.Expect(b.table.Tick(b.now)).To(BeEmpty())
+	g.Expect(b.choose(write()).Server.ID).To(Equal(model.ServerID("i-2")))
+}
+
+// Guards against the evidence of an earlier incarnation counting for its
+// successor.
+func TestNewIncarnation(t *testing.T) {
+	g := NewWithT(t)
+	b := newBench(local(1)...)
+	b.run(1, balance.Failed, time.Millisecond)
+	again := local(1)
+	again[0].Key = 99
+	b.table.SetServers(b.now, again, 2)
+	g.Expect(b.choose(write()).Failing).To(BeNumerically("<", 0.2))
+}
+
+// Guards against servers that get no request for seconds although there are
+// idempotent ones (the floor), in a service of lookups alone and in another.
+func TestNoServerStarves(t *testing.T) {
+	for _, guarded := range []bool{false, true} {
+		g := NewWithT(t)
+		b := newBench(local(8)...)
+		last := map[balance.Key]time.Time{}
+		for k := range 8 {
+			last[balance.Key(k+1)] = b.now
+		}
+		for i := range 400 {
+			q := read()
+			if guarded && i%2 == 0 {
+				q = write()
+			}
+			c := b.choose(q)
+			last[c.Server.Key] = b.now
+			r := balance.Succeeded
+			if c.Server.Key <= 2 {
+				r = balance.Failed
+			}
+			b.run(c.Server.Key, r, 50*time.Millisecond)
+			for k, at := range last {
+				g.Expect(b.now.Sub(at)).To(BeNumerically("<", 2500*time.Millisecond), "server %d", k)
+			}
+		}
+	}
+}
+
+// Guards against requests that must not repeat being used as probes.
+func TestOnlySpareAttemptsProbe(t *testing.T) {
+	g := NewWithT(t)
+	b := newBench(local(3)...)
+	b.now = b.now.Add(time.Minute)
+	g.Expect(b.choose(write()).Probe).To(BeFalse())
+	last := read()
+	last.Spare = false
+	g.Expect(b.choose(last).Probe).To(BeFalse())
+	g.Expect(b.choose(read()).Probe).To(BeTrue())
+}
+
+// Guards against crossings between data centres that the request does not need,
+// and against none when the data centre fails.
+func TestSpill(t *testing.T) {
+	g := NewWithT(t)
+	servers := local(1)
+	servers = append(servers,
+		balance.Server{Key: 10, ID: "near", Service: registry, DataCentre: "b", Region: "r", Slots: 2},
+		balance.Server{Key: 20, ID: "far", Service: registry, DataCentre: "c", Region: "s", Slots: 2})
+	b := newBench(servers...)
+	q := write()
+	q.Bytes = 5000
+	b.run(1, balance.Succeeded, 100*time.Millisecond)
+	g.Expect(b.choose(q).Server.ID).To(Equal(model.ServerID("i-1")))
+	for range 3 {
+		b.run(1, balance.Failed, time.Millisecond)
+	}
+	b.table.Reported(10, balance.Load{Failing: 0.05, At: b.now})
+	g.Expect(b.choose(q).Server.ID).To(Equal(model.ServerID("near")))
+	b.table.Reported(10, balance.Load{Failing: 0.99, At: b.now})
+	g.Expect(b.choose(q).Server.ID).To(Equal(model.ServerID("far")))
+}
+
+// Guards against a path that failed lately being tried before others.
+func TestUnreachable(t *testing.T) {
+	g := NewWithT(t)
+	b := newBench(local(2)...)
+	b.table.Unreachable(b.now, 1, time.Second)
+	for i := range 10 {
+		q := write()
+		q.Tiebreak = uint64(i)
+		g.Expect(b.choose(q).Server.ID).To(Equal(model.ServerID("i-2")))
+	}
+	b.now = b.now.Add(2 * time.Second)
+	g.Expect(b.choose(balance.Query{Tried: []balance.Key{2}}).Server.ID).To(Equal(model.ServerID("i-1")))
+}
+
+// Guards against hedges that add load to a full pool.
+func TestHedgesNeedAFreeSlot(t *testing.T) {
+	g := NewWithT(t)
+	b := newBench(local(2)...)
+	q := balance.Query{Service: registry, Repeatable: true, Hedge: true, Tried: []balance.Key{1}}
+	c, ok := b.table.Choose(b.now, q)
+	g.Expect(ok).To(BeTrue())
+	g.Expect(c.Server.ID).To(Equal(model.ServerID("i-2")))
+	b.begin(2)
+	b.begin(2)
+	_, ok = b.table.Choose(b.now, q)
+	g.Expect(ok).To(BeFalse())
+}
+
+// Guards against queueing time that counts as service time: a backlog would
+// then look like slow servers for as long as it lasts.
+func TestServiceTimeLeavesOutQueue(t *testing.T) {
+	g := NewWithT(t)
+	b := newBench(local(1)...)
+	var attempts []balance.AttemptKey
+	for range 6 {
+		attempts = append(attempts, b.begin(1))
+	}
+	for i, a := range attempts {
+		b.table.Finished(b.now, 1, a, balance.Succeeded, time.Duration(1+max(0, i-1)/2)*100*time.Millisecond)
+	}
+	g.Expect(b.table.Work(registry)).To(BeNumerically("~", 100*time.Millisecond, 30*time.Millisecond))
+}
+
+// Guards against arrivals beyond the budget, and against idempotent requests
+// that use up what refused ones need.
+func TestBudget(t *testing.T) {
+	g := NewWithT(t)
+	b := newBench(local(2)...)
+	repeat := func(repeatable bool) int {
+		n := 0
+		for b.table.AllowRepeat(b.now, registry, repeatable) && n < 1000 {
+			b.next++
+			b.table.Started(b.now, 1, balance.AttemptKey{Host: self, Number: b.next}, true)
+			n++
+		}
+		return n
+	}
+	for range 100 {
+		b.run(1, balance.Succeeded, time.Millisecond)
+	}
+	idempotent := repeat(true)
+	others := repeat(false)
+	// The data centre's part of the slack is half of 40.
+	g.Expect(idempotent + others).To(And(BeNumerically(">", 30), BeNumerically("<=", 40)))
+	g.Expect(others).To(BeNumerically(">=", idempotent-2))
+	b.now = b.now.Add(11 * time.Second)
+	g.Expect(b.table.AllowRepeat(b.now, registry, true)).To(BeTrue())
+}
--- a/core/balance/table.go
+++ b/core/balance/table.go
@@ -139,6 +139,17 @@
 	t.servers = kept
 }
 
+// SetBudget changes the retry budget. The counts start anew if its window
+// changes.
+func (t *Table) SetBudget(b Budget) {
+	if b.Window != t.opts.Budget.Window {
+		for _, s := range t.services {
+			s.arrivals, s.repeats = window{span: b.Window}, window{span: b.Window}
+		}
+	}
+	t.opts.Budget = b
+}
+
 func (t *Table) service(name model.ServiceName) *service {
 	s, ok := t.services[name]
 	if !ok {
--- a/edge/drain.go
+++ b/edge/drain.go
@@ -8,7 +8,7 @@
 
 const (
 	// stopMargin is how long before the forced end the process leaves.
-	stopMargin = 250 * time.Millisecond
+	stopMargin = 500 * time.Millisecond
 	// drainPoll is how often the end of the last request is looked for.
 	drainPoll = 20 * time.Millisecond
 )
@@ -21,8 +21,11 @@
 	n.leaving.Store(true)
 	n.log.WithFields(telemetry.Fields{"event": "stopping", "connections": n.connections()}).Info("daemon is stopping")
 	n.link.Announce()
-	grace := n.settings.Stop.Grace.Std()
-	time.Sleep(min(n.settings.Stop.Notice.Std(), grace/2))
+	n.mu.Lock()
+	stop := n.settings.Stop
+	n.mu.Unlock()
+	grace := stop.Grace.Std()
+	time.Sleep(min(stop.Notice.Std(), grace/2))
 	n.mu.Lock()
 	n.stopped = true
 	for c := range n.conns {
--- a/edge/harness_test.go
+++ b/edge/harness_test.go
@@ -159,7 +159,7 @@
 	body   string
 	// close is set if the answer ends the connection.
 	close bool
-	took   time.Duration
+	took  time.Duration
 }
 
 func request(method, path, id, body, headers string) string {
--- /dev/null
+++ b/edge/reload_test.go
@@ -0,0 +1,55 @@
+package edge_test
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"encoding/json"
+
+	. "github.com/onsi/gomega"
+)
+
+// Guards against a daemon that SIGHUP ends, and against settings that are
+// applied in part. The real program is run, since signals belong to the process.
+func TestHangup(t *testing.T) {
+	s := newSite(t)
+	s.configure(2*time.Second, "")
+	s.server("i-1", service)
+	dir := t.TempDir()
+	program, path := filepath.Join(dir, "usher-edge"), filepath.Join(dir, "settings.jsonc")
+	out, err := exec.Command("go", "build", "-o", program, "../cmd/usher-edge").CombinedOutput()
+	s.g.Expect(err).NotTo(HaveOccurred(), string(out))
+	set := s.settings("h1")
+	save := func() {
+		data, err := json.Marshal(set)
+		s.g.Expect(err).NotTo(HaveOccurred())
+		s.g.Expect(os.WriteFile(path, data, 0o600)).To(Succeed())
+	}
+	save()
+	log := &syncBuffer{}
+	cmd := exec.Command(program, "--settings", path)
+	cmd.Stdout, cmd.Stderr = log, log
+	s.g.Expect(cmd.Start()).To(Succeed())
+	t.Cleanup(func() {
+		_ = cmd.Process.Signal(syscall.SIGTERM)
+		_ = cmd.Wait()
+	})
+	d := s.ready(&daemon{settings: set, log: log})
+
+	set.Retries.Slack = 3
+	save()
+	s.g.Expect(cmd.Process.Signal(syscall.SIGHUP)).To(Succeed())
+	s.g.Eventually(log.String).WithTimeout(2 * time.Second).Should(ContainSubstring("event=reloaded"))
+	set.Host.ID = "h2"
+	save()
+	s.g.Expect(cmd.Process.Signal(syscall.SIGHUP)).To(Succeed())
+	s.g.Eventually(log.String).WithTimeout(2 * time.Second).Should(ContainSubstring("a change of host needs a restart"))
+	s.g.Expect(os.WriteFile(path, []byte("{broken"), 0o600)).To(Succeed())
+	s.g.Expect(cmd.Process.Signal(syscall.SIGHUP)).To(Succeed())
+	s.g.Eventually(log.String).WithTimeout(2 * time.Second).Should(ContainSubstring("invalid syntax"))
+	s.g.Expect(s.read(d, "r").status).To(Equal(200))
+}
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -1,6 +1,8 @@
 package edge
 
 import (
+	"fmt"
+	"maps"
 	"time"
 
 	"github.com/agateusher/agateusher/core/balance"
@@ -109,3 +111,31 @@
 
 // requestWorth is the mean worth of a request in the units of the prices.
 const requestWorth = 1.5
+
+// RestartError reports a change of the settings that a running daemon cannot
+// apply.
+type RestartError struct{ Key string }
+
+// Error implements error.
+func (e *RestartError) Error() string {
+	return fmt.Sprintf("settings: a change of %s needs a restart", e.Key)
+}
+
+// checkReload returns a *RestartError if next differs from s in a key that is
+// fixed at the start.
+func (s Settings) checkReload(next Settings) error {
+	for _, x := range []struct {
+		key     string
+		changed bool
+	}{
+		{"host", s.Host != next.Host},
+		{"listeners", s.Listeners != next.Listeners},
+		{"store", s.Store != next.Store},
+		{"regions", !maps.Equal(s.Regions, next.Regions)},
+	} {
+		if x.changed {
+			return &RestartError{Key: x.key}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/gossip/gossip_test.go
@@ -0,0 +1,176 @@
+package gossip
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+
+	"github.com/agateusher/agateusher/core/model"
+	gen "github.com/agateusher/agateusher/gen/agateusher/v1"
+	"github.com/agateusher/agateusher/kernel"
+	"github.com/agateusher/agateusher/standin"
+)
+
+// recorder is a handler that records what it is told.
+type recorder struct {
+	mu       sync.Mutex
+	state    State
+	observed []string
+	gone     []model.HostID
+	loads    []*gen.ServerLoad
+	got      []*gen.ServerLoad
+	own      []uint64
+	theirs   map[model.HostID][]uint64
+}
+
+func (r *recorder) with(f func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f()
+}
+
+func (r *recorder) State() (s State)         { r.with(func() { s = r.state }); return s }
+func (r *recorder) PeerState(Host, State)    {}
+func (r *recorder) Outstanding() []uint64    { return r.own }
+func (r *recorder) Loads() []*gen.ServerLoad { return r.loads }
+func (r *recorder) Gone(h model.HostID)      { r.with(func() { r.gone = append(r.gone, h) }) }
+func (r *recorder) Loaded(l []*gen.ServerLoad) {
+	r.with(func() { r.got = append(r.got, l...) })
+}
+func (r *recorder) Observed(h model.HostID, o *gen.Observation) {
+	r.with(func() { r.observed = append(r.observed, fmt.Sprint(h, "/", o.Attempt)) })
+}
+func (r *recorder) PeerOutstanding(h model.HostID, numbers []uint64) {
+	r.with(func() { r.theirs[h] = numbers })
+}
+
+// node is a link with its handler.
+type node struct {
+	*Link
+	*recorder
+	stop context.CancelFunc
+}
+
+func start(t *testing.T, id string, dc model.DataCentre) *node {
+	t.Helper()
+	g := NewWithT(t)
+	address, err := standin.FreeAddress()
+	g.Expect(err).NotTo(HaveOccurred())
+	return startAt(t, id, dc, address, "1")
+}
+
+func startAt(t *testing.T, id string, dc model.DataCentre, address string, incarnation model.Incarnation) *node {
+	t.Helper()
+	g := NewWithT(t)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	r := &recorder{theirs: map[model.HostID][]uint64{}}
+	l, err := Listen(Host{ID: model.HostID(id), DataCentre: dc, Region: "r", Address: address}, incarnation, r, log)
+	g.Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- kernel.RunDuties(ctx, l.Duties()...) }()
+	var once sync.Once
+	stop := func() { once.Do(func() { cancel(); <-done }) }
+	t.Cleanup(stop)
+	return &node{Link: l, recorder: r, stop: stop}
+}
+
+// Guards against daemons that do not find each other when only one of them knows
+// the other, and against observations that are not passed on.
+func TestObservationsReachTheDataCentre(t *testing.T) {
+	g := NewWithT(t)
+	a, b, far := start(t, "a", "x"), start(t, "b", "x"), start(t, "c", "y")
+	a.Learn([]Host{b.self, far.self})
+	g.Eventually(func() int { return a.Live() + b.Live() }).WithTimeout(2 * time.Second).Should(Equal(4))
+	b.own = []uint64{7, 9}
+	b.Observe(&gen.Observation{Kind: gen.Observation_KIND_FAILED, Attempt: 3})
+	g.Eventually(func() (got []string) {
+		a.with(func() { got = append(got, a.observed...) })
+		return got
+	}).WithTimeout(time.Second).Should(ConsistOf("b/3"))
+	g.Eventually(func() (got []uint64) {
+		a.with(func() { got = a.theirs["b"] })
+		return got
+	}).WithTimeout(time.Second).Should(Equal([]uint64{7, 9}))
+	far.with(func() { g.Expect(far.observed).To(BeEmpty()) })
+}
+
+// Guards against more or fewer than one relay, and against a relay that has gone
+// or is leaving.
+func TestOneRelay(t *testing.T) {
+	g := NewWithT(t)
+	nodes := []*node{start(t, "a", "x"), start(t, "b", "x"), start(t, "c", "x")}
+	var hosts []Host
+	for _, n := range nodes {
+		hosts = append(hosts, n.self)
+	}
+	for _, n := range nodes {
+		n.Learn(hosts)
+	}
+	relays := func(of []*node) int {
+		count := 0
+		for _, n := range of {
+			if n.Rank() == 0 {
+				count++
+			}
+		}
+		return count
+	}
+	g.Eventually(func() int { return nodes[0].Live() + nodes[1].Live() + nodes[2].Live() }).WithTimeout(2 * time.Second).Should(Equal(9))
+	g.Expect(relays(nodes)).To(Equal(1))
+	var rest []*node
+	for _, n := range nodes {
+		if n.Rank() == 0 {
+			n.with(func() { n.state.Leaving = true })
+			n.Announce()
+		} else {
+			rest = append(rest, n)
+		}
+	}
+	g.Eventually(func() int { return relays(rest) }).WithTimeout(500 * time.Millisecond).Should(Equal(1))
+	for _, n := range rest {
+		if n.Rank() == 0 {
+			n.stop()
+		}
+	}
+	g.Eventually(func() int { return min(rest[0].Rank(), rest[1].Rank()) }).WithTimeout(2 * time.Second).Should(Equal(0))
+}
+
+// Guards against attempts of an ended process that count for ever.
+func TestRestartIsNoticed(t *testing.T) {
+	g := NewWithT(t)
+	a, b := start(t, "a", "x"), start(t, "b", "x")
+	a.Learn([]Host{b.self})
+	g.Eventually(a.Live).WithTimeout(2 * time.Second).Should(Equal(2))
+	b.stop()
+	again := startAt(t, "b", "x", b.self.Address, "2")
+	again.Learn([]Host{a.self})
+	g.Eventually(func() (gone []model.HostID) {
+		a.with(func() { gone = append(gone, a.recorder.gone...) })
+		return gone
+	}).WithTimeout(3 * time.Second).Should(ContainElement(model.HostID("b")))
+}
+
+// Guards against digests that reach only one daemon of a data centre.
+func TestDigestsSpread(t *testing.T) {
+	g := NewWithT(t)
+	a, b, c, d := start(t, "a", "x"), start(t, "b", "y"), start(t, "c", "y"), start(t, "d", "y")
+	hosts := []Host{a.self, b.self, c.self, d.self}
+	a.loads = []*gen.ServerLoad{{Server: 5, Outstanding: 1, Failing: 900}}
+	for _, n := range []*node{a, b, c, d} {
+		n.Learn(hosts)
+	}
+	for _, n := range []*node{b, c, d} {
+		g.Eventually(func() (count int) {
+			n.with(func() { count = len(n.got) })
+			return count
+		}).WithTimeout(3 * time.Second).Should(BeNumerically(">", 0))
+	}
+}
