--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -226,6 +226,21 @@
 	})
 }
 
+// Guards against a data centre whose daemons all ask a store that is away.
+func TestOthersBackOff(t *testing.T) {
+	follow(t, 5, func(g *WithT, f *fakeSource, k *Keeper) {
+		f.set(func() { f.fail, f.calls = errDown, 0 })
+		time.Sleep(12 * time.Second)
+		// Two kinds, each asked after 1.7, 3.2, 6.2 and 12.2 s.
+		g.Expect(f.calls).To(And(BeNumerically(">=", 4), BeNumerically("<=", 8)))
+	})
+	follow(t, 0, func(g *WithT, f *fakeSource, k *Keeper) {
+		f.set(func() { f.fail, f.calls = errDown, 0 })
+		time.Sleep(12 * time.Second)
+		g.Expect(f.calls).To(BeNumerically(">", 40))
+	})
+}
+
 // Guards against a watch on a connection that has gone silent.
 func TestSilentWatch(t *testing.T) {
 	follow(t, 0, func(g *WithT, f *fakeSource, k *Keeper) {
--- a/catalog/follower.go
+++ b/catalog/follower.go
@@ -19,9 +19,15 @@
 	readTimeout = 700 * time.Millisecond
 	// batchDelay is the pause after a change, so that changes in quick
 	// succession cost one call.
-	batchDelay = 60 * time.Millisecond
-	// retryDelay is the pause after a failed call.
+	batchDelay = 200 * time.Millisecond
+	// retryDelay is the pause of the relay and of the next in rank after a
+	// failed call.
 	retryDelay = 250 * time.Millisecond
+	// backoffMin is the first pause of the others, which doubles with each
+	// failure up to backoffMax. Each call is priced, also while the store is
+	// away, and one daemon that reaches it serves the data centre.
+	backoffMin = 1500 * time.Millisecond
+	backoffMax = 6 * time.Second
 	// pollDelay is how often a daemon looks whether it has to ask the store.
 	pollDelay = 50 * time.Millisecond
 	// staleAfter is the age of the last confirmation from which daemons other
@@ -79,6 +85,8 @@
 	read bool
 	// failing is when the calls began to fail; zero while they succeed.
 	failing time.Time
+	// failures counts the failed calls in a row.
+	failures int
 	// outageEnd is when the last long outage ended.
 	outageEnd time.Time
 }
@@ -118,7 +126,7 @@
 			}
 			l.failing = time.Time{}
 		}
-		l.read = false
+		l.read, l.failures = false, 0
 		return 0
 	case ctx.Err() != nil:
 		return 0
@@ -135,9 +143,23 @@
 		l.failing = now
 		l.follower.log.WithFields(telemetry.Fields{"event": "store_lost", "kind": l.kind, "age": l.age(now).Round(time.Millisecond)}).WithError(err).Warn("the store cannot be read")
 	}
-	return retryDelay
+	return l.backoff()
 }
 
+// backoff returns the pause after a failed call. A daemon without content serves
+// nobody and does not back off.
+func (l *loop) backoff() time.Duration {
+	if l.follower.rank() < relayCandidates || l.age(time.Now()) >= never {
+		return retryDelay
+	}
+	l.failures++
+	return min(backoffMax, backoffMin<<min(l.failures-1, 8))
+}
+
+// relayCandidates is the number of daemons that look for the store's return
+// without backing off.
+const relayCandidates = 2
+
 func (f *Follower) stepConfig(ctx context.Context, l *loop) error {
 	cursor := f.keeper.cursorOfConfig()
 	began := time.Now()
