--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -332,3 +332,18 @@
 	b.now = b.now.Add(11 * time.Second)
 	g.Expect(b.table.AllowRepeat(b.now, registry, true)).To(BeTrue())
 }
+
+// Guards against every daemon finding out for itself that an address was reused.
+func TestMisdirectedIsShared(t *testing.T) {
+	g := NewWithT(t)
+	b := newBench(local(2)...)
+	b.run(2, balance.Failed, time.Millisecond)
+	b.table.Finished(b.now, 1, balance.AttemptKey{Host: "h2", Number: 1}, balance.Misdirected, time.Millisecond)
+	b.run(2, balance.Succeeded, time.Millisecond)
+	b.run(2, balance.Succeeded, time.Millisecond)
+	for i := range 10 {
+		q := write()
+		q.Tiebreak = uint64(i)
+		g.Expect(b.choose(q).Server.ID).To(Equal(model.ServerID("i-2")))
+	}
+}
--- a/core/balance/observe.go
+++ b/core/balance/observe.go
@@ -21,6 +21,8 @@
 	stallMin    = 500 * time.Millisecond
 	// stallRatio is how much likelier such an attempt is at a failing server.
 	stallRatio = 6
+	// misdirectedHold outlasts the entry of a server whose address was reused.
+	misdirectedHold = 10 * time.Second
 	// shedPause is how long a server that shed a request is passed over; it
 	// doubles with each shed in a row up to shedPauseMax.
 	shedPause    = 40 * time.Millisecond
@@ -37,6 +39,8 @@
 	Failed
 	// Shed: the server refused without running the request.
 	Shed
+	// Misdirected: another server has the address.
+	Misdirected
 	// Abandoned: this side ended the attempt; it says nothing about the server.
 	Abandoned
 )
@@ -90,6 +94,8 @@
 	case Shed:
 		s.shedUntil = now.Add(min(shedPauseMax, shedPause<<min(s.sheds, 8)))
 		s.sheds++
+	case Misdirected:
+		s.unreachableUntil = now.Add(misdirectedHold)
 	case Abandoned:
 	}
 	return Change{Server: s.ID, Before: before, After: t.opts.Model.At(s.belief, now)}
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -36,8 +36,6 @@
 	refusalPause = 50 * time.Millisecond
 	// unreachableHold is how long a path counts as doubtful after a failed dial.
 	unreachableHold = 4 * time.Second
-	// misdirectedHold outlasts the entry of a server whose address was reused.
-	misdirectedHold = 10 * time.Second
 )
 
 // flight is one request on its way.
@@ -244,11 +242,12 @@
 	delete(f.active, r.number)
 	f.node.state.end(r)
 	f.note(r)
-	if r.verdict == Unconnected {
+	// A server that is not the one asked for, or cannot be reached, is none of
+	// the servers that max_attempts counts.
+	if r.verdict == Unconnected || r.verdict == Misdirected {
 		f.sent--
-	} else {
-		f.arrived = true
 	}
+	f.arrived = f.arrived || r.verdict != Unconnected
 	f.mayRun = f.mayRun || r.verdict.ran()
 	if r.verdict == Usable {
 		return r.resp, true
--- a/edge/forward_test.go
+++ b/edge/forward_test.go
@@ -331,3 +331,18 @@
 	}
 	s.g.Expect(arrivals - n).To(And(BeNumerically(">", 5), BeNumerically("<=", 0.2*n+10)))
 }
+
+// Guards against reused addresses that use up a request's attempts.
+func TestMisdirectedIsNoAttempt(t *testing.T) {
+	s := newSite(t)
+	s.configure(2*time.Second, "")
+	good := s.server("i-1", service)
+	for i := range 3 {
+		spec, status := good.Entry(service, zone, "in_service", 2)
+		s.store.Put("servers", fmt.Sprint("i-gone-", i), spec, status)
+	}
+	d := s.ready(s.daemon(s.settings("h1")))
+	for i := range 5 {
+		s.g.Expect(s.write(d, fmt.Sprint("w", i)).status).To(Equal(http.StatusOK))
+	}
+}
--- a/edge/state.go
+++ b/edge/state.go
@@ -85,7 +85,7 @@
 	Usable:        {gen.Observation_KIND_SUCCEEDED, balance.Succeeded},
 	ServerFailure: {gen.Observation_KIND_FAILED, balance.Failed},
 	Refused:       {gen.Observation_KIND_SHED, balance.Shed},
-	Misdirected:   {gen.Observation_KIND_ABANDONED, balance.Abandoned},
+	Misdirected:   {gen.Observation_KIND_MISDIRECTED, balance.Misdirected},
 	Foreign:       {gen.Observation_KIND_FAILED, balance.Failed},
 	Spoilt:        {gen.Observation_KIND_FAILED, balance.Failed},
 	Broken:        {gen.Observation_KIND_FAILED, balance.Failed},
@@ -101,11 +101,8 @@
 	now := time.Now()
 	delete(s.own, r.number)
 	change := s.table.Finished(now, key, balance.AttemptKey{Host: s.self, Number: r.number}, o.result, r.latency)
-	switch r.verdict {
-	case Unconnected:
+	if r.verdict == Unconnected {
 		s.table.Unreachable(now, key, unreachableHold)
-	case Misdirected:
-		s.table.Unreachable(now, key, misdirectedHold)
 	}
 	s.mu.Unlock()
 	s.logChange(change, r.verdict.String(), s.self)
@@ -114,10 +111,11 @@
 
 // results maps what another daemon observed.
 var results = map[gen.Observation_Kind]balance.Result{
-	gen.Observation_KIND_SUCCEEDED: balance.Succeeded,
-	gen.Observation_KIND_FAILED:    balance.Failed,
-	gen.Observation_KIND_SHED:      balance.Shed,
-	gen.Observation_KIND_ABANDONED: balance.Abandoned,
+	gen.Observation_KIND_SUCCEEDED:   balance.Succeeded,
+	gen.Observation_KIND_FAILED:      balance.Failed,
+	gen.Observation_KIND_SHED:        balance.Shed,
+	gen.Observation_KIND_ABANDONED:   balance.Abandoned,
+	gen.Observation_KIND_MISDIRECTED: balance.Misdirected,
 }
 
 // observed records what another daemon of the data centre observed.
