balance: the window of repeats covers the whole span

Repeats are now counted over 10.5 s, and 0.88 of the budget is spent. TestBudgetHoldsInEveryWindow failed before (161 repeats for 704 requests) and passes now.

--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -347,3 +347,41 @@
 		g.Expect(b.choose(q).Server.ID).To(Equal(model.ServerID("i-2")))
 	}
 }
+
+// Guards against a window that is shorter than the bound's: any span of ten
+// seconds has to keep the budget, however the repeats are spread.
+func TestBudgetHoldsInEveryWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := newBench(local(1)...)
+		var arrivals, repeats []time.Time
+		for range 1500 {
+			b.now = b.now.Add(time.Duration(rapid.IntRange(5, 30).Draw(t, "gap")) * time.Millisecond)
+			b.next++
+			arrivals = append(arrivals, b.now)
+			b.table.Started(b.now, 1, balance.AttemptKey{Host: self, Number: b.next}, false)
+			if b.table.AllowRepeat(b.now, registry, false) {
+				b.next++
+				repeats = append(repeats, b.now)
+				b.table.Started(b.now, 1, balance.AttemptKey{Host: self, Number: b.next}, true)
+			}
+		}
+		const span = 10 * time.Second
+		within := func(list []time.Time, from time.Time) (n int) {
+			for _, at := range list {
+				if !at.Before(from) && at.Before(from.Add(span)) {
+					n++
+				}
+			}
+			return n
+		}
+		for i, from := range repeats {
+			if i%50 != 0 || from.Add(span).After(b.now) {
+				continue
+			}
+			n, requests := within(repeats, from), max(within(arrivals, from), within(arrivals, from.Add(-span/2)), within(arrivals, from.Add(-span)))
+			if float64(n) > 0.2*float64(requests)+20 {
+				t.Fatalf("%d repeats for %d requests", n, requests)
+			}
+		}
+	})
+}
--- a/core/balance/choose.go
+++ b/core/balance/choose.go
@@ -244,7 +244,7 @@
 const (
 	// budgetMargin is the part of the retry budget that is spent; the rest
 	// covers attempts of other daemons that have not been heard of yet.
-	budgetMargin = 0.9
+	budgetMargin = 0.88
 	// repeatableShare is the part of that which idempotent requests may use, so
 	// that some is left for requests that a server refused and that have no
 	// other way to be served.
--- a/core/balance/table.go
+++ b/core/balance/table.go
@@ -144,7 +144,7 @@
 func (t *Table) SetBudget(b Budget) {
 	if b.Window != t.opts.Budget.Window {
 		for _, s := range t.services {
-			s.arrivals, s.repeats = window{span: b.Window}, window{span: b.Window}
+			s.arrivals, s.repeats = window{span: b.Window}, longWindow(b.Window)
 		}
 	}
 	t.opts.Budget = b
@@ -153,7 +153,7 @@
 func (t *Table) service(name model.ServiceName) *service {
 	s, ok := t.services[name]
 	if !ok {
-		s = &service{arrivals: window{span: t.opts.Budget.Window}, repeats: window{span: t.opts.Budget.Window}}
+		s = &service{arrivals: window{span: t.opts.Budget.Window}, repeats: longWindow(t.opts.Budget.Window)}
 		t.services[name] = s
 	}
 	return s
--- a/core/balance/window.go
+++ b/core/balance/window.go
@@ -5,7 +5,11 @@
 // windowParts is the resolution of a sliding window.
 const windowParts = 20
 
-// window counts events over the last span, by the monotonic clock.
+// longWindow returns a window that covers at least the span: one part more.
+func longWindow(span time.Duration) window { return window{span: span + span/windowParts} }
+
+// window counts events over the last span, by the monotonic clock. It covers
+// between 19 parts of 20 and the whole span.
 type window struct {
 	span  time.Duration
 	start time.Time
