--- /dev/null
+++ b/soak/world_test.go
@@ -0,0 +1,199 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/agateusher/agateusher/core/model"
+	"github.com/agateusher/agateusher/edge"
+	"github.com/agateusher/agateusher/settings"
+	"github.com/agateusher/agateusher/standin"
+	"github.com/agateusher/agateusher/standin/consortium"
+	"github.com/agateusher/agateusher/standin/relay"
+)
+
+const (
+	service     = "registry"
+	dataCentre  = "zone-a"
+	daemonCount = 4
+	serverCount = 5
+	// grace is the time that a planned stop may take.
+	grace = 4 * time.Second
+	// routeTimeout is the longest time that a request may be kept waiting.
+	routeTimeout = 1500 * time.Millisecond
+)
+
+// world is one deployment under test.
+type world struct {
+	t       *testing.T
+	random  *rand.Rand
+	program string
+	dir     string
+	store   *consortium.Store
+	link    *relay.Relay // between the daemons and the store
+	servers []*backend
+	daemons []*process
+	epoch   int
+}
+
+// backend is a backend server behind a relay.
+type backend struct {
+	*consortium.Server
+	link *relay.Relay
+}
+
+// process is one daemon and its current incarnation.
+type process struct {
+	settings edge.Settings
+	path     string
+	log      *os.File
+
+	mu  sync.Mutex
+	cmd *exec.Cmd
+	// disturbedUntil is the time until which its callers may see it fail.
+	disturbedUntil time.Time
+	ended          chan struct{}
+}
+
+func newWorld(t *testing.T, program string, seed uint64) *world {
+	t.Helper()
+	w := &world{t: t, random: rand.New(rand.NewPCG(seed, seed)), program: program, dir: t.TempDir()}
+	store, err := consortium.NewStore()
+	w.must(err)
+	t.Cleanup(store.Close)
+	w.store = store
+	w.link = w.relay(store.Address(), seed)
+	w.configure()
+	for i := range serverCount {
+		w.addServer(i, seed)
+	}
+	for i := range daemonCount {
+		w.addDaemon(i)
+	}
+	return w
+}
+
+func (w *world) must(err error) {
+	w.t.Helper()
+	if err != nil {
+		w.t.Fatal(err)
+	}
+}
+
+func (w *world) relay(target string, seed uint64) *relay.Relay {
+	r, err := relay.New(target, seed)
+	w.must(err)
+	w.t.Cleanup(r.Close)
+	return r
+}
+
+func (w *world) configure() {
+	w.epoch += 1 + w.random.IntN(4)
+	route := `{"host":"api.example","path_prefix":"/%s/","route_type":%q,"timeout_ms":%d,"target_latency_ms":400,"priority":1,"service":"registry","max_attempts":2}`
+	ms := routeTimeout.Milliseconds()
+	w.store.Put("config", "main", fmt.Sprintf(`{"version":%d,"routes":{"r":`+route+`,"w":`+route+`},"limits":{"max_header_bytes":8192,"max_body_bytes":65536,"header_timeout_ms":1000,"idle_timeout_ms":5000}}`,
+		w.epoch, "read", "idempotent", ms, "write", "non_idempotent", ms), "")
+}
+
+func (w *world) addServer(i int, seed uint64) {
+	server, err := consortium.NewServer(fmt.Sprint("i-", i), int64(seed)+1)
+	w.must(err)
+	w.t.Cleanup(server.Close)
+	server.SetWork(30 * time.Millisecond)
+	b := &backend{Server: server, link: w.relay(server.Address(), seed+uint64(i))}
+	w.servers = append(w.servers, b)
+	w.register(b, "in_service")
+}
+
+func (w *world) register(b *backend, state string) {
+	spec := fmt.Sprintf(`{"address":%q,"born":%d,"info":{"service":%q,"version":"v1","zone":%q,"capacity":2}}`, b.link.Address(), b.Born, service, dataCentre)
+	w.store.Put("servers", b.ID, spec, fmt.Sprintf(`{"state":%q,"sequence":1,"warmup_left_ms":0}`, state))
+}
+
+func (w *world) addDaemon(i int) {
+	s := edge.DefaultSettings()
+	s.Host = edge.HostSettings{ID: model.HostID(fmt.Sprint("h", i)), DataCentre: dataCentre, Region: "r"}
+	for _, address := range []*string{&s.Listeners.Caller, &s.Listeners.Ready, &s.Listeners.Admin, &s.Listeners.Fleet} {
+		free, err := standin.FreeAddress()
+		w.must(err)
+		*address = free
+	}
+	s.Store, s.Regions = w.link.Address(), map[model.DataCentre]model.Region{dataCentre: "r"}
+	s.Stop = edge.StopSettings{Grace: settings.Duration(grace), Notice: settings.Duration(800 * time.Millisecond)}
+	p := &process{settings: s, path: filepath.Join(w.dir, string(s.Host.ID)+".jsonc")}
+	data, err := json.Marshal(s)
+	w.must(err)
+	w.must(os.WriteFile(p.path, data, 0o600))
+	p.log, err = os.Create(filepath.Join(w.dir, string(s.Host.ID)+".log"))
+	w.must(err)
+	w.daemons = append(w.daemons, p)
+	w.start(p)
+	w.t.Cleanup(func() {
+		p.signal(syscall.SIGCONT)
+		p.signal(syscall.SIGKILL)
+		<-p.current()
+		_ = p.log.Close()
+	})
+}
+
+// start runs a daemon and starts it again whenever it ends.
+func (w *world) start(p *process) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cmd = exec.Command(w.program, "--settings", p.path)
+	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
+	w.must(p.cmd.Start())
+	p.ended = make(chan struct{})
+	go func(cmd *exec.Cmd, ended chan struct{}) {
+		_ = cmd.Wait() // killed processes end with an error
+		close(ended)
+	}(p.cmd, p.ended)
+}
+
+func (p *process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.cmd.Process.Signal(s) // it may have ended
+}
+
+func (p *process) current() chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ended
+}
+
+// disturb allows the callers of a daemon to see it fail for a while.
+func (p *process) disturb(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if until := time.Now().Add(d); until.After(p.disturbedUntil) {
+		p.disturbedUntil = until
+	}
+}
+
+func (p *process) disturbed(since time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return since.Before(p.disturbedUntil)
+}
+
+// keepLogs copies the logs of a failed run to a directory that outlives it.
+func (w *world) keepLogs(seed uint64) {
+	if !w.t.Failed() {
+		return
+	}
+	kept := filepath.Join(os.TempDir(), fmt.Sprint("usher-soak-", seed))
+	if err := os.CopyFS(kept, os.DirFS(w.dir)); err != nil {
+		w.t.Log("the logs could not be kept:", err)
+		return
+	}
+	w.t.Log("logs kept in", kept)
+}
