--- a/cli/cli.go
+++ b/cli/cli.go
@@ -109,6 +109,9 @@
 	if _, err := parser.ParseArgs(args); err != nil {
 		return err
 	}
+	if c, ok := chosen.(*explainCommand); ok {
+		return c.run(ctx, &session{Streams: streams})
+	}
 	s, err := newSession(global, streams)
 	if err != nil {
 		return err
--- a/cli/commands.go
+++ b/cli/commands.go
@@ -19,6 +19,7 @@
 		{"eject", "Take a backend server out of service, if the floor allows", ejectHelp, &stateCommand{action: eject}},
 		{"readmit", "Return a backend server to service", readmitHelp, &stateCommand{action: readmit}},
 		{"report", "Print a daily report as CSV", reportHelp, &reportCommand{}},
+		{"explain", "Explain one request from logs of usher-edge", explainHelp, &explainCommand{}},
 	}
 }
 
--- a/edge/conn.go
+++ b/edge/conn.go
@@ -26,6 +26,9 @@
 	writeTimeout = 10 * time.Second
 	// bodyTimeout bounds the reading of a body.
 	bodyTimeout = 20 * time.Second
+	// stopWait is how long a connection is read at the end of a planned stop: a
+	// request that has arrived by then is still served.
+	stopWait = 5 * time.Millisecond
 	// lingerTime is how long a closed connection is read, so that the caller's
 	// unread bytes do not reset it before the answer has arrived.
 	lingerTime = 500 * time.Millisecond
@@ -52,7 +55,7 @@
 	inflight int
 	// reading is set from the first byte of a request to its last.
 	reading bool
-	// stopping is set when no further request may be read.
+	// stopping is set when no further request is waited for.
 	stopping bool
 	// closing is set once an answer has announced the end of the connection.
 	closing bool
@@ -97,11 +100,7 @@
 		node: n, socket: socket, limit: limit, reader: bufio.NewReaderSize(limit, readBuffer),
 		queue: make(chan *pending, maxPipelined), cancel: cancel,
 	}
-	if !n.addConn(c) {
-		_ = socket.Close()
-		cancel()
-		return
-	}
+	n.addConn(c)
 	defer n.removeConn(c)
 	defer cancel()
 	finished := make(chan struct{})
@@ -144,13 +143,13 @@
 	c.limit.left = -1
 	last := time.Now()
 	for {
-		if c.ending() {
-			return false
+		wait, stopping := idle, c.isStopping()
+		if stopping {
+			wait = stopWait
 		}
-		_ = c.socket.SetReadDeadline(time.Now().Add(idle))
-		if c.ending() {
-			// stop may have set its deadline before the line above.
-			return false
+		_ = c.socket.SetReadDeadline(time.Now().Add(wait))
+		if !stopping && c.isStopping() {
+			continue // stop may have set its deadline before the line above
 		}
 		_, err := c.reader.Peek(1)
 		if err == nil {
@@ -160,6 +159,9 @@
 			c.cancel()
 			return false
 		}
+		if stopping || c.isClosing() {
+			return false
+		}
 		if c.busy() {
 			last = time.Now()
 		} else if time.Since(last) >= idle {
@@ -243,7 +245,7 @@
 func (c *conn) beginReading() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closing || c.stopping {
+	if c.closing {
 		return false
 	}
 	c.reading = true
@@ -266,10 +268,16 @@
 	return true
 }
 
-func (c *conn) ending() bool {
+func (c *conn) isStopping() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.closing || c.stopping
+	return c.stopping
+}
+
+func (c *conn) isClosing() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closing
 }
 
 func (c *conn) busy() bool {
--- a/edge/node.go
+++ b/edge/node.go
@@ -192,14 +192,11 @@
 	}
 }
 
-func (n *Node) addConn(c *conn) bool {
+func (n *Node) addConn(c *conn) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.stopped {
-		return false
-	}
+	c.stopping = n.stopped
 	n.conns[c] = struct{}{}
-	return true
 }
 
 func (n *Node) removeConn(c *conn) {
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -61,6 +61,8 @@
 	// disturbedUntil is the time until which its callers may see it fail.
 	disturbedUntil time.Time
 	ended          chan struct{}
+	// stopping is when the last planned stop began.
+	stopping time.Time
 }
 
 func newWorld(t *testing.T, program string, seed uint64) *world {
@@ -185,6 +187,18 @@
 	return since.Before(p.disturbedUntil)
 }
 
+// stoppingAt reports whether a request that began at a time can meet the end of
+// a planned stop.
+func (p *process) stoppingAt(began time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	since := began.Sub(p.stopping)
+	return since > p.settings.Stop.Notice.Std()-stopSlack && since < grace
+}
+
+// stopSlack covers the delivery of the signal.
+const stopSlack = 50 * time.Millisecond
+
 // keepLogs copies the logs of a failed run to a directory that outlives it.
 func (w *world) keepLogs(seed uint64) {
 	if !w.t.Failed() {
