catalog: pass views on one at a time; edge: return a server's own failure

- Configuration and servers are followed by two goroutines, and each passed on a view that it had made without a lock: an older view could be the last one, and a daemon was without servers until the next change.
TestViewsMoveForward failed before.
- A server's own failure was replaced by 502 if no second server could be tried (TestServersFailureIsReturned).
- Requests without a route or a configuration have a line in the log.

--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"maps"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -161,6 +162,12 @@
 	return events, f.revision, nil
 }
 
+func (f *fakeSource) called() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.calls
+}
+
 // set changes the fake under its lock.
 func (f *fakeSource) set(change func()) {
 	f.mu.Lock()
@@ -213,13 +220,13 @@
 // when their relay is silent.
 func TestOthersAskOnlyWhenOverdue(t *testing.T) {
 	follow(t, 3, func(g *WithT, f *fakeSource, k *Keeper) {
-		before := f.calls
+		before := f.called()
 		for range 20 {
 			time.Sleep(100 * time.Millisecond)
 			epoch, revision := k.Versions()
 			k.Confirm(epoch, revision, time.Now())
 		}
-		g.Expect(f.calls).To(Equal(before))
+		g.Expect(f.called()).To(Equal(before))
 		f.set(func() { f.epoch, f.revision = 2, 11 })
 		time.Sleep(2200 * time.Millisecond)
 		g.Expect(k.View().Epoch()).To(Equal(model.Epoch(2)))
@@ -232,12 +239,12 @@
 		f.set(func() { f.fail, f.calls = errDown, 0 })
 		time.Sleep(12 * time.Second)
 		// Two kinds, each asked after 1.7, 3.2, 6.2 and 12.2 s.
-		g.Expect(f.calls).To(And(BeNumerically(">=", 4), BeNumerically("<=", 8)))
+		g.Expect(f.called()).To(And(BeNumerically(">=", 4), BeNumerically("<=", 8)))
 	})
 	follow(t, 0, func(g *WithT, f *fakeSource, k *Keeper) {
 		f.set(func() { f.fail, f.calls = errDown, 0 })
 		time.Sleep(12 * time.Second)
-		g.Expect(f.calls).To(BeNumerically(">", 40))
+		g.Expect(f.called()).To(BeNumerically(">", 40))
 	})
 }
 
@@ -291,3 +298,42 @@
 		g.Expect(names(k)).To(ConsistOf("i-2"))
 	})
 }
+
+// Guards against a view that is passed on after a newer one: configuration and
+// servers are followed by goroutines of their own.
+func TestViewsMoveForward(t *testing.T) {
+	g := NewWithT(t)
+	var epoch model.Epoch
+	var revision Revision
+	backwards, together := 0, 0
+	var inside atomic.Int32
+	k := NewKeeper(func(v *View) {
+		if inside.Add(1) > 1 {
+			together++
+		}
+		defer inside.Add(-1)
+		if v.Epoch() < epoch || v.Revision < revision {
+			backwards++
+		}
+		// Gives the other goroutine time to pass a later view on.
+		time.Sleep(20 * time.Microsecond)
+		epoch, revision = max(epoch, v.Epoch()), max(revision, v.Revision)
+	})
+	var wg sync.WaitGroup
+	const changes = 2000
+	wg.Go(func() {
+		for i := range changes {
+			k.putConfig(&Config{Epoch: model.Epoch(i + 1)}, 0, time.Now())
+		}
+	})
+	wg.Go(func() {
+		for i := range changes {
+			k.putServers(map[string]*Server{}, Revision(i+1), 0, time.Now())
+		}
+	})
+	wg.Wait()
+	g.Expect(backwards).To(BeZero())
+	g.Expect(together).To(BeZero(), "views passed on at the same time")
+	g.Expect(epoch).To(Equal(model.Epoch(changes)))
+	g.Expect(revision).To(Equal(Revision(changes)))
+}
--- a/catalog/keeper.go
+++ b/catalog/keeper.go
@@ -41,8 +41,10 @@
 
 // Keeper holds the content. It is safe for concurrent use.
 type Keeper struct {
-	// Changed is called after each change, not concurrently.
-	changed func(*View)
+	// changed is called after each change, by one goroutine at a time and with
+	// views that only move forward.
+	changed    func(*View)
+	publishing sync.Mutex
 
 	mu           sync.Mutex
 	config       *Config
@@ -217,7 +219,12 @@
 }
 
 func (k *Keeper) publish() {
-	if k.changed != nil {
-		k.changed(k.View())
+	if k.changed == nil {
+		return
 	}
+	// The view is made under the lock: otherwise a view without the change of
+	// another goroutine could be the last one that is passed on.
+	k.publishing.Lock()
+	defer k.publishing.Unlock()
+	k.changed(k.View())
 }
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -72,12 +73,12 @@
 func (n *Node) serve(ctx context.Context, q *request) *response {
 	view := n.view.Load()
 	if view == nil || view.Config == nil {
-		return n.refuse(q, model.ReasonNoConfiguration)
+		return n.unrouted(q, 0, n.refuse(q, model.ReasonNoConfiguration), model.ReasonNoConfiguration)
 	}
 	path, _, _ := strings.Cut(q.target, "?")
 	route, ok := view.Routes.Match(q.host, path)
 	if !ok {
-		return n.own(q, http.StatusNotFound, model.ReasonNoRoute)
+		return n.unrouted(q, view.Epoch(), n.own(q, http.StatusNotFound, model.ReasonNoRoute), model.ReasonNoRoute)
 	}
 	timeout := route.Timeout
 	if timeout <= 0 {
@@ -152,7 +153,7 @@
 // late, and servers that are nearly full work more slowly.
 func (f *flight) queueLimit() time.Duration {
 	if f.route.Target <= 0 || f.arrived {
-		return f.route.Timeout
+		return math.MaxInt64
 	}
 	factor := queueFactor
 	if f.route.Repeatable {
@@ -298,7 +299,7 @@
 // fail returns the answer of a request that no server answered.
 func (f *flight) fail() *response {
 	switch {
-	case f.last != nil && f.reason == model.ReasonServerFailed:
+	case f.last != nil:
 		return f.last
 	case !f.mayRun && len(f.active) == 0:
 		return f.node.refuse(f.request, f.reason)
--- a/edge/forward_test.go
+++ b/edge/forward_test.go
@@ -346,3 +346,15 @@
 		s.g.Expect(s.write(d, fmt.Sprint("w", i)).status).To(Equal(http.StatusOK))
 	}
 }
+
+// Guards against a server's own failure being replaced by one of ours when no
+// second server may be tried.
+func TestServersFailureIsReturned(t *testing.T) {
+	s := newSite(t)
+	s.configure(2*time.Second, "")
+	s.server("i-1", service).Behave(all(consortium.Fail))
+	d := s.ready(s.daemon(s.settings("h1")))
+	a := s.read(d, "r")
+	s.g.Expect(a.status).To(Equal(http.StatusInternalServerError))
+	s.g.Expect(a.header.Get("Agateusher-Response-Signature")).NotTo(BeEmpty())
+}
--- a/edge/requestlog.go
+++ b/edge/requestlog.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/agateusher/agateusher/catalog"
+	"github.com/agateusher/agateusher/core/model"
 	"github.com/agateusher/agateusher/telemetry"
 )
 
@@ -51,3 +52,11 @@
 	}
 	n.requests.write(failed, "request answered", fields)
 }
+
+// unrouted writes the line of a request that no route was found for.
+func (n *Node) unrouted(q *request, epoch model.Epoch, resp *response, reason model.Reason) *response {
+	n.requests.write(true, "request answered", telemetry.Fields{
+		"event": "request", "id": q.id, "target_host": q.host, "path": q.target, "status": resp.status, "reason": reason, "epoch": epoch,
+	})
+	return resp
+}
