edge: a caller that leaves with a long pipeline does not leave its connection behind

Cause: the reader waited for room in the queue of answers, and the writer, which had ended, for the reader. TestLongPipelineIsAbandoned failed before.

--- a/edge/conn.go
+++ b/edge/conn.go
@@ -347,11 +347,12 @@
 		_ = tcp.CloseWrite()
 	}
 	_ = c.socket.SetReadDeadline(time.Now().Add(lingerTime))
+	// Requests that were read but not answered have lost their caller. The
+	// reader may wait for room in the queue.
+	for range c.queue {
+	}
 	<-read
 	_, _ = io.Copy(io.Discard, c.socket)
 	_ = c.socket.Close()
-	// Requests that were read but not answered have lost their caller.
 	c.cancel()
-	for range c.queue {
-	}
 }
--- a/edge/lifecycle_test.go
+++ b/edge/lifecycle_test.go
@@ -1,8 +1,10 @@
 package edge_test
 
 import (
+	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -127,3 +129,25 @@
 	}
 	s.g.Eventually(d2.log.String).WithTimeout(time.Second).Should(ContainSubstring("event=server_suspected evidence=peer"))
 }
+
+// Guards against a connection that stays for ever when its caller leaves with
+// more pipelined requests than are kept in progress.
+func TestLongPipelineIsAbandoned(t *testing.T) {
+	s := newSite(t)
+	s.configure(2*time.Second, "")
+	s.server("i-1", service).Behave(all(consortium.Hang))
+	d := s.ready(s.daemon(s.settings("h1")))
+	c := s.dial(d)
+	var text strings.Builder
+	for i := range 80 {
+		text.WriteString(request("GET", "/read/x", fmt.Sprint("p", i), "", ""))
+	}
+	c.send(text.String())
+	time.Sleep(200 * time.Millisecond)
+	s.g.Expect(c.Conn.(*net.TCPConn).SetLinger(0)).To(Succeed())
+	_ = c.Close()
+	time.Sleep(4 * time.Second)
+	d.stop()
+	s.g.Eventually(d.ended).WithTimeout(2 * time.Second).Should(Receive(BeNil()))
+	d.ended <- nil
+}
