edge: name unanswered attempts and the inputs of a queue refusal in request lines

Cause: a request that timed out showed no attempt in its line, so that its server could not be found, and a refusal for a long queue showed neither the server considered nor the expected time. TestTimedOutLineNamesServer and TestQueueFullLineHasItsInputs guard it.

--- a/edge/forward.go
+++ b/edge/forward.go
@@ -48,7 +48,7 @@
 	end     time.Time
 	results chan attemptResult
 
-	active  map[uint64]context.CancelFunc
+	active  map[uint64]activeAttempt
 	sent    int           // servers that were sent the request
 	passed  []balance.Key // servers that no attempt may go to
 	refused []balance.Key // servers that refused and may be asked again
@@ -60,6 +60,13 @@
 	notes   []string
 }
 
+// activeAttempt is an attempt whose end is not known yet.
+type activeAttempt struct {
+	choice balance.Choice
+	began  time.Time
+	cancel context.CancelFunc
+}
+
 type attemptResult struct {
 	number  uint64
 	choice  balance.Choice
@@ -89,7 +96,7 @@
 	}
 	f := &flight{
 		node: n, request: q, route: route, service: pickPart(route.Parts), end: q.received.Add(timeout - answerMargin),
-		results: make(chan attemptResult, maxDials+1), active: map[uint64]context.CancelFunc{},
+		results: make(chan attemptResult, maxDials+1), active: map[uint64]activeAttempt{},
 	}
 	resp := f.run(ctx)
 	n.finished(f, view, resp)
@@ -208,18 +215,22 @@
 
 // send starts an attempt at the server that a query chooses.
 func (f *flight) send(ctx context.Context, q balance.Query) bool {
-	choice, number, reason := f.node.state.begin(q, f.arrived, f.queueLimit())
+	limit := f.queueLimit()
+	choice, number, reason := f.node.state.begin(q, f.arrived, limit)
 	if reason != model.ReasonNone {
 		f.reason = reason
+		if reason == model.ReasonQueueFull {
+			f.noteQueueFull(choice, limit)
+		}
 		return false
 	}
 	f.dials++
 	f.passed = append(f.passed, choice.Server.Key)
 	attempt, cancel := context.WithDeadline(f.attemptContext(ctx), f.end)
-	f.active[number] = cancel
-	f.sent++
 	left := time.Until(f.end)
 	began := time.Now()
+	f.active[number] = activeAttempt{choice: choice, began: began, cancel: cancel}
+	f.sent++
 	go func() {
 		far := choice.Server.Region != f.node.settings.Host.Region
 		verdict, resp, err := f.node.exchanger.exchange(attempt, f.request, choice.Server, far, left)
@@ -239,7 +250,7 @@
 
 // handle takes the end of an attempt. It returns the answer if there is one.
 func (f *flight) handle(ctx context.Context, r attemptResult) (*response, bool) {
-	f.active[r.number]()
+	f.active[r.number].cancel()
 	delete(f.active, r.number)
 	f.node.state.end(r)
 	f.note(r)
@@ -316,8 +327,8 @@
 		return
 	}
 	if f.route.Repeatable || f.reason != model.ReasonCancelled {
-		for _, cancel := range f.active {
-			cancel()
+		for _, a := range f.active {
+			a.cancel()
 		}
 	}
 	go f.collect(len(f.active))
@@ -331,6 +342,6 @@
 			r.verdict = Cancelled
 		}
 		f.node.state.end(r)
-		f.active[r.number]()
+		f.active[r.number].cancel()
 	}
 }
--- a/edge/requestlog.go
+++ b/edge/requestlog.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/agateusher/agateusher/catalog"
+	"github.com/agateusher/agateusher/core/balance"
 	"github.com/agateusher/agateusher/core/model"
 	"github.com/agateusher/agateusher/telemetry"
 )
@@ -18,20 +19,37 @@
 	if r.resp != nil {
 		status = r.resp.status
 	}
-	text := string(r.choice.Server.ID) + ":" + r.verdict.String() + ":" + strconv.Itoa(status) +
-		":" + strconv.FormatInt(r.latency.Milliseconds(), 10) + "ms" +
-		":failing=" + strconv.FormatFloat(round3(r.choice.Failing), 'f', -1, 64) +
-		":evidence=" + strconv.FormatInt(r.choice.EvidenceAge.Milliseconds(), 10) + "ms" +
-		":outstanding=" + strconv.Itoa(r.choice.Outstanding) +
-		":cost=" + strconv.FormatFloat(round3(r.choice.Cost), 'f', -1, 64) +
-		":next=" + strconv.FormatFloat(round3(r.choice.RunnerUp), 'f', -1, 64) +
-		":of=" + strconv.Itoa(r.choice.Candidates)
-	if r.choice.Probe {
+	f.notes = append(f.notes, attemptNote(r.choice, r.verdict.String(), status, r.latency))
+}
+
+// noteQueueFull keeps why no server was sent the request: the best choice and
+// its expected time to an answer.
+func (f *flight) noteQueueFull(c balance.Choice, limit time.Duration) {
+	f.notes = append(f.notes, attemptNote(c, "queue-full", 0, 0)+
+		":expected="+milliseconds(c.Expected)+":limit="+milliseconds(limit))
+}
+
+// attemptNote describes an attempt and the choice behind it.
+func attemptNote(c balance.Choice, result string, status int, latency time.Duration) string {
+	text := string(c.Server.ID) + ":" + result + ":" + strconv.Itoa(status) +
+		":" + milliseconds(latency) +
+		":failing=" + strconv.FormatFloat(round3(c.Failing), 'f', -1, 64) +
+		":evidence=" + milliseconds(c.EvidenceAge) +
+		":outstanding=" + strconv.Itoa(c.Outstanding) +
+		":cost=" + strconv.FormatFloat(round3(c.Cost), 'f', -1, 64) +
+		":next=" + strconv.FormatFloat(round3(c.RunnerUp), 'f', -1, 64) +
+		":of=" + strconv.Itoa(c.Candidates)
+	if c.Probe {
 		text += ":probe"
 	}
-	f.notes = append(f.notes, text)
+	return text
 }
 
+func milliseconds(d time.Duration) string { return strconv.FormatInt(d.Milliseconds(), 10) + "ms" }
+
+// unanswered marks an attempt that had not ended when its request did.
+const unanswered = "unanswered"
+
 // finished writes the line of a request and records its latency.
 func (n *Node) finished(f *flight, v *catalog.View, resp *response) {
 	took := time.Since(f.request.received)
@@ -40,6 +58,9 @@
 	if !failed {
 		n.sizes.sample(f.route.Name, len(resp.body))
 	}
+	for _, a := range f.active {
+		f.notes = append(f.notes, attemptNote(a.choice, unanswered, 0, time.Since(a.began)))
+	}
 	fields := telemetry.Fields{
 		"event": "request", "id": f.request.id, "route": f.route.Name, "service": f.service, "status": resp.status,
 		"took": took.Round(time.Millisecond), "epoch": v.Epoch(), "revision": v.Revision, "attempts": strings.Join(f.notes, " "),
@@ -47,9 +68,6 @@
 	if f.reason != "" {
 		fields["reason"] = f.reason
 	}
-	if n := len(f.active); n > 0 {
-		fields["unanswered"] = n
-	}
 	n.requests.write(failed, "request answered", fields)
 }
 
--- /dev/null
+++ b/edge/requestlog_test.go
@@ -0,0 +1,44 @@
+package edge_test
+
+import (
+	"fmt"
+	"net/http"
+	"regexp"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/agateusher/agateusher/standin/consortium"
+)
+
+// line returns the log line of a request.
+func (d *daemon) line(id string) func() string {
+	pattern := regexp.MustCompile(`(?m)^.*event=request .*id=` + id + ` .*$`)
+	return func() string { return pattern.FindString(d.log.String()) }
+}
+
+// Guards against a time-out whose log line does not say which server was silent.
+func TestTimedOutLineNamesServer(t *testing.T) {
+	s := newSite(t)
+	s.configure(400*time.Millisecond, "")
+	s.server("i-1", service).Behave(all(consortium.Hang))
+	d := s.ready(s.daemon(s.settings("h1")))
+	s.g.Expect(s.write(d, "w").status).To(Equal(http.StatusGatewayTimeout))
+	s.g.Eventually(d.line("w")).Should(And(ContainSubstring("i-1:unanswered:0:"), ContainSubstring("reason=timeout")))
+}
+
+// Guards against a refusal for a long queue that does not say what was expected.
+func TestQueueFullLineHasItsInputs(t *testing.T) {
+	s := newSite(t)
+	s.configure(4*time.Second, "")
+	server := s.server("i-1", service)
+	server.SetWork(400 * time.Millisecond)
+	d := s.ready(s.daemon(s.settings("h1")))
+	s.write(d, "first")
+	for i := range 12 {
+		c := s.dial(d)
+		c.send(request("POST", "/write/x", fmt.Sprint("w", i), "payload", ""))
+	}
+	s.g.Eventually(d.log.String).WithTimeout(3 * time.Second).Should(MatchRegexp(`i-1:queue-full:\S*:outstanding=[1-9]\S*:expected=[1-9]\d+ms:limit=1100ms`))
+}
