balance: count load of other data centres; refuse by queue only, and earlier

Attempts of other data centres were not known, so that their queue counted as service time.

Change: digests carry each data centre's attempts at all servers, and their origin; service time comes from attempts that did not queue; a server with a free slot is never full; a full server costs as much as a refusal, so that the request goes to another data centre first; limits 1.1 and 0.8 times the target latency (2.2 and 1.6); a service without requests that must not repeat spends the whole retry budget on idempotent ones; a request in the first 0.5 s of a daemon waits for the first view.

TestBudget now makes its service one with requests that must not repeat, since half of the budget is kept for these only. Broken variants seen failing: TestIdleServersAreNeverFull, TestServiceTimeLeavesOutLoadOfOthers, TestLoadOfOtherDataCentres, TestSpillBeforeRefusal, TestRequestRightAfterStart.

--- a/catalog/keeper.go
+++ b/catalog/keeper.go
@@ -27,6 +27,9 @@
 	return v.Config.Epoch
 }
 
+// Complete reports whether there is a configuration and a set of servers.
+func (v *View) Complete() bool { return v.Config != nil && v.Revision > 0 }
+
 // Export is the whole content, for another daemon. Ages are relative to the
 // moment of the export.
 type Export struct {
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -258,9 +258,9 @@
 	for range 3 {
 		b.run(1, balance.Failed, time.Millisecond)
 	}
-	b.table.Reported(10, balance.Load{Failing: 0.05, At: b.now})
+	b.table.Reported(b.now, "b", map[balance.Key]balance.Load{10: {Failing: 0.05}})
 	g.Expect(b.choose(q).Server.ID).To(Equal(model.ServerID("near")))
-	b.table.Reported(10, balance.Load{Failing: 0.99, At: b.now})
+	b.table.Reported(b.now, "b", map[balance.Key]balance.Load{10: {Failing: 0.99}})
 	g.Expect(b.choose(q).Server.ID).To(Equal(model.ServerID("far")))
 }
 
@@ -307,6 +307,77 @@
 	g.Expect(b.table.Work(registry)).To(BeNumerically("~", 100*time.Millisecond, 30*time.Millisecond))
 }
 
+// Guards against a pool that refuses everything for ever once its estimate of the
+// service time is above the limit: without requests nothing corrects it.
+func TestIdleServersAreNeverFull(t *testing.T) {
+	g := NewWithT(t)
+	b := newBench(local(2)...)
+	for range 20 {
+		b.run(1, balance.Succeeded, 3*time.Second)
+		b.run(2, balance.Succeeded, 3*time.Second)
+	}
+	q := write()
+	q.Limit = time.Second
+	g.Expect(b.choose(q).Full).To(BeFalse())
+	for range 2 {
+		b.begin(1)
+		b.begin(2)
+	}
+	g.Expect(b.choose(q).Full).To(BeTrue())
+}
+
+// Guards against queueing behind requests of other data centres that raises the
+// estimate of the service time.
+func TestServiceTimeLeavesOutLoadOfOthers(t *testing.T) {
+	g := NewWithT(t)
+	b := newBench(local(1)...)
+	b.run(1, balance.Succeeded, 100*time.Millisecond)
+	for range 20 {
+		b.table.Reported(b.now, "b", map[balance.Key]balance.Load{1: {Outstanding: 6}})
+		b.run(1, balance.Succeeded, 350*time.Millisecond)
+	}
+	g.Expect(b.table.Work(registry)).To(BeNumerically("~", 100*time.Millisecond, 20*time.Millisecond))
+}
+
+// Guards against servers that seem free because their load comes from other data
+// centres, and against load that is counted after it has ended.
+func TestLoadOfOtherDataCentres(t *testing.T) {
+	g := NewWithT(t)
+	b := newBench(local(2)...)
+	b.run(1, balance.Succeeded, 100*time.Millisecond)
+	b.run(2, balance.Succeeded, 100*time.Millisecond)
+	b.table.Reported(b.now, "b", map[balance.Key]balance.Load{1: {Outstanding: 2}})
+	b.table.Reported(b.now, "c", map[balance.Key]balance.Load{1: {Outstanding: 1}})
+	for i := range 10 {
+		q := write()
+		q.Tiebreak = uint64(i)
+		g.Expect(b.choose(q).Server.ID).To(Equal(model.ServerID("i-2")))
+	}
+	only := balance.Query{Tried: []balance.Key{2}}
+	g.Expect(b.choose(only).Outstanding).To(Equal(3))
+	b.table.Reported(b.now, "b", nil)
+	g.Expect(b.choose(only).Outstanding).To(Equal(1))
+	b.now = b.now.Add(5 * time.Second)
+	g.Expect(b.choose(only).Outstanding).To(BeZero())
+}
+
+// Guards against a request that is refused although a server of another data
+// centre would answer in time.
+func TestSpillBeforeRefusal(t *testing.T) {
+	g := NewWithT(t)
+	servers := append(local(1), balance.Server{Key: 10, ID: "far", Service: registry, DataCentre: "c", Region: "s", Slots: 2})
+	b := newBench(servers...)
+	b.run(1, balance.Succeeded, 200*time.Millisecond)
+	for range 6 {
+		b.begin(1)
+	}
+	q := write()
+	q.Bytes, q.Limit = 5000, 500*time.Millisecond
+	c := b.choose(q)
+	g.Expect(c.Server.ID).To(Equal(model.ServerID("far")))
+	g.Expect(c.Full).To(BeFalse())
+}
+
 // Guards against arrivals beyond the budget, and against idempotent requests
 // that use up what refused ones need.
 func TestBudget(t *testing.T) {
@@ -324,6 +395,7 @@
 	for range 100 {
 		b.run(1, balance.Succeeded, time.Millisecond)
 	}
+	b.choose(write()) // the service has requests that must not repeat
 	idempotent := repeat(true)
 	others := repeat(false)
 	// The data centre's part of the slack is half of 40.
@@ -333,6 +405,30 @@
 	g.Expect(b.table.AllowRepeat(b.now, registry, true)).To(BeTrue())
 }
 
+// Guards against half of the budget being kept for requests that a service does
+// not have.
+func TestBudgetOfIdempotentService(t *testing.T) {
+	g := NewWithT(t)
+	spend := func(guarded bool) int {
+		b := newBench(local(2)...)
+		for range 100 {
+			b.run(1, balance.Succeeded, time.Millisecond)
+		}
+		if guarded {
+			b.choose(write())
+		}
+		n := 0
+		for ; b.table.AllowRepeat(b.now, registry, true) && n < 1000; n++ {
+			b.next++
+			b.table.Started(b.now, 1, balance.AttemptKey{Host: self, Number: b.next}, true)
+		}
+		return n
+	}
+	// Ratio 0.2 of 100 requests and half of the slack of 40.
+	g.Expect(spend(false)).To(And(BeNumerically(">", 30), BeNumerically("<=", 40)))
+	g.Expect(spend(true)).To(BeNumerically("<=", 20))
+}
+
 // Guards against every daemon finding out for itself that an address was reused.
 func TestMisdirectedIsShared(t *testing.T) {
 	g := NewWithT(t)
--- a/core/balance/choose.go
+++ b/core/balance/choose.go
@@ -41,6 +41,9 @@
 	Tried []Key
 	// Within limits the choice to these servers unless it is empty.
 	Within []Key
+	// Limit is the longest time to an answer that is worth waiting for a slot;
+	// zero: any.
+	Limit time.Duration
 	// Hedge marks an attempt beside one that is unanswered: only a server with
 	// a free slot that seems to serve will do.
 	Hedge bool
@@ -62,6 +65,9 @@
 	EvidenceAge time.Duration
 	// Probe marks an attempt that was sent to gather evidence.
 	Probe bool
+	// Full is set if the request would wait for a slot for longer than its
+	// limit.
+	Full bool
 	// Candidates is the number of servers considered.
 	Candidates int
 	// RunnerUp is the cost of the best other server; zero if there was none.
@@ -103,7 +109,7 @@
 	if q.Repeatable && q.Spare {
 		if s := t.probeTarget(now, group, q); s != nil {
 			c := t.describe(now, group, s, q)
-			c.Probe = true
+			c.Probe, c.Full = true, false
 			return c, true
 		}
 	}
@@ -136,7 +142,7 @@
 func (t *Table) probeTarget(now time.Time, group *service, q Query) *server {
 	// Evidence serves requests that must not repeat, as long as failed probes
 	// can be repeated.
-	renew := now.Sub(group.guarded) < guardedFor && t.budgetUsed(now, group) < probeShare
+	renew := group.isGuarded(now) && t.budgetUsed(now, group) < probeShare
 	var oldest *server
 	for _, s := range group.servers {
 		if s.DataCentre != t.opts.DataCentre || slices.Contains(q.Tried, s.Key) || s.outstanding > 0 ||
@@ -163,22 +169,25 @@
 }
 
 func (t *Table) describe(now time.Time, group *service, s *server, q Query) Choice {
-	c := Choice{Server: s.Server, Failing: t.opts.Model.At(s.belief, now), Outstanding: s.outstanding, EvidenceAge: -1, Candidates: len(group.servers)}
+	c := Choice{Server: s.Server, Failing: t.opts.Model.At(s.belief, now), Outstanding: s.load(now), EvidenceAge: -1, Candidates: len(group.servers)}
 	if !s.heard.IsZero() {
 		c.EvidenceAge = now.Sub(s.heard)
 	}
-	if remote := s.DataCentre != t.opts.DataCentre; remote {
-		if now.Sub(s.remote.At) < remoteLoadLifetime {
-			c.Outstanding += s.remote.Outstanding
-			if s.remote.At.After(s.heard) {
-				c.Failing = max(c.Failing, s.remote.Failing)
-			}
-		} else {
+	if s.DataCentre != t.opts.DataCentre {
+		home := s.elsewhere[s.DataCentre]
+		switch {
+		case now.Sub(home.At) >= remoteLoadLifetime:
 			c.Outstanding += int(remoteShare * float64(s.Slots))
+		case home.At.After(s.heard):
+			c.Failing = max(c.Failing, home.Failing)
 		}
 	}
 	c.Expected = t.expected(now, group, s, c.Outstanding)
 	c.Cost = t.failureCost(now, q)*t.opts.Model.FailureChance(c.Failing) + t.lateness(c, q) + t.transfer(s, q)
+	c.Full = q.Limit > 0 && c.Expected > q.Limit && c.Outstanding >= s.Slots
+	if c.Full {
+		c.Cost = refusalShare * t.lost(q)
+	}
 	if now.Before(s.unreachableUntil) {
 		c.Cost += t.opts.Costs.Unreachable
 	}
@@ -191,13 +200,11 @@
 // failureCost is what a failed attempt costs: the whole request, or only the
 // time of an attempt if the request can be sent once more.
 func (t *Table) failureCost(now time.Time, q Query) float64 {
-	switch {
-	case !q.Repeatable:
-		return t.opts.Costs.LostUnrepeatable
-	case q.Spare && t.budgetUsed(now, t.service(q.Service)) < repeatableShare:
+	group := t.service(q.Service)
+	if q.Repeatable && q.Spare && t.budgetUsed(now, group) < group.repeatableShare(now) {
 		return t.opts.Costs.Retry
 	}
-	return t.opts.Costs.Lost
+	return t.lost(q)
 }
 
 // expected estimates the time to an answer, waiting for a slot included; zero if
@@ -213,6 +220,18 @@
 	return time.Duration(float64(work) * rounds(outstanding, s.Slots))
 }
 
+// refusalShare is the part of a lost request that a refusal costs: the caller
+// may come back.
+const refusalShare = 0.7
+
+// lost is the cost of a request that fails for good.
+func (t *Table) lost(q Query) float64 {
+	if q.Repeatable {
+		return t.opts.Costs.Lost
+	}
+	return t.opts.Costs.LostUnrepeatable
+}
+
 // coldFactor is how much longer a server takes while it warms up.
 const coldFactor = 2
 
@@ -245,10 +264,10 @@
 	// budgetMargin is the part of the retry budget that is spent; the rest
 	// covers attempts of other daemons that have not been heard of yet.
 	budgetMargin = 0.88
-	// repeatableShare is the part of that which idempotent requests may use, so
-	// that some is left for requests that a server refused and that have no
-	// other way to be served.
-	repeatableShare = 0.5
+	// guardedShare is the part of that which idempotent requests may use in a
+	// service that has others too, so that some is left for requests that a
+	// server refused and that have no other way to be served.
+	guardedShare = 0.5
 	// probeShare is the part up to which failures of probes are risked.
 	probeShare = 0.3
 )
@@ -256,11 +275,23 @@
 // AllowRepeat reports whether the service's budget has room for another arrival
 // of an idempotent request, or of another one.
 func (t *Table) AllowRepeat(now time.Time, name model.ServiceName, repeatable bool) bool {
+	group := t.service(name)
 	share := 1.0
 	if repeatable {
-		share = repeatableShare
+		share = group.repeatableShare(now)
+	}
+	return t.budgetUsed(now, group) < share
+}
+
+// isGuarded reports whether the service has requests that must not repeat.
+func (s *service) isGuarded(now time.Time) bool { return now.Sub(s.guarded) < guardedFor }
+
+// repeatableShare returns the part of the budget for idempotent requests.
+func (s *service) repeatableShare(now time.Time) float64 {
+	if s.isGuarded(now) {
+		return guardedShare
 	}
-	return t.budgetUsed(now, t.service(name)) < share
+	return 1
 }
 
 // budgetUsed returns the used part of the retry budget that may be spent.
--- a/core/balance/observe.go
+++ b/core/balance/observe.go
@@ -8,8 +8,13 @@
 )
 
 const (
-	// latencyWeight is the weight of one sample in the moving averages.
+	// latencyWeight is the weight of a sample that did not wait for a slot in the
+	// moving averages.
 	latencyWeight = 0.25
+	// queuedLatencyWeight is the weight of a sample that waited for a slot, which
+	// counts up to queuedLatencyMax times the average.
+	queuedLatencyWeight = 0.05
+	queuedLatencyMax    = 2
 	// slowMemory is how long a server's own latency counts after its last sample.
 	slowMemory = 6 * time.Second
 	// attemptLifetime bounds how long an attempt counts as outstanding if its
@@ -61,7 +66,7 @@
 	if _, ok := t.attempts[a]; ok {
 		return
 	}
-	t.attempts[a] = &attempt{server: s, started: now, rounds: rounds(s.outstanding, s.Slots)}
+	t.attempts[a] = &attempt{server: s, started: now, rounds: rounds(s.load(now), s.Slots)}
 	s.outstanding++
 	s.probed = now
 }
@@ -85,7 +90,7 @@
 	case Succeeded:
 		s.belief = t.opts.Model.Succeeded(s.belief, now)
 		s.heard, s.sheds = now, 0
-		t.sample(now, s, time.Duration(float64(latency)/ended.rounds))
+		t.sample(now, s, time.Duration(float64(latency)/ended.rounds), ended.rounds > 1)
 	case Failed:
 		if !ended.stalled {
 			s.belief = t.opts.Model.Failed(s.belief, now)
@@ -115,18 +120,32 @@
 	}
 }
 
-// Reported records what a server's own data centre reports about it.
-func (t *Table) Reported(k Key, l Load) {
-	if s, ok := t.servers[k]; ok && s.DataCentre != t.opts.DataCentre {
-		s.remote = l
+// Reported records the digest of another data centre: its attempts at all
+// servers, and its belief about its own. Servers that it does not list have none
+// of its attempts.
+func (t *Table) Reported(now time.Time, from model.DataCentre, loads map[Key]Load) {
+	for k, s := range t.servers {
+		l, ok := loads[k]
+		if !ok && s.elsewhere[from].Outstanding == 0 {
+			continue
+		}
+		l.At = now
+		if s.elsewhere == nil {
+			s.elsewhere = map[model.DataCentre]Load{}
+		}
+		s.elsewhere[from] = l
 	}
 }
 
-// Report lists the load of this data centre's servers, for other data centres.
+// Report lists the load and the belief about this data centre's servers, and
+// its load on others, for other data centres.
 func (t *Table) Report(now time.Time, each func(Key, Load)) {
 	for k, s := range t.servers {
-		if s.DataCentre == t.opts.DataCentre {
+		switch {
+		case s.DataCentre == t.opts.DataCentre:
 			each(k, Load{Outstanding: s.outstanding, Failing: t.opts.Model.At(s.belief, now), At: now})
+		case s.outstanding > 0:
+			each(k, Load{Outstanding: s.outstanding, At: now})
 		}
 	}
 }
@@ -189,18 +208,26 @@
 	return *found
 }
 
-func (t *Table) sample(now time.Time, s *server, work time.Duration) {
+// sample updates the service times. A queued attempt also waited for attempts
+// that this daemon does not know of, so that it counts less and only up to a
+// bound.
+func (t *Table) sample(now time.Time, s *server, work time.Duration, queued bool) {
 	group := t.service(s.Service)
-	group.work = average(group.work, work)
+	group.work = averageWork(group.work, work, queued)
 	if now.Sub(s.timed) > slowMemory {
 		s.work = 0
 	}
-	s.work, s.timed = average(s.work, work), now
+	s.work, s.timed = averageWork(s.work, work, queued), now
 }
 
-func average(mean, sample time.Duration) time.Duration {
+func averageWork(mean, sample time.Duration, queued bool) time.Duration {
+	weight := latencyWeight
+	if queued && mean > 0 {
+		weight = queuedLatencyWeight
+		sample = min(sample, queuedLatencyMax*mean)
+	}
 	if mean == 0 {
 		return sample
 	}
-	return mean + time.Duration(latencyWeight*float64(sample-mean))
+	return mean + time.Duration(weight*float64(sample-mean))
 }
--- a/core/balance/table.go
+++ b/core/balance/table.go
@@ -78,8 +78,8 @@
 	belief Belief
 	// outstanding attempts of this data centre.
 	outstanding int
-	// remote is the number of attempts that the server's own data centre reports.
-	remote Load
+	// elsewhere is what other data centres report.
+	elsewhere map[model.DataCentre]Load
 	// heard is when an attempt last ended here with evidence.
 	heard time.Time
 	// probed is when an attempt was last sent.
@@ -94,6 +94,17 @@
 	unreachableUntil time.Time
 }
 
+// load returns the attempts at the server that are known, of all data centres.
+func (s *server) load(now time.Time) int {
+	n := s.outstanding
+	for _, l := range s.elsewhere {
+		if now.Sub(l.At) < remoteLoadLifetime {
+			n += l.Outstanding
+		}
+	}
+	return n
+}
+
 type attempt struct {
 	server  *server
 	started time.Time
@@ -103,11 +114,13 @@
 	stalled bool
 }
 
-// Load is what the daemons of a server's own data centre report about it.
+// Load is what the daemons of another data centre report about a server.
 type Load struct {
+	// Outstanding attempts of that data centre.
 	Outstanding int
-	Failing     float64
-	At          time.Time
+	// Failing is its belief, if it is the server's own data centre.
+	Failing float64
+	At      time.Time
 }
 
 // NewTable returns a table without servers.
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -25,8 +24,8 @@
 	// queueFactor times a route's target latency is the longest expected time to
 	// an answer that a request is queued for; repeatableQueueFactor is the same
 	// for idempotent requests, which make room first.
-	queueFactor           = 2.2
-	repeatableQueueFactor = 1.6
+	queueFactor           = 1.1
+	repeatableQueueFactor = 0.8
 	// hedgeFactor times the mean service time of the service, and at least hedgeMin,
 	// is when an idempotent request is sent to a second server.
 	hedgeFactor = 2.2
@@ -35,6 +34,9 @@
 	maxDials = 5
 	// refusalPause is the pause before a server that refused is asked again.
 	refusalPause = 50 * time.Millisecond
+	// startWait is how long after its start a daemon holds requests that need its
+	// first configuration and set of servers.
+	startWait = 500 * time.Millisecond
 	// unreachableHold is how long a path counts as doubtful after a failed dial.
 	unreachableHold = 4 * time.Second
 )
@@ -78,7 +80,7 @@
 
 // serve answers one request. ctx ends when the caller goes away.
 func (n *Node) serve(ctx context.Context, q *request) *response {
-	view := n.view.Load()
+	view := n.awaitView(ctx)
 	if view == nil || view.Config == nil {
 		return n.unrouted(q, 0, n.refuse(q, model.ReasonNoConfiguration), model.ReasonNoConfiguration)
 	}
@@ -103,6 +105,23 @@
 	return resp
 }
 
+// awaitView returns the view in force. A daemon that has just started waits for
+// its first whole one for a moment: it usually arrives within 0.2 s.
+func (n *Node) awaitView(ctx context.Context) *catalog.View {
+	select {
+	case <-n.complete:
+		return n.view.Load()
+	default:
+	}
+	wait, cancel := context.WithDeadline(ctx, n.started.Add(startWait))
+	defer cancel()
+	select {
+	case <-n.complete:
+	case <-wait.Done():
+	}
+	return n.view.Load()
+}
+
 // pickPart draws a service by the weights of a route.
 func pickPart(parts []catalog.Part) model.ServiceName {
 	total := 0.0
@@ -157,10 +176,10 @@
 
 // queueLimit is the expected time to an answer above which the request is
 // refused rather than queued: queues at servers that are full make every request
-// late, and servers that are nearly full work more slowly.
+// late, and servers that are nearly full work more slowly. Zero: none.
 func (f *flight) queueLimit() time.Duration {
 	if f.route.Target <= 0 || f.arrived {
-		return math.MaxInt64
+		return 0
 	}
 	factor := queueFactor
 	if f.route.Repeatable {
@@ -188,6 +207,7 @@
 		Service: f.service, Repeatable: f.route.Repeatable,
 		Spare:  f.route.Repeatable && f.sent+1 < f.route.MaxAttempts,
 		Target: f.route.Target, Bytes: f.node.sizes.estimate(f.route.Name, len(f.request.body)),
+		Limit: f.queueLimit(),
 		Tried: f.passed, Tiebreak: rand.Uint64(),
 	}
 }
@@ -215,12 +235,11 @@
 
 // send starts an attempt at the server that a query chooses.
 func (f *flight) send(ctx context.Context, q balance.Query) bool {
-	limit := f.queueLimit()
-	choice, number, reason := f.node.state.begin(q, f.arrived, limit)
+	choice, number, reason := f.node.state.begin(q, f.arrived)
 	if reason != model.ReasonNone {
 		f.reason = reason
 		if reason == model.ReasonQueueFull {
-			f.noteQueueFull(choice, limit)
+			f.noteQueueFull(choice, q.Limit)
 		}
 		return false
 	}
--- a/edge/lifecycle_test.go
+++ b/edge/lifecycle_test.go
@@ -31,6 +31,17 @@
 	s.g.Expect(s.read(d, "r2").status).To(Equal(http.StatusOK))
 }
 
+// Guards against requests that are refused in the moment between a daemon's start
+// and its first configuration.
+func TestRequestRightAfterStart(t *testing.T) {
+	s := newSite(t)
+	s.configure(2*time.Second, "")
+	s.server("i-1", service)
+	s.store.SetDelay(150 * time.Millisecond)
+	d := s.daemon(s.settings("h1"))
+	s.g.Expect(s.read(d, "r").status).To(Equal(http.StatusOK))
+}
+
 // Guards against a planned stop that cuts a request or goes on taking new
 // connections.
 func TestPlannedStop(t *testing.T) {
--- a/edge/node.go
+++ b/edge/node.go
@@ -63,8 +63,10 @@
 	link      *gossip.Link
 	puller    *puller
 	view      atomic.Pointer[catalog.View]
-	leaving   atomic.Bool
-	callers   net.Listener
+	// complete is closed once view has a configuration and a set of servers.
+	complete chan struct{}
+	leaving  atomic.Bool
+	callers  net.Listener
 
 	mu      sync.Mutex
 	conns   map[*conn]struct{}
@@ -88,7 +90,7 @@
 func New(s Settings, w io.Writer, connect func(telemetry.Scope, telemetry.Logger) Platform) (*Node, error) {
 	n := &Node{
 		settings: s, started: time.Now(), lines: newLineWriter(w), metrics: telemetry.NewMetrics(metricsPrefix),
-		conns: map[*conn]struct{}{}, sizes: sizes{bytes: map[model.RouteName]float64{}},
+		conns: map[*conn]struct{}{}, complete: make(chan struct{}), sizes: sizes{bytes: map[model.RouteName]float64{}},
 	}
 	var err error
 	if n.logger, err = telemetry.NewLogger(n.lines, s.Log.Level); err != nil {
@@ -148,7 +150,10 @@
 // apply puts a new view in force.
 func (n *Node) apply(v *catalog.View) {
 	n.state.setServers(v)
-	n.view.Store(v)
+	before := n.view.Swap(v)
+	if v.Complete() && (before == nil || !before.Complete()) {
+		close(n.complete)
+	}
 }
 
 func (n *Node) limits() catalog.Limits {
@@ -252,4 +257,4 @@
 func (p peers) Loads() []*gen.ServerLoad { return p.state.loads() }
 
 // Loaded implements gossip.Handler.
-func (p peers) Loaded(loads []*gen.ServerLoad) { p.state.loaded(loads) }
+func (p peers) Loaded(from model.DataCentre, loads []*gen.ServerLoad) { p.state.loaded(from, loads) }
--- a/edge/state.go
+++ b/edge/state.go
@@ -57,11 +57,11 @@
 
 // begin chooses a server and records the attempt. The reason is set if there is
 // no server for it.
-func (s *state) begin(q balance.Query, repeat bool, limit time.Duration) (balance.Choice, uint64, model.Reason) {
+func (s *state) begin(q balance.Query, repeat bool) (balance.Choice, uint64, model.Reason) {
 	s.mu.Lock()
 	now := time.Now()
 	c, ok := s.table.Choose(now, q)
-	if !ok || c.Expected > limit {
+	if !ok || c.Full {
 		s.mu.Unlock()
 		if ok {
 			return c, 0, model.ReasonQueueFull
@@ -214,13 +214,14 @@
 }
 
 // loaded records the digest of another data centre.
-func (s *state) loaded(loads []*gen.ServerLoad) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := time.Now()
+func (s *state) loaded(from model.DataCentre, loads []*gen.ServerLoad) {
+	list := make(map[balance.Key]balance.Load, len(loads))
 	for _, l := range loads {
-		s.table.Reported(balance.Key(l.Server), balance.Load{Outstanding: int(l.Outstanding), Failing: float64(l.Failing) / thousand, At: now})
+		list[balance.Key(l.Server)] = balance.Load{Outstanding: int(l.Outstanding), Failing: float64(l.Failing) / thousand}
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.Reported(time.Now(), from, list)
 }
 
 func round3(v float64) float64 { return float64(int(v*thousand+0.5)) / thousand }
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -25,6 +25,7 @@
 	gone     []model.HostID
 	loads    []*gen.ServerLoad
 	got      []*gen.ServerLoad
+	from     []model.DataCentre
 	own      []uint64
 	theirs   map[model.HostID][]uint64
 }
@@ -40,8 +41,8 @@
 func (r *recorder) Outstanding() []uint64    { return r.own }
 func (r *recorder) Loads() []*gen.ServerLoad { return r.loads }
 func (r *recorder) Gone(h model.HostID)      { r.with(func() { r.gone = append(r.gone, h) }) }
-func (r *recorder) Loaded(l []*gen.ServerLoad) {
-	r.with(func() { r.got = append(r.got, l...) })
+func (r *recorder) Loaded(from model.DataCentre, l []*gen.ServerLoad) {
+	r.with(func() { r.from, r.got = append(r.from, from), append(r.got, l...) })
 }
 func (r *recorder) Observed(h model.HostID, o *gen.Observation) {
 	r.with(func() { r.observed = append(r.observed, fmt.Sprint(h, "/", o.Attempt)) })
--- a/gossip/link.go
+++ b/gossip/link.go
@@ -57,7 +57,7 @@
 	// Loads returns the digest of this data centre.
 	Loads() []*gen.ServerLoad
 	// Loaded is called with the digest of another data centre.
-	Loaded(loads []*gen.ServerLoad)
+	Loaded(from model.DataCentre, loads []*gen.ServerLoad)
 }
 
 // Link sends and receives datagrams. It is safe for concurrent use.
@@ -316,13 +316,13 @@
 		return
 	}
 	if model.DataCentre(m.DataCentre) != l.self.DataCentre {
-		l.handler.Loaded(m.Loads)
+		l.handler.Loaded(model.DataCentre(m.DataCentre), m.Loads)
 		// The other daemons of the data centre get the digest from here.
 		l.forward(m)
 		return
 	}
 	if len(m.Loads) > 0 {
-		l.handler.Loaded(m.Loads)
+		l.handler.Loaded(model.DataCentre(m.LoadsFrom), m.Loads)
 		if len(m.Observations) == 0 && m.Incarnation == "" {
 			return
 		}
@@ -344,7 +344,7 @@
 // forward passes a digest of another data centre on to this one. Without an
 // incarnation it is no heartbeat.
 func (l *Link) forward(m *gen.Gossip) {
-	l.broadcastLive(&gen.Gossip{Host: string(l.self.ID), DataCentre: string(l.self.DataCentre), Loads: m.Loads})
+	l.broadcastLive(&gen.Gossip{Host: string(l.self.ID), DataCentre: string(l.self.DataCentre), Loads: m.Loads, LoadsFrom: m.DataCentre})
 }
 
 func (l *Link) broadcastLive(m *gen.Gossip) {
