standin/consortium: late execution, doors with faults of their own, stale reads, early answers

The stand-in lacked late execution, selective refusal and stale reads, and an answer before the body had no test. The early server treated the rest of the body as requests; it now reads it.

--- a/standin/consortium/server.go
+++ b/standin/consortium/server.go
@@ -40,7 +40,7 @@
 	Garbage
 	// Extra answers twice.
 	Extra
-	// Early answers before the body is read.
+	// Early answers before the body is read, and reads it then.
 	Early
 )
 
@@ -194,7 +194,15 @@
 		return false
 	}
 	s.update(func() { x.Finished = true })
-	return s.respond(c, x, b)
+	if !s.respond(c, x, b) {
+		return false
+	}
+	if b != Early {
+		return true
+	}
+	rest, err := io.ReadAll(req.Body)
+	s.update(func() { x.Body = rest })
+	return err == nil
 }
 
 // run waits for the work; false if the connection was lost.
--- a/standin/consortium/store.go
+++ b/standin/consortium/store.go
@@ -1,6 +1,7 @@
 package consortium
 
 import (
+	"context"
 	"encoding/json"
 	"maps"
 	"net"
@@ -31,8 +32,13 @@
 	LoseAnswers
 	// Limited answers 429.
 	Limited
+	// Late does not answer, and executes changes after lateDelay.
+	Late
 )
 
+// lateDelay is how long after the call a Late change is executed.
+const lateDelay = 300 * time.Millisecond
+
 // Object is a stored object.
 type Object struct {
 	Metadata struct {
@@ -55,6 +61,7 @@
 type Store struct {
 	listener net.Listener
 	server   *http.Server
+	doors    []*Door
 
 	mu       sync.Mutex
 	objects  map[string]map[string]Object
@@ -67,6 +74,91 @@
 	page    int
 	calls   int
 	changed chan struct{}
+	// stale is what reads that may be stale see; nil: the present state.
+	stale      map[string]map[string]Object
+	staleReads map[string]int
+	changes    map[string]int
+}
+
+// Door is a further address of a store, with faults of its own: the store
+// refuses some hosts and serves others.
+type Door struct {
+	store    *Store
+	listener net.Listener
+	server   *http.Server
+
+	mu    sync.Mutex
+	fault Fault
+	// cut ends the calls that wait.
+	cut chan struct{}
+}
+
+// NewDoor opens a further address.
+func (s *Store) NewDoor() (*Door, error) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	d := &Door{store: s, listener: l, cut: make(chan struct{})}
+	d.server = &http.Server{Handler: d, ReadHeaderTimeout: 5 * time.Second}
+	go func() { _ = d.server.Serve(l) }()
+	s.doors = append(s.doors, d)
+	return d, nil
+}
+
+// Address returns "ip:port".
+func (d *Door) Address() string { return d.listener.Addr().String() }
+
+// SetFault changes how calls through this door are treated and cuts those that
+// wait.
+func (d *Door) SetFault(f Fault) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.fault = f
+	close(d.cut)
+	d.cut = make(chan struct{})
+}
+
+// ServeHTTP implements http.Handler.
+func (d *Door) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	d.mu.Lock()
+	fault, cut := d.fault, d.cut
+	d.mu.Unlock()
+	if fault.refuse(w, r) {
+		return
+	}
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	go func() {
+		select {
+		case <-cut:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	d.store.ServeHTTP(w, r.WithContext(ctx))
+	select {
+	case <-cut:
+		panic(http.ErrAbortHandler)
+	default:
+	}
+}
+
+// refuse treats calls that are not executed; false: the call goes on.
+func (f Fault) refuse(w http.ResponseWriter, r *http.Request) bool {
+	switch f {
+	case Busy:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case Limited:
+		w.WriteHeader(http.StatusTooManyRequests)
+	case Silent:
+		<-r.Context().Done()
+	case Reset:
+		panic(http.ErrAbortHandler)
+	default:
+		return false
+	}
+	return true
 }
 
 // NewStore starts a store on a loopback port.
@@ -75,7 +167,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Store{listener: l, objects: map[string]map[string]Object{}, revision: 1, page: 500, changed: make(chan struct{})}
+	s := &Store{listener: l, objects: map[string]map[string]Object{}, revision: 1, page: 500, changed: make(chan struct{}), staleReads: map[string]int{}, changes: map[string]int{}}
 	s.server = &http.Server{Handler: s, ReadHeaderTimeout: 5 * time.Second}
 	go func() { _ = s.server.Serve(l) }()
 	return s, nil
@@ -85,7 +177,12 @@
 func (s *Store) Address() string { return s.listener.Addr().String() }
 
 // Close stops the store.
-func (s *Store) Close() { _ = s.server.Close() }
+func (s *Store) Close() {
+	for _, d := range s.doors {
+		_ = d.server.Close()
+	}
+	_ = s.server.Close()
+}
 
 // SetFault changes how calls are treated.
 func (s *Store) SetFault(f Fault) {
@@ -118,6 +215,31 @@
 	s.wake()
 }
 
+// FreezeStaleReads makes reads that may be stale see the present state from now
+// on, whatever changes.
+func (s *Store) FreezeStaleReads() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stale = map[string]map[string]Object{}
+	for kind, objects := range s.objects {
+		s.stale[kind] = maps.Clone(objects)
+	}
+}
+
+// StaleReads returns the number of reads of a kind that allowed stale data.
+func (s *Store) StaleReads(kind string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.staleReads[kind]
+}
+
+// Changes returns the number of calls that were to change objects of a kind.
+func (s *Store) Changes(kind string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changes[kind]
+}
+
 // Calls returns the number of calls so far.
 func (s *Store) Calls() int {
 	s.mu.Lock()
@@ -180,18 +302,15 @@
 	fault, delay := s.fault, s.delay
 	s.mu.Unlock()
 	time.Sleep(delay)
-	switch fault {
-	case Busy:
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	case Limited:
-		w.WriteHeader(http.StatusTooManyRequests)
+	if fault.refuse(w, r) {
 		return
-	case Silent:
+	}
+	if fault == Late {
+		if r.Method != http.MethodGet {
+			s.executeLate(r)
+		}
 		<-r.Context().Done()
 		return
-	case Reset:
-		panic(http.ErrAbortHandler)
 	}
 	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, pathPrefix), "/")
 	switch {
@@ -226,7 +345,14 @@
 	s.mu.Lock()
 	after := r.URL.Query().Get("after")
 	a := listAnswer{Items: []Object{}, AsOf: s.revision}
-	for _, name := range slices.Sorted(maps.Keys(s.objects[kind])) {
+	objects := s.objects[kind]
+	if r.URL.Query().Get("serializable") == "1" {
+		s.staleReads[kind]++
+		if s.stale != nil {
+			objects = s.stale[kind]
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(objects)) {
 		if name <= after {
 			continue
 		}
@@ -234,7 +360,7 @@
 			a.HasMore = true
 			break
 		}
-		a.Items = append(a.Items, s.objects[kind][name])
+		a.Items = append(a.Items, objects[name])
 	}
 	s.mu.Unlock()
 	s.answer(w, http.StatusOK, a)
@@ -290,6 +416,18 @@
 	return a
 }
 
+// executeLate executes a change later, as if its call had been held up.
+func (s *Store) executeLate(r *http.Request) {
+	var in Object
+	if r.Method != http.MethodDelete {
+		if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
+			return
+		}
+	}
+	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, pathPrefix), "/")
+	time.AfterFunc(lateDelay, func() { s.execute(r.Method, kind, name, in) })
+}
+
 func (s *Store) change(w http.ResponseWriter, r *http.Request, kind, name string) {
 	var in Object
 	if r.Method != http.MethodDelete {
@@ -298,22 +436,26 @@
 			return
 		}
 	}
+	status, out := s.execute(r.Method, kind, name, in)
+	s.answer(w, status, out)
+}
+
+func (s *Store) execute(method, kind, name string, in Object) (int, Object) {
 	if name == "" {
 		name = in.Metadata.Name
 	}
 	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.changes[kind]++
 	old, exists := s.objects[kind][name]
-	status, out := http.StatusOK, old
 	switch {
-	case r.Method == http.MethodPost && exists:
-		status = http.StatusConflict
-	case r.Method == http.MethodPost, r.Method == http.MethodPut && exists:
-		out = s.put(kind, name, in.Spec, old.Status)
-	case r.Method == http.MethodDelete && exists:
+	case method == http.MethodPost && exists:
+		return http.StatusConflict, old
+	case method == http.MethodPost, method == http.MethodPut && exists:
+		return http.StatusOK, s.put(kind, name, in.Spec, old.Status)
+	case method == http.MethodDelete && exists:
 		s.remove(kind, name)
-	default:
-		status = http.StatusNotFound
+		return http.StatusOK, old
 	}
-	s.mu.Unlock()
-	s.answer(w, status, out)
+	return http.StatusNotFound, old
 }
