edge: do not register again after a restart

The list that is read anyway tells. TestRestartDoesNotRegisterAgain fails without the change. Also TestStoreRefusesOneDaemon (fails if newer content is not pulled from peers) and TestStaleReadsAreForHostsOnly (fails if all reads may be stale).

--- a/edge/lifecycle_test.go
+++ b/edge/lifecycle_test.go
@@ -162,3 +162,69 @@
 	s.g.Eventually(d.ended).WithTimeout(2 * time.Second).Should(Receive(BeNil()))
 	d.ended <- nil
 }
+
+// Guards against a daemon that the store refuses keeping an old configuration or
+// an old set of servers, although others of its data centre are served.
+func TestStoreRefusesOneDaemon(t *testing.T) {
+	for _, fault := range []consortium.Fault{consortium.Busy, consortium.Limited, consortium.Reset, consortium.Silent} {
+		t.Run(fmt.Sprint(fault), func(t *testing.T) {
+			s := newSite(t)
+			s.configure(2*time.Second, "")
+			s.server("i-1", service)
+			// Both daemons have a door of their own; either of them may be the relay.
+			var doors []*consortium.Door
+			var daemons []*daemon
+			for i := range 2 {
+				door, err := s.store.NewDoor()
+				s.g.Expect(err).NotTo(HaveOccurred())
+				set := s.settings(fmt.Sprint("h", i))
+				set.Store = door.Address()
+				doors = append(doors, door)
+				daemons = append(daemons, s.ready(s.daemon(set)))
+			}
+			for refused := range doors {
+				doors[refused].SetFault(fault)
+				path := fmt.Sprint("/new", refused, "/")
+				s.configure(2*time.Second, fmt.Sprintf(`,"r-new":{"host":"api.example","path_prefix":%q,"route_type":"idempotent","timeout_ms":2000,"target_latency_ms":500,"priority":2,"service":"registry","max_attempts":2}`, path))
+				n := 0
+				s.g.Eventually(func() int {
+					n++
+					return s.do(daemons[refused], request("GET", path, fmt.Sprint("n", refused, "-", n), "", "")).status
+				}).WithTimeout(2500 * time.Millisecond).Should(Equal(http.StatusOK))
+				doors[refused].SetFault(consortium.Healthy)
+			}
+		})
+	}
+}
+
+// Guards against content that is bound by a time being read from stale copies.
+func TestStaleReadsAreForHostsOnly(t *testing.T) {
+	s := newSite(t)
+	s.configure(2*time.Second, "")
+	old := s.server("i-old", service)
+	d := s.ready(s.daemon(s.settings("h1")))
+	s.store.FreezeStaleReads()
+	s.register(old, service, "draining")
+	s.server("i-new", service)
+	s.g.Eventually(func() string {
+		return s.read(d, fmt.Sprint("r", time.Now().UnixNano())).header.Get("Agateusher-Response-Signature")
+	}).WithTimeout(2 * time.Second).Should(HavePrefix("i-new."))
+	s.g.Expect(s.store.StaleReads("usher-hosts")).To(BeNumerically(">", 0))
+	s.g.Expect(s.store.StaleReads("servers") + s.store.StaleReads("config")).To(BeZero())
+}
+
+// Guards against a write to the store by each daemon that starts again: the
+// store prices every call.
+func TestRestartDoesNotRegisterAgain(t *testing.T) {
+	s := newSite(t)
+	s.configure(2*time.Second, "")
+	s.server("i-1", service)
+	set := s.settings("h1")
+	d := s.ready(s.daemon(set))
+	s.g.Eventually(func() int { return s.store.Changes("usher-hosts") }).Should(Equal(1))
+	d.stop()
+	s.g.Eventually(d.ended).WithTimeout(5 * time.Second).Should(Receive(BeNil()))
+	d.ended <- nil
+	s.ready(s.daemon(set))
+	s.g.Consistently(func() int { return s.store.Changes("usher-hosts") }, "300ms").Should(Equal(1))
+}
--- a/edge/servers.go
+++ b/edge/servers.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -95,11 +96,12 @@
 // itself known by its heartbeats.
 const hostPoll = 15 * time.Second
 
-// register writes this daemon into the registry and learns of the others.
+// register writes this daemon into the registry, unless it is there from an
+// earlier start, and learns of the others.
 func (n *Node) register(ctx context.Context) error {
 	self := gossip.Host{ID: n.settings.Host.ID, DataCentre: n.settings.Host.DataCentre, Region: n.settings.Host.Region, Address: n.settings.Listeners.Fleet}
-	n.learnHosts(ctx)
-	registered := false
+	hosts, _ := n.learnHosts(ctx)
+	registered := slices.Contains(hosts, self)
 	for i := 0; ctx.Err() == nil; {
 		if !registered {
 			err := n.platform.Registry.Register(ctx, self)
@@ -120,21 +122,22 @@
 		case <-ctx.Done():
 			return nil
 		}
-		if n.learnHosts(ctx) {
+		if _, ok := n.learnHosts(ctx); ok {
 			i++
 		}
 	}
 	return nil
 }
 
-// learnHosts reads the registry, or asks the seeds while the store is away.
-func (n *Node) learnHosts(ctx context.Context) bool {
+// learnHosts reads the registry, or asks the seeds while the store is away. ok is
+// set if the hosts are those of the registry.
+func (n *Node) learnHosts(ctx context.Context) (hosts []gossip.Host, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, registerRetry)
 	defer cancel()
 	hosts, err := n.platform.Registry.Hosts(ctx)
 	if err == nil {
 		n.link.Learn(hosts)
-		return true
+		return hosts, true
 	}
 	n.log.WithField("event", "registry_unreadable").WithError(err).Warn("the registry cannot be read; asking the seeds")
 	for _, seed := range n.settings.Seeds {
@@ -148,5 +151,5 @@
 		}
 		n.link.Learn(known)
 	}
-	return false
+	return nil, false
 }
