--- a/edge/log.go
+++ b/edge/log.go
@@ -64,7 +64,10 @@
 type requestLog struct {
 	log     telemetry.Logger
 	limiter *rate.Limiter
+	// skipped counts the lines left out since the last one.
 	skipped atomic.Uint64
+	// leftOut counts all lines that were left out.
+	leftOut atomic.Uint64
 }
 
 // requestBurst is how many lines may be written at once.
@@ -79,6 +82,7 @@
 func (r *requestLog) write(failed bool, message string, fields telemetry.Fields) {
 	if !failed && r.limiter.Tokens() < requestBurst/2 || !r.limiter.Allow() {
 		r.skipped.Add(1)
+		r.leftOut.Add(1)
 		return
 	}
 	if n := r.skipped.Swap(0); n > 0 {
--- a/edge/node.go
+++ b/edge/node.go
@@ -133,6 +133,7 @@
 		kernel.Duty{Name: "callers", Run: n.acceptCallers},
 		kernel.Duty{Name: "evidence", Run: n.tick},
 		kernel.Duty{Name: "registry", Run: n.register},
+		kernel.Duty{Name: "gauges", Run: n.reportGauges},
 		kernel.Duty{Name: "pull", Run: n.puller.run},
 		kernel.Duty{Name: "log", Run: n.lines.run},
 		kernel.Duty{Name: "stop", Run: func(context.Context) error {
--- a/edge/requestlog_test.go
+++ b/edge/requestlog_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"regexp"
 	"testing"
@@ -40,5 +41,34 @@
 		c := s.dial(d)
 		c.send(request("POST", "/write/x", fmt.Sprint("w", i), "payload", ""))
 	}
-	s.g.Eventually(d.log.String).WithTimeout(3 * time.Second).Should(MatchRegexp(`i-1:queue-full:\S*:outstanding=[1-9]\S*:expected=[1-9]\d+ms:limit=1100ms`))
+	s.g.Eventually(d.log.String).WithTimeout(3 * time.Second).Should(MatchRegexp(`i-1:queue-full:\S*:outstanding=[1-9]\S*:expected=[1-9]\d+ms:limit=550ms`))
+}
+
+// Guards against lost log lines and lost observations that no metric shows.
+func TestMetricsCountWhatIsLost(t *testing.T) {
+	s := newSite(t)
+	s.configure(2*time.Second, "")
+	s.server("i-1", service)
+	set := s.settings("h1")
+	set.Log.RequestsPerSecond = 0
+	d := s.ready(s.daemon(set))
+	for i := range 230 {
+		s.write(d, fmt.Sprint("w", i))
+	}
+	s.g.Eventually(func() string { return s.metrics(d) }).WithTimeout(3 * time.Second).Should(And(
+		MatchRegexp(`usher_edge_request_lines_left_out [1-9]`),
+		ContainSubstring("usher_edge_log_lines_dropped 0"),
+		ContainSubstring("usher_edge_observations_dropped 0"),
+		ContainSubstring("usher_edge_live_hosts 1"),
+		ContainSubstring(fmt.Sprintf("usher_edge_config_epoch %d", s.version)),
+	))
+}
+
+func (s *site) metrics(d *daemon) string {
+	resp, err := http.Get("http://" + d.settings.Listeners.Admin + "/metrics")
+	s.g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	s.g.Expect(err).NotTo(HaveOccurred())
+	return string(text)
 }
