balance, edge: count hedges as repeats; slack of the retry budget grows after a start

A hedge was counted as the first arrival of a request, since no attempt had ended when it was sent, so that it was not charged and raised the budget. Besides, a daemon that had just started granted itself the whole slack of its data centre at once: repeats from before a restart of all daemons lie in the same 10 s.

Change: an attempt beside an active one is a repeat; the slack grows over one window from the start. TestHedgesAreRepeats (12 of 12 hedged, 4 allowed) and TestBudgetAfterRestart (71 in a window, 60 allowed) failed before.

--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -37,7 +37,9 @@
 		DataCentre: "a", Region: "r", Model: testModel, Costs: testCosts,
 		Budget: balance.Budget{Ratio: 0.2, Slack: 40, Window: 10 * time.Second},
 	})}
-	b.table.SetServers(b.now, servers, 2)
+	if len(servers) > 0 {
+		b.table.SetServers(b.now, servers, 2)
+	}
 	return b
 }
 
@@ -383,6 +385,7 @@
 func TestBudget(t *testing.T) {
 	g := NewWithT(t)
 	b := newBench(local(2)...)
+	b.now = b.now.Add(10 * time.Second) // the whole slack is available
 	repeat := func(repeatable bool) int {
 		n := 0
 		for b.table.AllowRepeat(b.now, registry, repeatable) && n < 1000 {
@@ -411,6 +414,7 @@
 	g := NewWithT(t)
 	spend := func(guarded bool) int {
 		b := newBench(local(2)...)
+		b.now = b.now.Add(10 * time.Second) // the whole slack is available
 		for range 100 {
 			b.run(1, balance.Succeeded, time.Millisecond)
 		}
@@ -429,6 +433,40 @@
 	g.Expect(spend(true)).To(BeNumerically("<=", 20))
 }
 
+// Guards against a budget that is spent twice around a restart of all daemons.
+func TestBudgetAfterRestart(t *testing.T) {
+	g := NewWithT(t)
+	const span, rate = 10 * time.Second, 20 // requests a second
+	var repeats []time.Time
+	run := func(b *bench, d time.Duration) {
+		for end := b.now.Add(d); b.now.Before(end); b.now = b.now.Add(time.Second / rate) {
+			b.next++
+			b.table.Started(b.now, 1, balance.AttemptKey{Host: self, Number: b.next}, false)
+			for b.table.AllowRepeat(b.now, registry, false) {
+				b.next++
+				b.table.Started(b.now, 1, balance.AttemptKey{Host: self, Number: b.next}, true)
+				repeats = append(repeats, b.now)
+			}
+		}
+	}
+	before := newBench(local(1)...)
+	run(before, 30*time.Second)
+	after := newBench()
+	after.now = before.now
+	after.table.SetServers(after.now, local(1), 2)
+	run(after, 20*time.Second)
+	for i, from := range repeats {
+		n := 0
+		for _, at := range repeats[i:] {
+			if at.Before(from.Add(span)) {
+				n++
+			}
+		}
+		g.Expect(n).To(BeNumerically("<=", 0.2*rate*10+20), "from %s", from.Sub(start))
+	}
+	g.Expect(len(repeats)).To(BeNumerically(">", 200))
+}
+
 // Guards against every daemon finding out for itself that an address was reused.
 func TestMisdirectedIsShared(t *testing.T) {
 	g := NewWithT(t)
--- a/core/balance/choose.go
+++ b/core/balance/choose.go
@@ -297,7 +297,11 @@
 // budgetUsed returns the used part of the retry budget that may be spent.
 func (t *Table) budgetUsed(now time.Time, group *service) float64 {
 	b := t.opts.Budget
-	allowed := budgetMargin * (b.Ratio*float64(group.arrivals.count(now)) + b.Slack/float64(t.dataCentres))
+	// Repeats from before this daemon's start are not known, and those of others
+	// are not heard until it has found them: the slack grows over one window.
+	known := min(1, now.Sub(t.began).Seconds()/b.Window.Seconds())
+	slack := known * b.Slack / float64(t.dataCentres)
+	allowed := budgetMargin * (b.Ratio*float64(group.arrivals.count(now)) + slack)
 	if allowed < 1 {
 		return 1
 	}
--- a/core/balance/table.go
+++ b/core/balance/table.go
@@ -60,6 +60,8 @@
 	attempts map[AttemptKey]*attempt
 	// dataCentres is the number of data centres that share a retry budget.
 	dataCentres int
+	// began is when requests began to be counted.
+	began time.Time
 }
 
 type service struct {
@@ -135,6 +137,9 @@
 // kept. dataCentres is the number of data centres of the fleet.
 func (t *Table) SetServers(now time.Time, list []Server, dataCentres int) {
 	t.dataCentres = max(1, dataCentres)
+	if t.began.IsZero() {
+		t.began = now
+	}
 	kept := make(map[Key]*server, len(list))
 	for _, s := range t.services {
 		s.servers = s.servers[:0]
@@ -154,8 +159,9 @@
 
 // SetBudget changes the retry budget. The counts start anew if its window
 // changes.
-func (t *Table) SetBudget(b Budget) {
+func (t *Table) SetBudget(now time.Time, b Budget) {
 	if b.Window != t.opts.Budget.Window {
+		t.began = now
 		for _, s := range t.services {
 			s.arrivals, s.repeats = window{span: b.Window}, longWindow(b.Window)
 		}
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -235,7 +235,7 @@
 
 // send starts an attempt at the server that a query chooses.
 func (f *flight) send(ctx context.Context, q balance.Query) bool {
-	choice, number, reason := f.node.state.begin(q, f.arrived)
+	choice, number, reason := f.node.state.begin(q, f.arrived || len(f.active) > 0)
 	if reason != model.ReasonNone {
 		f.reason = reason
 		if reason == model.ReasonQueueFull {
--- a/edge/forward_test.go
+++ b/edge/forward_test.go
@@ -9,6 +9,8 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/agateusher/agateusher/edge"
+	"github.com/agateusher/agateusher/settings"
 	"github.com/agateusher/agateusher/standin/consortium"
 )
 
@@ -332,6 +334,37 @@
 	s.g.Expect(arrivals - n).To(And(BeNumerically(">", 5), BeNumerically("<=", 0.2*n+10)))
 }
 
+// Guards against hedges that the retry budget does not count.
+func TestHedgesAreRepeats(t *testing.T) {
+	s := newSite(t)
+	s.configure(3*time.Second, "")
+	var servers []*consortium.Server
+	for i := range 16 {
+		server := s.server(fmt.Sprint("i-", i), service)
+		server.SetWork(800 * time.Millisecond)
+		servers = append(servers, server)
+	}
+	set := s.settings("h1")
+	set.Retries = edge.RetrySettings{Ratio: 0, Slack: 4, Window: settings.Duration(time.Second)}
+	d := s.ready(s.daemon(set))
+	time.Sleep(1100 * time.Millisecond) // the whole slack is available
+	const n = 12
+	var callers []*caller
+	for i := range n {
+		c := s.dial(d)
+		c.send(request("GET", "/read/x", fmt.Sprint("r", i), "", ""))
+		callers = append(callers, c)
+	}
+	for _, c := range callers {
+		s.g.Expect(c.receive().status).To(Equal(http.StatusOK))
+	}
+	arrivals := 0
+	for _, x := range servers {
+		arrivals += len(x.Seen())
+	}
+	s.g.Expect(arrivals - n).To(And(BeNumerically(">", 0), BeNumerically("<=", 4)))
+}
+
 // Guards against reused addresses that use up a request's attempts.
 func TestMisdirectedIsNoAttempt(t *testing.T) {
 	s := newSite(t)
@@ -358,3 +391,21 @@
 	s.g.Expect(a.status).To(Equal(http.StatusInternalServerError))
 	s.g.Expect(a.header.Get("Agateusher-Response-Signature")).NotTo(BeEmpty())
 }
+
+// Guards against the rest of a long body reaching a server as another request
+// when the server answers before it has read it.
+func TestAnswerBeforeTheBodyIsRead(t *testing.T) {
+	s := newSite(t)
+	s.configure(2*time.Second, "")
+	server := s.server("i-1", service)
+	server.Behave(first(consortium.Early, consortium.Answer))
+	d := s.ready(s.daemon(s.settings("h1")))
+	smuggled := request("GET", "/read/smuggled", "smuggled", "", "")
+	body := strings.Repeat(smuggled, 400)
+	a := s.do(d, request("POST", "/write/x", "w", body, ""))
+	s.g.Expect(a.status).To(Equal(http.StatusRequestEntityTooLarge))
+	s.g.Expect(a.header.Get("Agateusher-Response-Signature")).To(Equal("i-1.w"))
+	s.g.Expect(s.read(d, "r").status).To(Equal(http.StatusOK))
+	s.g.Expect(server.Seen()).To(HaveLen(2))
+	s.g.Consistently(func() bool { return strings.HasPrefix(body, string(server.Seen()[0].Body)) }, "200ms").Should(BeTrue())
+}
--- a/edge/reload.go
+++ b/edge/reload.go
@@ -1,6 +1,8 @@
 package edge
 
 import (
+	"time"
+
 	"golang.org/x/time/rate"
 
 	"github.com/agateusher/agateusher/core/balance"
@@ -36,5 +38,5 @@
 func (s *state) setBudget(r RetrySettings) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.table.SetBudget(balance.Budget{Ratio: r.Ratio, Slack: r.Slack, Window: r.Window.Std()})
+	s.table.SetBudget(time.Now(), balance.Budget{Ratio: r.Ratio, Slack: r.Slack, Window: r.Window.Std()})
 }
