balance: a retry costs more as the budget is used; hedges only in its first half

Change: the cost of a failed attempt rises from that of a retry to that of a lost request as the budget is used; hedges stop at half of it. TestScarceBudgetIsSaved fails without either part.

--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -433,6 +433,34 @@
 	g.Expect(spend(true)).To(BeNumerically("<=", 20))
 }
 
+// Guards against a budget that is used up by requests sent to a server known to
+// fail because others are busy, and by hedges.
+func TestScarceBudgetIsSaved(t *testing.T) {
+	g := NewWithT(t)
+	b := newBench(local(2)...)
+	b.now = b.now.Add(10 * time.Second) // the whole slack is available
+	b.run(1, balance.Succeeded, 150*time.Millisecond)
+	b.run(2, balance.Succeeded, 150*time.Millisecond)
+	for range 4 {
+		b.run(2, balance.Failed, time.Millisecond)
+	}
+	for range 5 {
+		b.begin(1)
+	}
+	q := read()
+	q.Target = 500 * time.Millisecond
+	g.Expect(b.choose(q).Server.ID).To(Equal(model.ServerID("i-2")))
+	g.Expect(b.table.AllowHedge(b.now, registry)).To(BeTrue())
+	for range 13 { // of 20
+		b.next++
+		b.table.Started(b.now, 2, balance.AttemptKey{Host: self, Number: b.next}, true)
+		b.table.Finished(b.now, 2, balance.AttemptKey{Host: self, Number: b.next}, balance.Failed, 0)
+	}
+	g.Expect(b.choose(q).Server.ID).To(Equal(model.ServerID("i-1")))
+	g.Expect(b.table.AllowHedge(b.now, registry)).To(BeFalse())
+	g.Expect(b.table.AllowRepeat(b.now, registry, true)).To(BeTrue())
+}
+
 // Guards against a budget that is spent twice around a restart of all daemons.
 func TestBudgetAfterRestart(t *testing.T) {
 	g := NewWithT(t)
--- a/core/balance/choose.go
+++ b/core/balance/choose.go
@@ -198,13 +198,15 @@
 }
 
 // failureCost is what a failed attempt costs: the whole request, or only the
-// time of an attempt if the request can be sent once more.
+// time of an attempt if the request can be sent once more. That costs the more
+// the less is left of the retry budget.
 func (t *Table) failureCost(now time.Time, q Query) float64 {
-	group := t.service(q.Service)
-	if q.Repeatable && q.Spare && t.budgetUsed(now, group) < group.repeatableShare(now) {
-		return t.opts.Costs.Retry
+	if !q.Repeatable || !q.Spare {
+		return t.lost(q)
 	}
-	return t.lost(q)
+	group := t.service(q.Service)
+	used := min(1, t.budgetUsed(now, group)/group.repeatableShare(now))
+	return t.opts.Costs.Retry + used*used*(t.lost(q)-t.opts.Costs.Retry)
 }
 
 // expected estimates the time to an answer, waiting for a slot included; zero if
@@ -268,6 +270,9 @@
 	// service that has others too, so that some is left for requests that a
 	// server refused and that have no other way to be served.
 	guardedShare = 0.5
+	// hedgeShare is the part of what idempotent requests may use up to which
+	// unanswered ones are hedged: those that failed need it more.
+	hedgeShare = 0.5
 	// probeShare is the part up to which failures of probes are risked.
 	probeShare = 0.3
 )
@@ -283,6 +288,13 @@
 	return t.budgetUsed(now, group) < share
 }
 
+// AllowHedge reports whether the budget has room for a second attempt beside one
+// that is unanswered.
+func (t *Table) AllowHedge(now time.Time, name model.ServiceName) bool {
+	group := t.service(name)
+	return t.budgetUsed(now, group) < hedgeShare*group.repeatableShare(now)
+}
+
 // isGuarded reports whether the service has requests that must not repeat.
 func (s *service) isGuarded(now time.Time) bool { return now.Sub(s.guarded) < guardedFor }
 
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -189,7 +189,7 @@
 }
 
 func (f *flight) mayHedge() bool {
-	return f.route.Repeatable && len(f.active) == 1 && f.attemptsLeft() && f.node.state.allowRepeat(f.service, f.route.Repeatable)
+	return f.route.Repeatable && len(f.active) == 1 && f.attemptsLeft() && f.node.state.allowHedge(f.service)
 }
 
 // attemptsLeft reports whether another server may be sent the request.
--- a/edge/state.go
+++ b/edge/state.go
@@ -199,6 +199,12 @@
 	return s.table.AllowRepeat(time.Now(), name, repeatable)
 }
 
+func (s *state) allowHedge(name model.ServiceName) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.AllowHedge(time.Now(), name)
+}
+
 // thousand is the scale of probabilities in digests.
 const thousand = 1000
 
