edge: log why a request was not repeated, changes of the relay, the budget and the membership

A lookup that failed once and was not retried did not say why; nothing showed when a service's retry budget was used up, which daemon watches the store, or that a silent daemon is heard again. TestBudgetRefusalIsExplained, TestRelayChangeIsLogged.

--- a/catalog/follower.go
+++ b/catalog/follower.go
@@ -81,6 +81,8 @@
 	kind     string
 	step     func(ctx context.Context, l *loop) error
 	age      func(now time.Time) time.Duration
+	// relay is set while this daemon watches the store for its data centre.
+	relay bool
 	// read is set if the content has to be read as a whole.
 	read bool
 	// failing is when the calls began to fail; zero while they succeed.
@@ -108,12 +110,27 @@
 // due reports whether this daemon has to ask the store now.
 func (l *loop) due() bool {
 	rank := l.follower.rank()
+	l.noteRole(rank == 0)
 	if rank == 0 {
 		return true
 	}
 	return l.age(time.Now()) > staleAfter+min(staleStaggerMax, time.Duration(rank)*staleStagger)
 }
 
+// noteRole writes a line when this daemon becomes the relay of its data centre or
+// stops being it.
+func (l *loop) noteRole(relay bool) {
+	if relay == l.relay {
+		return
+	}
+	l.relay = relay
+	event := "relay_lost"
+	if relay {
+		event = "relay_gained"
+	}
+	l.follower.log.WithFields(telemetry.Fields{"event": event, "kind": l.kind, "age": l.age(time.Now()).Round(time.Millisecond)}).Info("the relay of the data centre changed")
+}
+
 func (l *loop) call(ctx context.Context) (pause time.Duration) {
 	err := l.step(ctx, l)
 	now := time.Now()
--- a/core/balance/choose.go
+++ b/core/balance/choose.go
@@ -277,6 +277,20 @@
 	probeShare = 0.3
 )
 
+// BudgetUse is the state of a service's retry budget.
+type BudgetUse struct {
+	// Requests and Repeats of the last window, as far as they are known.
+	Requests, Repeats int
+	// Used is the part of the budget that is used, one more repeat included.
+	Used float64
+}
+
+// BudgetUse returns the state of a service's retry budget.
+func (t *Table) BudgetUse(now time.Time, name model.ServiceName) BudgetUse {
+	group := t.service(name)
+	return BudgetUse{Requests: group.arrivals.count(now), Repeats: group.repeats.count(now), Used: t.budgetUsed(now, group)}
+}
+
 // AllowRepeat reports whether the service's budget has room for another arrival
 // of an idempotent request, or of another one.
 func (t *Table) AllowRepeat(now time.Time, name model.ServiceName, repeatable bool) bool {
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -57,9 +57,11 @@
 	dials   int
 	arrived bool // an attempt reached a server
 	mayRun  bool // an attempt may have run
-	last    *response
-	reason  model.Reason
-	notes   []string
+	// noBudget is set if the retry budget refused another attempt.
+	noBudget bool
+	last     *response
+	reason   model.Reason
+	notes    []string
 }
 
 // activeAttempt is an attempt whose end is not known yet.
@@ -216,7 +218,7 @@
 // when it may not be sent to others. A refusal is no run.
 func (f *flight) askAgain(ctx context.Context, last balance.Key) bool {
 	if f.mayRun || len(f.active) > 0 || f.dials >= maxDials || time.Until(f.end) < minAttemptTime+refusalPause ||
-		!f.node.state.allowRepeat(f.service, f.route.Repeatable) {
+		!f.allowRepeat() {
 		return false
 	}
 	select {
@@ -309,7 +311,14 @@
 		return false
 	}
 	invariant.Check(f.route.Repeatable || !v.ran(), invariant.AtMostOnce, "request %s repeated after %s", f.request.id, v)
-	return v == Unconnected || f.node.state.allowRepeat(f.service, f.route.Repeatable)
+	return v == Unconnected || f.allowRepeat()
+}
+
+// allowRepeat asks the retry budget and keeps its refusal for the log.
+func (f *flight) allowRepeat() bool {
+	allowed := f.node.state.allowRepeat(f.service, f.route.Repeatable)
+	f.noBudget = f.noBudget || !allowed
+	return allowed
 }
 
 func reasonOf(v Verdict) model.Reason {
--- a/edge/requestlog.go
+++ b/edge/requestlog.go
@@ -68,6 +68,9 @@
 	if f.reason != "" {
 		fields["reason"] = f.reason
 	}
+	if f.noBudget {
+		fields["no_repeat"] = "retry-budget"
+	}
 	n.requests.write(failed, "request answered", fields)
 }
 
--- a/edge/requestlog_test.go
+++ b/edge/requestlog_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"regexp"
+	"strings"
 	"testing"
 	"time"
 
@@ -72,3 +73,37 @@
 	s.g.Expect(err).NotTo(HaveOccurred())
 	return string(text)
 }
+
+// Guards against a failure that was not retried for want of budget, and does not
+// say so.
+func TestBudgetRefusalIsExplained(t *testing.T) {
+	s := newSite(t)
+	s.configure(2*time.Second, "")
+	for i := range 2 {
+		s.server(fmt.Sprint("i-", i), service).Behave(all(consortium.Fail))
+	}
+	set := s.settings("h1")
+	set.Retries.Ratio, set.Retries.Slack = 0, 0
+	d := s.ready(s.daemon(set))
+	s.g.Expect(s.read(d, "r").status).To(Equal(http.StatusInternalServerError))
+	s.g.Eventually(d.line("r")).Should(And(ContainSubstring("no_repeat=retry-budget"), ContainSubstring("reason=server-failed")))
+	s.g.Expect(d.log.String()).To(MatchRegexp(`event=retry_budget_exhausted .*repeats=0 requests=\d+ service=registry`))
+}
+
+// Guards against changes of the relay and of the membership that no line shows.
+func TestRelayChangeIsLogged(t *testing.T) {
+	s := newSite(t)
+	s.configure(2*time.Second, "")
+	s.server("i-1", service)
+	daemons := []*daemon{s.ready(s.daemon(s.settings("h1"))), s.ready(s.daemon(s.settings("h2")))}
+	lost := func(d *daemon) bool { return strings.Contains(d.log.String(), "event=relay_lost") }
+	s.g.Eventually(func() bool { return lost(daemons[0]) != lost(daemons[1]) }).WithTimeout(5 * time.Second).Should(BeTrue())
+	relay, other := daemons[0], daemons[1]
+	if lost(relay) {
+		relay, other = other, relay
+	}
+	gained := func() int { return strings.Count(other.log.String(), "event=relay_gained") }
+	before := gained()
+	relay.stop()
+	s.g.Eventually(gained).WithTimeout(5 * time.Second).Should(Equal(before + 2)) // configuration and servers
+}
--- a/edge/state.go
+++ b/edge/state.go
@@ -24,11 +24,13 @@
 	table *balance.Table
 	next  uint64
 	own   map[uint64]struct{}
+	// exhausted services had a repeat refused and no room since.
+	exhausted map[model.ServiceName]bool
 }
 
 func newState(s Settings, log telemetry.Logger) *state {
 	return &state{
-		self: s.Host.ID, regions: s.Regions, log: log, own: map[uint64]struct{}{},
+		self: s.Host.ID, regions: s.Regions, log: log, own: map[uint64]struct{}{}, exhausted: map[model.ServiceName]bool{},
 		table: balance.NewTable(balance.Options{
 			DataCentre: s.Host.DataCentre, Region: s.Host.Region, Model: beliefModel, Costs: costs,
 			Budget: balance.Budget{Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: s.Retries.Window.Std()},
@@ -196,7 +198,32 @@
 func (s *state) allowRepeat(name model.ServiceName, repeatable bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.table.AllowRepeat(time.Now(), name, repeatable)
+	now := time.Now()
+	allowed := s.table.AllowRepeat(now, name, repeatable)
+	s.logBudget(name, s.table.BudgetUse(now, name), allowed)
+	return allowed
+}
+
+// budgetRegained is the used part of a retry budget below which it counts as
+// available again after it was exhausted.
+const budgetRegained = 0.8
+
+// logBudget writes a line when a service's retry budget first refuses a repeat,
+// and when it has room again. s.mu is held.
+func (s *state) logBudget(name model.ServiceName, use balance.BudgetUse, allowed bool) {
+	event := ""
+	switch {
+	case !allowed && !s.exhausted[name]:
+		event = "retry_budget_exhausted"
+	case allowed && s.exhausted[name] && use.Used < budgetRegained:
+		event = "retry_budget_regained"
+	default:
+		return
+	}
+	s.exhausted[name] = !allowed
+	s.log.WithFields(telemetry.Fields{
+		"event": event, "service": name, "requests": use.Requests, "repeats": use.Repeats, "used": round3(use.Used),
+	}).Info("the retry budget of a service changed")
 }
 
 func (s *state) allowHedge(name model.ServiceName) bool {
--- a/gossip/link.go
+++ b/gossip/link.go
@@ -372,7 +372,10 @@
 		return h, false
 	}
 	restarted = x.incarnation != "" && x.incarnation != m.Incarnation
-	if x.heard.IsZero() || l.gone[h.ID] {
+	switch {
+	case l.gone[h.ID]:
+		l.log.WithFields(telemetry.Fields{"event": "peer_regained", "peer": h.ID, "silent": now.Sub(x.heard).Round(time.Millisecond)}).Info("a daemon of the data centre is heard again")
+	case x.heard.IsZero():
 		l.log.WithFields(telemetry.Fields{"event": "peer_found", "peer": h.ID, "incarnation": m.Incarnation}).Debug("a daemon of the data centre is heard")
 	}
 	delete(l.gone, h.ID)
