--- a/cli/cli.go
+++ b/cli/cli.go
@@ -109,8 +109,8 @@
 	if _, err := parser.ParseArgs(args); err != nil {
 		return err
 	}
-	if c, ok := chosen.(*explainCommand); ok {
-		return c.run(ctx, &session{Streams: streams})
+	if _, ok := chosen.(offline); ok {
+		return chosen.run(ctx, &session{Streams: streams, json: global.Output == "json"})
 	}
 	s, err := newSession(global, streams)
 	if err != nil {
--- a/cli/commands.go
+++ b/cli/commands.go
@@ -20,6 +20,7 @@
 		{"readmit", "Return a backend server to service", readmitHelp, &stateCommand{action: readmit}},
 		{"report", "Print a daily report as CSV", reportHelp, &reportCommand{}},
 		{"explain", "Explain one request from logs of usher-edge", explainHelp, &explainCommand{}},
+		{"failures", "Count failed requests by cause from logs of usher-edge", failuresHelp, &failuresCommand{}},
 	}
 }
 
--- a/cli/explain.go
+++ b/cli/explain.go
@@ -33,6 +33,11 @@
 // maxLogLine bounds one line of a log.
 const maxLogLine = 1 << 20
 
+// offline is a command that reads logs and needs no API.
+type offline interface{ offline() }
+
+func (*explainCommand) offline() {}
+
 // logLine is one event of a log.
 type logLine struct {
 	text   string
@@ -52,7 +57,7 @@
 }
 
 func (c *explainCommand) run(_ context.Context, s *session) error {
-	lines, err := c.read(s.In)
+	lines, err := readLogs(c.Args.Files, s.In)
 	if err != nil {
 		return err
 	}
@@ -76,12 +81,13 @@
 	return fmt.Sprintf("no line about request %s: its host was killed, or the line was left out (look for skipped=)", e.ID)
 }
 
-func (c *explainCommand) read(in io.Reader) ([]logLine, error) {
-	if len(c.Args.Files) == 0 {
+// readLogs reads files, or in if there are none.
+func readLogs(files []string, in io.Reader) ([]logLine, error) {
+	if len(files) == 0 {
 		return readLog(in)
 	}
 	var lines []logLine
-	for _, path := range c.Args.Files {
+	for _, path := range files {
 		f, err := os.Open(path)
 		if err != nil {
 			return nil, err
@@ -132,7 +138,7 @@
 	var out []logLine
 	for i := len(before) - 1; i >= 0; i-- {
 		l := before[i]
-		subject := beliefSubject(l, servers)
+		subject := beliefSubject(l, servers, request.fields["service"])
 		if subject == "" || l.fields["host"] != request.fields["host"] || seen[subject] {
 			continue
 		}
@@ -144,8 +150,8 @@
 }
 
 // beliefSubject returns what a line says something about, if a request to the
-// servers depends on it.
-func beliefSubject(l logLine, servers map[string]bool) string {
+// servers of a service depends on it.
+func beliefSubject(l logLine, servers map[string]bool, service string) string {
 	switch event := l.fields["event"]; event {
 	case "server_suspected", "server_trusted":
 		if servers[l.fields["server"]] {
@@ -155,6 +161,10 @@
 		if servers[l.fields["server"]] {
 			return "entry " + l.fields["server"]
 		}
+	case "retry_budget_exhausted", "retry_budget_regained":
+		if l.fields["service"] == service {
+			return "budget"
+		}
 	case "store_lost", "store_regained":
 		return "store"
 	case "config_applied":
