--- /dev/null
+++ b/core/balance/budget_test.go
@@ -0,0 +1,165 @@
+package balance_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/agateusher/agateusher/core/balance"
+	"github.com/agateusher/agateusher/core/model"
+)
+
+// Guards against arrivals beyond the budget, and against idempotent requests
+// that use up what refused ones need.
+func TestBudget(t *testing.T) {
+	g := NewWithT(t)
+	b := newBench(local(2)...)
+	b.now = b.now.Add(10 * time.Second) // the whole slack is available
+	repeat := func(repeatable bool) int {
+		n := 0
+		for b.table.AllowRepeat(b.now, registry, repeatable) && n < 1000 {
+			b.next++
+			b.table.Started(b.now, 1, balance.AttemptKey{Host: self, Number: b.next}, true)
+			n++
+		}
+		return n
+	}
+	for range 100 {
+		b.run(1, balance.Succeeded, time.Millisecond)
+	}
+	b.choose(write()) // the service has requests that must not repeat
+	idempotent := repeat(true)
+	others := repeat(false)
+	// The data centre's part of the slack is half of 40.
+	g.Expect(idempotent + others).To(And(BeNumerically(">", 30), BeNumerically("<=", 40)))
+	g.Expect(others).To(BeNumerically(">=", idempotent-2))
+	b.now = b.now.Add(11 * time.Second)
+	g.Expect(b.table.AllowRepeat(b.now, registry, true)).To(BeTrue())
+}
+
+// Guards against half of the budget being kept for requests that a service does
+// not have.
+func TestBudgetOfIdempotentService(t *testing.T) {
+	g := NewWithT(t)
+	spend := func(guarded bool) int {
+		b := newBench(local(2)...)
+		b.now = b.now.Add(10 * time.Second) // the whole slack is available
+		for range 100 {
+			b.run(1, balance.Succeeded, time.Millisecond)
+		}
+		if guarded {
+			b.choose(write())
+		}
+		n := 0
+		for ; b.table.AllowRepeat(b.now, registry, true) && n < 1000; n++ {
+			b.next++
+			b.table.Started(b.now, 1, balance.AttemptKey{Host: self, Number: b.next}, true)
+		}
+		return n
+	}
+	// Ratio 0.2 of 100 requests and half of the slack of 40.
+	g.Expect(spend(false)).To(And(BeNumerically(">", 30), BeNumerically("<=", 40)))
+	g.Expect(spend(true)).To(BeNumerically("<=", 20))
+}
+
+// Guards against a budget that is used up by requests sent to a server known to
+// fail because others are busy, and by hedges.
+func TestScarceBudgetIsSaved(t *testing.T) {
+	g := NewWithT(t)
+	b := newBench(local(2)...)
+	b.now = b.now.Add(10 * time.Second) // the whole slack is available
+	b.run(1, balance.Succeeded, 150*time.Millisecond)
+	b.run(2, balance.Succeeded, 150*time.Millisecond)
+	for range 4 {
+		b.run(2, balance.Failed, time.Millisecond)
+	}
+	for range 5 {
+		b.begin(1)
+	}
+	q := read()
+	q.Target = 500 * time.Millisecond
+	g.Expect(b.choose(q).Server.ID).To(Equal(model.ServerID("i-2")))
+	g.Expect(b.table.AllowHedge(b.now, registry)).To(BeTrue())
+	for range 13 { // of 20
+		b.next++
+		b.table.Started(b.now, 2, balance.AttemptKey{Host: self, Number: b.next}, true)
+		b.table.Finished(b.now, 2, balance.AttemptKey{Host: self, Number: b.next}, balance.Failed, 0)
+	}
+	g.Expect(b.choose(q).Server.ID).To(Equal(model.ServerID("i-1")))
+	g.Expect(b.table.AllowHedge(b.now, registry)).To(BeFalse())
+	g.Expect(b.table.AllowRepeat(b.now, registry, true)).To(BeTrue())
+}
+
+// Guards against a budget that is spent twice around a restart of all daemons.
+func TestBudgetAfterRestart(t *testing.T) {
+	g := NewWithT(t)
+	const span, rate = 10 * time.Second, 20 // requests a second
+	var repeats []time.Time
+	run := func(b *bench, d time.Duration) {
+		for end := b.now.Add(d); b.now.Before(end); b.now = b.now.Add(time.Second / rate) {
+			b.next++
+			b.table.Started(b.now, 1, balance.AttemptKey{Host: self, Number: b.next}, false)
+			for b.table.AllowRepeat(b.now, registry, false) {
+				b.next++
+				b.table.Started(b.now, 1, balance.AttemptKey{Host: self, Number: b.next}, true)
+				repeats = append(repeats, b.now)
+			}
+		}
+	}
+	before := newBench(local(1)...)
+	run(before, 30*time.Second)
+	after := newBench()
+	after.now = before.now
+	after.table.SetServers(after.now, local(1), 2)
+	run(after, 20*time.Second)
+	for i, from := range repeats {
+		n := 0
+		for _, at := range repeats[i:] {
+			if at.Before(from.Add(span)) {
+				n++
+			}
+		}
+		g.Expect(n).To(BeNumerically("<=", 0.2*rate*10+20), "from %s", from.Sub(start))
+	}
+	g.Expect(len(repeats)).To(BeNumerically(">", 200))
+}
+
+// Guards against a window that is shorter than the bound's: any span of ten
+// seconds has to keep the budget, however the repeats are spread.
+func TestBudgetHoldsInEveryWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := newBench(local(1)...)
+		var arrivals, repeats []time.Time
+		for range 1500 {
+			b.now = b.now.Add(time.Duration(rapid.IntRange(5, 30).Draw(t, "gap")) * time.Millisecond)
+			b.next++
+			arrivals = append(arrivals, b.now)
+			b.table.Started(b.now, 1, balance.AttemptKey{Host: self, Number: b.next}, false)
+			if b.table.AllowRepeat(b.now, registry, false) {
+				b.next++
+				repeats = append(repeats, b.now)
+				b.table.Started(b.now, 1, balance.AttemptKey{Host: self, Number: b.next}, true)
+			}
+		}
+		const span = 10 * time.Second
+		within := func(list []time.Time, from time.Time) (n int) {
+			for _, at := range list {
+				if !at.Before(from) && at.Before(from.Add(span)) {
+					n++
+				}
+			}
+			return n
+		}
+		for i, from := range repeats {
+			if i%50 != 0 || from.Add(span).After(b.now) {
+				continue
+			}
+			n, requests := within(repeats, from), max(within(arrivals, from), within(arrivals, from.Add(-span/2)), within(arrivals, from.Add(-span)))
+			if float64(n) > 0.2*float64(requests)+20 {
+				t.Fatalf("%d repeats for %d requests", n, requests)
+			}
+		}
+	})
+}
--- a/core/balance/table.go
+++ b/core/balance/table.go
@@ -41,17 +41,6 @@
 	Budget Budget
 }
 
-// Budget bounds arrivals beyond the first of each request, over all daemons.
-type Budget struct {
-	// Ratio is the share of the requests that may be repeated.
-	Ratio float64
-	// Slack is added to that for each service, in requests per window. Each
-	// data centre spends its equal part.
-	Slack float64
-	// Window is the span that both are counted over.
-	Window time.Duration
-}
-
 // Table holds the servers of all services with the evidence about them.
 type Table struct {
 	opts     Options
@@ -157,18 +146,6 @@
 	t.servers = kept
 }
 
-// SetBudget changes the retry budget. The counts start anew if its window
-// changes.
-func (t *Table) SetBudget(now time.Time, b Budget) {
-	if b.Window != t.opts.Budget.Window {
-		t.began = now
-		for _, s := range t.services {
-			s.arrivals, s.repeats = window{span: b.Window}, longWindow(b.Window)
-		}
-	}
-	t.opts.Budget = b
-}
-
 func (t *Table) service(name model.ServiceName) *service {
 	s, ok := t.services[name]
 	if !ok {
