gossip: the largest host of a data centre is its relay; balance: a quarter of the slack at the start

Relays were chosen by hash alone. Hosts are ranked by processor times link, those of equal size by hash as before. TestLargeHostsAreRelays fails without it.

A daemon now starts with a quarter.

--- a/core/balance/budget.go
+++ b/core/balance/budget.go
@@ -21,6 +21,9 @@
 	// budgetMargin is the part of the retry budget that is spent; the rest
 	// covers attempts of other daemons that have not been heard of yet.
 	budgetMargin = 0.88
+	// startShare is the part of the slack that a daemon spends at its start; the
+	// rest follows over one window.
+	startShare = 0.25
 	// guardedShare is the part of that which idempotent requests may use in a
 	// service that has others too, so that some is left for requests that a
 	// server refused and that have no other way to be served.
@@ -91,8 +94,8 @@
 func (t *Table) budgetUsed(now time.Time, group *service) float64 {
 	b := t.opts.Budget
 	// Repeats from before this daemon's start are not known, and those of others
-	// are not heard until it has found them: the slack grows over one window.
-	known := min(1, now.Sub(t.began).Seconds()/b.Window.Seconds())
+	// are not heard until it has found them.
+	known := min(1, max(startShare, now.Sub(t.began).Seconds()/b.Window.Seconds()))
 	slack := known * b.Slack / float64(t.dataCentres)
 	allowed := budgetMargin * (b.Ratio*float64(group.arrivals.count(now)) + slack)
 	if allowed < 1 {
--- a/edge/node.go
+++ b/edge/node.go
@@ -105,8 +105,7 @@
 	n.exchanger = newExchanger(n.headers)
 	n.state = newState(s, n.log)
 	n.keeper = catalog.NewKeeper(n.apply)
-	self := gossip.Host{ID: s.Host.ID, DataCentre: s.Host.DataCentre, Region: s.Host.Region, Address: s.Listeners.Fleet}
-	if n.link, err = gossip.Listen(self, model.Incarnation(rand.Text()), peers{n}, n.log); err != nil {
+	if n.link, err = gossip.Listen(s.self(), model.Incarnation(rand.Text()), peers{n}, n.log); err != nil {
 		return nil, &StartError{Part: "gossip", Err: err}
 	}
 	n.state.observe = n.link.Observe
--- a/edge/servers.go
+++ b/edge/servers.go
@@ -99,7 +99,7 @@
 // register writes this daemon into the registry, unless it is there from an
 // earlier start, and learns of the others.
 func (n *Node) register(ctx context.Context) error {
-	self := gossip.Host{ID: n.settings.Host.ID, DataCentre: n.settings.Host.DataCentre, Region: n.settings.Host.Region, Address: n.settings.Listeners.Fleet}
+	self := n.settings.self()
 	hosts, _ := n.learnHosts(ctx)
 	registered := slices.Contains(hosts, self)
 	for i := 0; ctx.Err() == nil; {
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -7,6 +7,7 @@
 
 	"github.com/agateusher/agateusher/core/balance"
 	"github.com/agateusher/agateusher/core/model"
+	"github.com/agateusher/agateusher/gossip"
 	"github.com/agateusher/agateusher/settings"
 )
 
@@ -33,8 +34,15 @@
 	ID         model.HostID     `json:"id" validate:"required,max=255"`
 	DataCentre model.DataCentre `json:"dataCentre" validate:"required"`
 	Region     model.Region     `json:"region" validate:"required"`
+	// Cores and LinkMbps are the host's processor, in cores, and its link, in
+	// Mbit/s. Larger hosts are relays first. Zero: not known.
+	Cores    float64 `json:"cores,omitempty" validate:"gte=0"`
+	LinkMbps float64 `json:"linkMbps,omitempty" validate:"gte=0"`
 }
 
+// weight is the host's weight as a relay: its processor and its link count alike.
+func (h HostSettings) weight() uint32 { return uint32(100 * h.Cores * h.LinkMbps) }
+
 // ListenerSettings are addresses, "ip:port".
 type ListenerSettings struct {
 	// Caller serves callers, through the platform's balancer.
@@ -121,6 +129,14 @@
 	return fmt.Sprintf("settings: a change of %s needs a restart", e.Key)
 }
 
+// self describes this daemon to the others.
+func (s Settings) self() gossip.Host {
+	return gossip.Host{
+		ID: s.Host.ID, DataCentre: s.Host.DataCentre, Region: s.Host.Region,
+		Address: s.Listeners.Fleet, Weight: s.Host.weight(),
+	}
+}
+
 // checkReload returns a *RestartError if next differs from s in a key that is
 // fixed at the start.
 func (s Settings) checkReload(next Settings) error {
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -63,16 +63,16 @@
 	g := NewWithT(t)
 	address, err := standin.FreeAddress()
 	g.Expect(err).NotTo(HaveOccurred())
-	return startAt(t, id, dc, address, "1")
+	return startAt(t, Host{ID: model.HostID(id), DataCentre: dc, Region: "r", Address: address}, "1")
 }
 
-func startAt(t *testing.T, id string, dc model.DataCentre, address string, incarnation model.Incarnation) *node {
+func startAt(t *testing.T, self Host, incarnation model.Incarnation) *node {
 	t.Helper()
 	g := NewWithT(t)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	r := &recorder{theirs: map[model.HostID][]uint64{}}
-	l, err := Listen(Host{ID: model.HostID(id), DataCentre: dc, Region: "r", Address: address}, incarnation, r, log)
+	l, err := Listen(self, incarnation, r, log)
 	g.Expect(err).NotTo(HaveOccurred())
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
@@ -144,6 +144,29 @@
 	g.Eventually(func() int { return min(rest[0].Rank(), rest[1].Rank()) }).WithTimeout(2 * time.Second).Should(Equal(0))
 }
 
+// Guards against a small host that sends its content to the whole data centre
+// while a larger one is there.
+func TestLargeHostsAreRelays(t *testing.T) {
+	g := NewWithT(t)
+	address := func() string {
+		a, err := standin.FreeAddress()
+		g.Expect(err).NotTo(HaveOccurred())
+		return a
+	}
+	var nodes []*node
+	for i, weight := range []uint32{2, 1, 9, 1} {
+		nodes = append(nodes, startAt(t, Host{ID: model.HostID(fmt.Sprint("h", i)), DataCentre: "x", Region: "r", Address: address(), Weight: weight}, "1"))
+	}
+	for _, n := range nodes {
+		// The weight is learned from heartbeats, also if the registry has none.
+		n.Learn([]Host{{ID: "h0", DataCentre: "x", Region: "r", Address: nodes[0].self.Address}})
+		nodes[0].Learn([]Host{{ID: n.self.ID, DataCentre: "x", Region: "r", Address: n.self.Address}})
+		nodes[2].Learn([]Host{n.self})
+		n.Learn([]Host{nodes[2].self})
+	}
+	g.Eventually(func() []int { return []int{nodes[0].Rank(), nodes[2].Rank()} }).WithTimeout(3 * time.Second).Should(Equal([]int{1, 0}))
+}
+
 // Guards against attempts of an ended process that count for ever.
 func TestRestartIsNoticed(t *testing.T) {
 	g := NewWithT(t)
@@ -151,7 +174,7 @@
 	a.Learn([]Host{b.self})
 	g.Eventually(a.Live).WithTimeout(2 * time.Second).Should(Equal(2))
 	b.stop()
-	again := startAt(t, "b", "x", b.self.Address, "2")
+	again := startAt(t, b.self, "2")
 	again.Learn([]Host{a.self})
 	g.Eventually(func() (gone []model.HostID) {
 		a.with(func() { gone = append(gone, a.recorder.gone...) })
--- a/gossip/link.go
+++ b/gossip/link.go
@@ -205,6 +205,7 @@
 		Leaving: s.Leaving, Epoch: uint64(s.Epoch), Revision: s.Revision,
 		ConfirmedAgeMs: uint32(s.ConfirmedAge.Milliseconds()),
 		Outstanding:    l.handler.Outstanding(),
+		Weight:         l.self.Weight,
 	}
 }
 
@@ -363,7 +364,7 @@
 // heard records the sender of a heartbeat.
 func (l *Link) heard(m *gen.Gossip, from *net.UDPAddr) (h Host, restarted bool) {
 	now := time.Now()
-	h = Host{ID: model.HostID(m.Host), DataCentre: model.DataCentre(m.DataCentre), Region: model.Region(m.Region), Address: from.String()}
+	h = Host{ID: model.HostID(m.Host), DataCentre: model.DataCentre(m.DataCentre), Region: model.Region(m.Region), Address: from.String(), Weight: m.Weight}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	x, err := l.members.add(h, now)
--- a/gossip/member.go
+++ b/gossip/member.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"cmp"
 	"net"
 	"slices"
 	"time"
@@ -28,6 +29,9 @@
 	Region     model.Region     `json:"region"`
 	// Address is "ip:port" of both its UDP and its TCP listener.
 	Address string `json:"address"`
+	// Weight orders hosts as relays, the highest first: a relay sends its content
+	// to the whole data centre. Zero: not known.
+	Weight uint32 `json:"weight,omitempty"`
 }
 
 // member is another daemon of the fleet.
@@ -64,6 +68,7 @@
 	m, ok := t[h.ID]
 	if ok && m.Address == h.Address {
 		m.known = now
+		m.Weight = max(m.Weight, h.Weight)
 		return m, nil
 	}
 	udp, err := net.ResolveUDPAddr("udp4", h.Address)
@@ -80,13 +85,27 @@
 	if leaving {
 		return len(t)
 	}
-	hosts := []model.HostID{self.ID}
+	hosts := []Host{self}
 	for _, m := range t {
 		if m.DataCentre == self.DataCentre && m.live(now) {
-			hosts = append(hosts, m.ID)
+			hosts = append(hosts, m.Host)
 		}
 	}
-	return slices.Index(ranking.Rank(relayKey, hosts), self.ID)
+	return slices.Index(byDuty(hosts), self.ID)
+}
+
+// byDuty orders hosts as relays: by weight, those of equal weight by rendezvous
+// hashing.
+func byDuty(hosts []Host) []model.HostID {
+	weights := make(map[model.HostID]uint32, len(hosts))
+	ids := make([]model.HostID, 0, len(hosts))
+	for _, h := range hosts {
+		weights[h.ID] = h.Weight
+		ids = append(ids, h.ID)
+	}
+	ranked := ranking.Rank(relayKey, ids)
+	slices.SortStableFunc(ranked, func(a, b model.HostID) int { return cmp.Compare(weights[b], weights[a]) })
+	return ranked
 }
 
 // relayKey is the ranking key of the relay.
@@ -94,14 +113,15 @@
 
 // relays returns the likely relays of another data centre.
 func (t table) relays(dc model.DataCentre, n int) []*member {
-	var hosts []model.HostID
+	var hosts []Host
 	for _, m := range t {
 		if m.DataCentre == dc && !m.leaving {
-			hosts = append(hosts, m.ID)
+			hosts = append(hosts, m.Host)
 		}
 	}
+	ranked := byDuty(hosts)
 	var out []*member
-	for _, h := range ranking.Top(relayKey, hosts, n) {
+	for _, h := range ranked[:min(n, len(ranked))] {
 		out = append(out, t[h])
 	}
 	return out
