--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -341,6 +341,20 @@
 	g.Expect(b.table.Work(registry)).To(BeNumerically("~", 100*time.Millisecond, 20*time.Millisecond))
 }
 
+// Guards against waiting behind attempts that this daemon has not heard of: one
+// backlog would then look like slow servers.
+func TestQueuedSamplesCountLess(t *testing.T) {
+	g := NewWithT(t)
+	b := newBench(local(1)...)
+	b.run(1, balance.Succeeded, 100*time.Millisecond)
+	b.begin(1)
+	b.begin(1)
+	for range 10 {
+		b.run(1, balance.Succeeded, 900*time.Millisecond)
+	}
+	g.Expect(b.table.Work(registry)).To(BeNumerically("<", 200*time.Millisecond))
+}
+
 // Guards against servers that seem free because their load comes from other data
 // centres, and against load that is counted after it has ended.
 func TestLoadOfOtherDataCentres(t *testing.T) {
