--- a/edge/harness_test.go
+++ b/edge/harness_test.go
@@ -108,6 +108,9 @@
 	set.Store = s.store.Address()
 	set.Regions = map[model.DataCentre]model.Region{zone: "region"}
 	set.Stop.Notice = 0
+	// As on the users' sites. A daemon starts with a part of it only, and the
+	// default is too small for several refusals of the first request.
+	set.Retries.Slack = 62
 	return set
 }
 
