--- a/edge/forward.go
+++ b/edge/forward.go
@@ -108,7 +108,7 @@
 }
 
 // awaitView returns the view in force. A daemon that has just started waits for
-// its first whole one for a moment: it usually arrives within 0.2 s.
+// its first whole one for a moment.
 func (n *Node) awaitView(ctx context.Context) *catalog.View {
 	select {
 	case <-n.complete:
