--- a/catalog/types.go
+++ b/catalog/types.go
@@ -32,6 +32,15 @@
 	Priority int `json:"priority"`
 }
 
+// UnreadableRoute is the place of a route that could not be decoded. Requests there
+// are refused: they must neither be told that the route is missing nor be served
+// by a route with a shorter prefix. Without a readable host and prefix, both are
+// empty and any request that matches no route may belong to it.
+type UnreadableRoute struct {
+	Host   string `json:"host"`
+	Prefix string `json:"prefix"`
+}
+
 // WeightedService is a service with its weight in a route.
 type WeightedService struct {
 	Service model.ServiceName `json:"service"`
@@ -51,6 +60,8 @@
 	Epoch  model.Epoch `json:"epoch"`
 	Routes []Route     `json:"routes"`
 	Limits Limits      `json:"limits"`
+	// Unreadable lists the routes that could not be decoded.
+	Unreadable []UnreadableRoute `json:"unreadable,omitempty"`
 }
 
 // Server is one incarnation of a backend server, as registered by itself.
@@ -124,31 +135,62 @@
 
 // RouteTable finds the route of a request. It is immutable.
 type RouteTable struct {
+	// routes has a nil route for each prefix whose route could not be decoded.
 	routes map[string]*Route
+	// incomplete is set if a route could not be decoded and its place is not known.
+	incomplete bool
 }
 
-// NewRouteTable returns a table over the routes of a configuration.
+// NewRouteTable returns a table over the routes of a configuration. Routes without
+// a service, which only a damaged copy of a configuration has, count as unreadable.
 func NewRouteTable(c *Config) *RouteTable {
-	t := &RouteTable{routes: make(map[string]*Route, len(c.Routes))}
+	t := &RouteTable{routes: make(map[string]*Route, len(c.Routes)+len(c.Unreadable))}
+	for _, u := range c.Unreadable {
+		t.incomplete = t.incomplete || u == UnreadableRoute{}
+		t.routes[u.Host+u.Prefix] = nil
+	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
-		t.routes[r.Host+r.Prefix] = r
+		if len(r.Services) == 0 {
+			r = nil
+		}
+		t.routes[c.Routes[i].Host+c.Routes[i].Prefix] = r
 	}
 	return t
 }
 
-// Match returns the host's route with the longest matching prefix of the path.
-// Unlike in core/routing, the path must contain the prefix with its final slash:
-// "/a/" does not match "/a".
-func (t *RouteTable) Match(host, path string) (*Route, bool) {
+// MatchResult is the result of RouteTable.Match.
+type MatchResult uint8
+
+const (
+	// Matched: the request has a route.
+	Matched MatchResult = iota
+	// Unmatched: no route matches the request.
+	Unmatched
+	// Undecided: the request belongs, or may belong, to a route that could not be
+	// decoded.
+	Undecided
+)
+
+// Match returns the host's route with the longest matching prefix of the path; it
+// is nil unless the result is Matched. Unlike in core/routing, the path must
+// contain the prefix with its final slash: "/a/" does not match "/a".
+func (t *RouteTable) Match(host, path string) (*Route, MatchResult) {
 	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
 		host = host[:i]
 	}
 	host = strings.ToLower(host)
 	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
-		if r, ok := t.routes[host+path[:end+1]]; ok {
-			return r, true
+		r, ok := t.routes[host+path[:end+1]]
+		switch {
+		case r != nil:
+			return r, Matched
+		case ok:
+			return nil, Undecided
 		}
 	}
-	return nil, false
+	if t.incomplete {
+		return nil, Undecided
+	}
+	return nil, Unmatched
 }
--- a/core/model/outcome.go
+++ b/core/model/outcome.go
@@ -48,6 +48,9 @@
 	ReasonNoRoute Reason = "no-route"
 	// ReasonNoConfiguration: the daemon has no configuration yet.
 	ReasonNoConfiguration Reason = "no-configuration"
+	// ReasonRouteUnreadable: the request's route is in the configuration, but this
+	// version of the program cannot read it.
+	ReasonRouteUnreadable Reason = "route-unreadable"
 	// ReasonRateLimited: the workspace or route exceeds its rate limit.
 	ReasonRateLimited Reason = "rate-limited"
 	// ReasonQueueFull: the pool's queue is full.
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -93,9 +93,12 @@
 		return n.logUnrouted(q, 0, n.refuse(q, model.ReasonNoConfiguration), model.ReasonNoConfiguration)
 	}
 	path, _, _ := strings.Cut(q.target, "?")
-	route, ok := view.Routes.Match(q.host, path)
-	if !ok {
+	route, result := view.Routes.Match(q.host, path)
+	switch result {
+	case catalog.Unmatched:
 		return n.logUnrouted(q, view.Epoch(), n.localResponse(q, http.StatusNotFound, model.ReasonNoRoute), model.ReasonNoRoute)
+	case catalog.Undecided:
+		return n.logUnrouted(q, view.Epoch(), n.refuse(q, model.ReasonRouteUnreadable), model.ReasonRouteUnreadable)
 	}
 	timeout := route.Timeout
 	if timeout <= 0 {
