edge: long responses stream, bodies share a bounded memory, endless bytes end

Cause: each response was buffered whole, up to 8 MB, and each request up to the configured maximum, without a bound on the sum.

A response is buffered for 50 ms of the host's link (64 to 256 KiB), so that an idempotent request can be retried if it is cut, and streamed beyond. A cut is visible: chunked for HTTP/1.1, a reset for HTTP/1.0. Bodies share a quarter of the process's memory; without room, a response streams earlier and a request is refused. Attempts that reach the deadline after a stall count as failures. A response that makes progress is not hedged; other hedges are checked again. Routes with several services use a low-discrepancy sequence (core/split).

--- a/core/balance/belief.go
+++ b/core/balance/belief.go
@@ -63,6 +63,10 @@
 	return m.update(b, now, m.FailWhenFailing, m.FailWhenServing)
 }
 
+// failureRatio returns how much likelier a failed attempt is at a failing server
+// than at a serving one.
+func (m Model) failureRatio() float64 { return m.FailWhenFailing / m.FailWhenServing }
+
 // AfterEvidence returns the belief after an event that is ratio times as likely
 // at a failing server as at a serving one.
 func (m Model) AfterEvidence(b Belief, now time.Time, ratio float64) Belief {
--- a/core/balance/observe.go
+++ b/core/balance/observe.go
@@ -52,6 +52,10 @@
 	// Abandoned: the daemon cancelled the attempt or could not connect, so the
 	// attempt is no evidence about the server.
 	Abandoned
+	// TimedOut: the attempt reached the deadline of its request. It is evidence
+	// about the server only if it was stalled: a caller may wait for less time than
+	// the service needs.
+	TimedOut
 )
 
 // AttemptStarted records an attempt of this or another daemon of the data centre.
@@ -106,6 +110,12 @@
 		s.consecutiveSheds++
 	case Misdirected:
 		s.unreachableUntil = now.Add(misdirectedHold)
+	case TimedOut:
+		if ended.stalled {
+			// The rest of the evidence of a failure: a part was counted at the stall.
+			s.belief = t.opts.Model.AfterEvidence(s.belief, now, t.opts.Model.failureRatio()/stallRatio)
+			s.lastEvidence, s.consecutiveSheds = now, 0
+		}
 	case Abandoned:
 	}
 	return BeliefChange{Server: s.ID, Before: before, After: t.opts.Model.FailingProbability(s.belief, now)}
--- a/edge/answer.go
+++ b/edge/answer.go
@@ -42,7 +42,8 @@
 	}
 	n.headers.SetLocalResponse(h, id)
 	n.localResponses.Inc(strconv.Itoa(status), string(reason))
-	return &response{status: status, header: h, body: append(body, '\n')}
+	body = append(body, '\n')
+	return &response{status: status, header: h, body: body, length: int64(len(body))}
 }
 
 // sizeEstimator estimates the bytes transferred by an attempt on each route.
--- a/edge/conn.go
+++ b/edge/conn.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/agateusher/agateusher/catalog"
+	"github.com/agateusher/agateusher/core/model"
 	"github.com/agateusher/agateusher/fleet"
 )
 
@@ -22,7 +23,9 @@
 	maxPipelinedRequests = 32
 	// connBufferSize is the size of the read and write buffers, in bytes.
 	connBufferSize = 4 << 10
-	// writeTimeout bounds the writing of one response.
+	// writeBufferSize is the largest size of the write buffer, in bytes.
+	writeBufferSize = 32 << 10
+	// writeTimeout bounds one write of a part of a response.
 	writeTimeout = 10 * time.Second
 	// bodyReadTimeout bounds the reading of a request body.
 	bodyReadTimeout = 20 * time.Second
@@ -69,6 +72,14 @@
 	httpRequest *http.Request
 	response    chan *response
 	close       bool // close the connection after this response
+	// reserved is the memory of the request's bodies.
+	reserved *reservation
+}
+
+// discard releases what belongs to a response that will not be written.
+func (p *pendingResponse) discard() {
+	p.reserved.close()
+	go func() { (<-p.response).close() }()
 }
 
 // limitedConn bounds the bytes that are read for the header of a request.
@@ -126,6 +137,7 @@
 		}
 		p, q := c.readRequest(limits)
 		if !c.enqueue(p) {
+			p.reserved.close()
 			return
 		}
 		if q == nil {
@@ -195,7 +207,7 @@
 // readRequest reads a request with its body. If the request is malformed, q is nil
 // and p has the response.
 func (c *conn) readRequest(limits catalog.Limits) (p *pendingResponse, q *request) {
-	p = &pendingResponse{response: make(chan *response, 1)}
+	p = &pendingResponse{response: make(chan *response, 1), reserved: c.node.bodyMemory.newReservation()}
 	_ = c.socket.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
 	c.headerLimit.remaining = int64(max(limits.MaxHeaderBytes, connBufferSize)) + connBufferSize
 	httpRequest, err := http.ReadRequest(c.reader)
@@ -204,7 +216,7 @@
 		return c.rejectMalformed(p, err), nil
 	}
 	p.httpRequest, p.close = httpRequest, httpRequest.Close || !httpRequest.ProtoAtLeast(1, 1)
-	q = &request{method: httpRequest.Method, target: httpRequest.RequestURI, host: httpRequest.Host, header: httpRequest.Header}
+	q = &request{method: httpRequest.Method, target: httpRequest.RequestURI, host: httpRequest.Host, header: httpRequest.Header, reserved: p.reserved}
 	q.id, q.callerTimeout = c.node.headers.ParseRequest(httpRequest.Header)
 	_ = c.socket.SetReadDeadline(time.Now().Add(bodyReadTimeout))
 	if strings.EqualFold(httpRequest.Header.Get("Expect"), "100-continue") {
@@ -213,7 +225,12 @@
 			c.cancelRequests()
 		}
 	}
-	q.body, err = fleet.ReadBody(httpRequest.Body, httpRequest.ContentLength, limits.MaxBodyBytes)
+	q.body, err = readRequestBody(httpRequest, limits.MaxBodyBytes, p.reserved)
+	if errors.Is(err, errNoMemory) {
+		p.close = true
+		p.response <- c.node.refuse(q, model.ReasonMemory)
+		return p, nil
+	}
 	if err != nil {
 		return c.rejectMalformed(p, err), nil
 	}
@@ -308,7 +325,10 @@
 	for p := range c.responses {
 		resp := <-p.response
 		last := c.decideClose(p)
-		if err := c.writeResponse(p, resp, last); err != nil {
+		err := c.writeResponse(p, resp, last)
+		resp.close()
+		p.reserved.close()
+		if err != nil {
 			c.cancelRequests()
 			c.mu.Lock()
 			c.closing = true
@@ -333,20 +353,45 @@
 	return c.closing
 }
 
+// callerWriter writes to a caller's connection. Each write has a timeout of its own.
+type callerWriter struct{ net.Conn }
+
+// Write implements io.Writer.
+func (w callerWriter) Write(p []byte) (int, error) {
+	_ = w.SetWriteDeadline(time.Now().Add(writeTimeout))
+	return w.Conn.Write(p)
+}
+
 func (c *conn) writeResponse(p *pendingResponse, resp *response, last bool) error {
-	_ = c.socket.SetWriteDeadline(time.Now().Add(writeTimeout))
 	out := &http.Response{
 		StatusCode: resp.status, ProtoMajor: 1, ProtoMinor: 1, Header: resp.header, Request: p.httpRequest,
-		ContentLength: int64(len(resp.body)), Body: io.NopCloser(bytes.NewReader(resp.body)), Close: last,
+		ContentLength: resp.length, Body: io.NopCloser(bytes.NewReader(resp.body)), Close: last,
 	}
-	if len(resp.body) == 0 {
+	switch {
+	case resp.rest != nil:
+		out.Body = io.NopCloser(io.MultiReader(bytes.NewReader(resp.body), resp.rest))
+		if resp.length < 0 && p.httpRequest.ProtoAtLeast(1, 1) {
+			// Otherwise the end of the connection ends the response, and one that
+			// was cut looks whole.
+			out.TransferEncoding = []string{"chunked"}
+		}
+	case len(resp.body) == 0:
 		out.Body = http.NoBody
 	}
-	w := bufio.NewWriterSize(c.socket, connBufferSize)
-	if err := out.Write(w); err != nil {
-		return err
+	w := bufio.NewWriterSize(callerWriter{c.socket}, min(max(connBufferSize, len(resp.body)+connBufferSize), writeBufferSize))
+	err := out.Write(w)
+	if err == nil {
+		return w.Flush()
 	}
-	return w.Flush()
+	if resp.rest != nil && !p.httpRequest.ProtoAtLeast(1, 1) {
+		// The end of the connection ends an HTTP/1.0 response: only a reset shows
+		// that it is not whole.
+		if tcp, ok := c.socket.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+			_ = tcp.Close()
+		}
+	}
+	return err
 }
 
 // lingerAndClose closes the write side, discards input for up to lingerTimeout and
@@ -358,7 +403,8 @@
 	_ = c.socket.SetReadDeadline(time.Now().Add(lingerTimeout))
 	// The caller of the remaining requests has disconnected. The queue is drained
 	// because the reader may be blocked on it.
-	for range c.responses {
+	for p := range c.responses {
+		p.discard()
 	}
 	<-readerDone
 	_, _ = io.Copy(io.Discard, c.socket)
--- a/edge/exchange.go
+++ b/edge/exchange.go
@@ -24,17 +24,27 @@
 	// crossRegionDialTimeout bounds a dial to another region, where a round trip
 	// takes 60 ms.
 	crossRegionDialTimeout = 300 * time.Millisecond
-	// maxResponseBytes bounds the body of a response, which is buffered.
-	maxResponseBytes = 8 << 20
 	// maxResponseHeaderBytes bounds the header of a response.
 	maxResponseHeaderBytes = 64 << 10
 )
 
-// response is a complete response to a caller.
+// response is a response to a caller.
 type response struct {
 	status int
 	header http.Header
 	body   []byte
+	// rest is the part of the body after body; nil if body is the whole.
+	rest *bodyStream
+	// length is the length of the whole body, or -1 if it is not known. A response
+	// to HEAD has a length but no body.
+	length int64
+}
+
+// close ends the attempt that a streamed response comes from.
+func (r *response) close() {
+	if r.rest != nil {
+		_ = r.rest.Close()
+	}
 }
 
 // exchanger sends requests to backend servers. Each attempt opens a new connection:
@@ -43,10 +53,12 @@
 type exchanger struct {
 	headers                 Headers
 	sameRegion, crossRegion *http.Transport
+	// bufferBytes is how much of a response is buffered before it is streamed.
+	bufferBytes int
 }
 
-func newExchanger(h Headers) *exchanger {
-	return &exchanger{headers: h, sameRegion: newTransport(sameRegionDialTimeout), crossRegion: newTransport(crossRegionDialTimeout)}
+func newExchanger(h Headers, bufferBytes int) *exchanger {
+	return &exchanger{headers: h, bufferBytes: bufferBytes, sameRegion: newTransport(sameRegionDialTimeout), crossRegion: newTransport(crossRegionDialTimeout)}
 }
 
 func newTransport(dialTimeout time.Duration) *http.Transport {
@@ -61,10 +73,11 @@
 // errTargetNotPath is returned for a request target that does not start with "/".
 var errTargetNotPath = errors.New("request target is not a path")
 
-// exchange sends the request to a server and reads the whole response, which is nil
-// if there is none. remaining is the time until the deadline; it is sent to the
-// server.
-func (x *exchanger) exchange(ctx context.Context, q *request, server balance.Server, crossRegion bool, remaining time.Duration) (Verdict, *response, error) {
+// exchange sends the request to a server and reads the response, which is nil if
+// there is none. Of a long response only the first part is read; the rest has to be
+// read or closed by the caller of exchange. remaining is the time until the
+// deadline; it is sent to the server. progress is called for each part received.
+func (x *exchanger) exchange(ctx context.Context, q *request, server balance.Server, crossRegion bool, remaining time.Duration, progress func()) (Verdict, *response, error) {
 	var connected atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
 	out, err := x.newServerRequest(ctx, q, server, remaining)
@@ -79,15 +92,47 @@
 	if err != nil {
 		return classifyError(ctx, connected.Load()), nil, err
 	}
-	defer func() { _ = resp.Body.Close() }()
+	progress()
 	verdict := x.headers.Classify(resp, q.id)
-	body, err := fleet.ReadBody(resp.Body, resp.ContentLength, maxResponseBytes)
-	if err != nil && verdict.mayHaveRun() {
+	if !verdict.mayHaveRun() {
+		_ = resp.Body.Close()
+		return verdict, &response{status: resp.StatusCode, header: http.Header{}}, nil
+	}
+	r, err := x.readResponse(ctx, resp, verdict, q.reserved, progress)
+	if err != nil {
+		_ = resp.Body.Close()
 		return classifyError(ctx, true), nil, err
 	}
-	header := fleet.EndToEnd(resp.Header)
-	x.headers.CopyResponse(header, resp.Header)
-	return verdict, &response{status: resp.StatusCode, header: header, body: body}, nil
+	if r.rest == nil {
+		_ = resp.Body.Close()
+	}
+	r.header = fleet.EndToEnd(resp.Header)
+	x.headers.CopyResponse(r.header, resp.Header)
+	return verdict, r, nil
+}
+
+// readResponse reads the body of a response, or its first part if it is long and
+// the response is usable.
+func (x *exchanger) readResponse(ctx context.Context, resp *http.Response, verdict Verdict, reserved *reservation, progress func()) (*response, error) {
+	r := &response{status: resp.StatusCode}
+	if resp.Request.Method == http.MethodHead || resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified {
+		r.length = resp.ContentLength
+		return r, nil
+	}
+	body, whole, err := readBody(resp.Body, x.bufferBytes, reserved, progress)
+	if err != nil && !errors.Is(err, errNoMemory) {
+		return nil, err
+	}
+	r.body, r.length = body, int64(len(body))
+	if whole {
+		return r, nil
+	}
+	if verdict != Usable {
+		return nil, errResponseTooLong
+	}
+	r.length = resp.ContentLength
+	r.rest = &bodyStream{body: resp.Body, ctx: ctx, read: int64(len(body))}
+	return r, nil
 }
 
 // classifyError returns the verdict on an attempt without a complete response.
@@ -95,6 +140,8 @@
 	switch {
 	case !connected:
 		return ConnectFailed
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return TimedOut
 	case ctx.Err() != nil:
 		return Cancelled
 	}
@@ -156,4 +203,6 @@
 	// callerTimeout is how long the caller waits, counted from received; zero:
 	// not known.
 	callerTimeout time.Duration
+	// reserved is the memory of the request's bodies.
+	reserved *reservation
 }
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -5,12 +5,15 @@
 	"math/rand/v2"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/agateusher/agateusher/catalog"
 	"github.com/agateusher/agateusher/core/balance"
 	"github.com/agateusher/agateusher/core/invariant"
 	"github.com/agateusher/agateusher/core/model"
+	"github.com/agateusher/agateusher/core/split"
+	"github.com/agateusher/agateusher/telemetry"
 )
 
 const (
@@ -32,6 +35,9 @@
 	// at the earliest.
 	hedgeFactor = 2.2
 	hedgeMin    = 350 * time.Millisecond
+	// hedgeRecheck is the pause after a check that found no attempt to hedge, no
+	// server with a free slot or no budget left.
+	hedgeRecheck = 100 * time.Millisecond
 	// maxDials is the maximum number of attempts of a request, including those
 	// that open no connection.
 	maxDials = 5
@@ -74,6 +80,14 @@
 	choice    balance.Choice
 	startedAt time.Time
 	cancel    context.CancelFunc
+	// progressAt is when the last part of the response was received, as time since
+	// startedAt; zero: none yet.
+	progressAt *atomic.Int64
+}
+
+// lastProgress returns when the attempt started or last received something.
+func (a *activeAttempt) lastProgress() time.Time {
+	return a.startedAt.Add(time.Duration(a.progressAt.Load()))
 }
 
 type attemptResult struct {
@@ -108,7 +122,7 @@
 		timeout = min(timeout, q.callerTimeout)
 	}
 	f := &forwarding{
-		node: n, request: q, route: route, service: pickService(route.Services), deadline: q.received.Add(timeout - responseMargin),
+		node: n, request: q, route: route, service: n.pickService(route), deadline: q.received.Add(timeout - responseMargin),
 		results: make(chan attemptResult, maxDials+1), active: map[uint64]activeAttempt{},
 	}
 	resp := f.run(ctx)
@@ -133,19 +147,22 @@
 	return n.view.Load()
 }
 
-// pickService draws a service at random by the weights of a route.
-func pickService(services []catalog.WeightedService) model.ServiceName {
-	total := 0.0
-	for _, s := range services {
-		total += s.Weight
-	}
-	x := rand.Float64() * total
-	for _, s := range services {
-		if x -= s.Weight; x < 0 {
-			return s.Service
-		}
+// pickService returns the service for the next request of a route. All attempts of
+// the request go to it: a request that its part of a split cannot serve is refused
+// rather than moved to another part.
+func (n *Node) pickService(route *catalog.Route) model.ServiceName {
+	if len(route.Services) == 1 {
+		return route.Services[0].Service
+	}
+	sequence, ok := n.splits.Load(route.Name)
+	if !ok {
+		sequence, _ = n.splits.LoadOrStore(route.Name, split.NewSequence())
+	}
+	weights := make([]float64, len(route.Services))
+	for i, s := range route.Services {
+		weights[i] = s.Weight
 	}
-	return services[len(services)-1].Service
+	return route.Services[sequence.(*split.Sequence).Next(weights)].Service
 }
 
 // run makes attempts until there is a response.
@@ -165,11 +182,7 @@
 				return resp
 			}
 		case <-hedgeTimer.C:
-			if f.mayHedge() {
-				q := f.query()
-				q.Hedge, q.CanRetry = true, false
-				f.send(ctx, q)
-			}
+			hedgeTimer.Reset(f.hedge(ctx))
 		case <-deadline.C:
 			f.reason = model.ReasonTimeout
 			return f.failureResponse()
@@ -185,6 +198,25 @@
 	return max(hedgeMin, time.Duration(hedgeFactor*float64(meanServiceTime)))
 }
 
+// hedge sends the request to a second server if the only attempt has received
+// nothing for hedgeDelay. It returns the time until the next check.
+func (f *forwarding) hedge(ctx context.Context) time.Duration {
+	if len(f.active) != 1 {
+		return hedgeRecheck
+	}
+	for _, a := range f.active {
+		if early := time.Until(a.lastProgress().Add(f.hedgeDelay())); early > 0 {
+			return early
+		}
+	}
+	if f.route.Idempotent && f.attemptsLeft() && f.node.serverState.allowHedge(f.service) {
+		q := f.query()
+		q.Hedge, q.CanRetry = true, false
+		f.send(ctx, q)
+	}
+	return hedgeRecheck
+}
+
 // latencyLimit returns the expected latency above which the request is refused
 // rather than queued; zero: unlimited. Queues at full servers make all requests
 // late, and servers that are nearly full work more slowly.
@@ -199,10 +231,6 @@
 	return time.Duration(factor * float64(f.route.TargetLatency))
 }
 
-func (f *forwarding) mayHedge() bool {
-	return f.route.Idempotent && len(f.active) == 1 && f.attemptsLeft() && f.node.serverState.allowHedge(f.service)
-}
-
 // attemptsLeft reports whether the limits of attempts and time allow another
 // attempt.
 func (f *forwarding) attemptsLeft() bool {
@@ -263,11 +291,13 @@
 	attemptCtx, cancel := context.WithDeadline(f.attemptContext(ctx), f.deadline)
 	remaining := time.Until(f.deadline)
 	startedAt := time.Now()
-	f.active[number] = activeAttempt{choice: choice, startedAt: startedAt, cancel: cancel}
+	progressAt := &atomic.Int64{}
+	f.active[number] = activeAttempt{choice: choice, startedAt: startedAt, cancel: cancel, progressAt: progressAt}
 	f.countedAttempts++
 	go func() {
 		crossRegion := choice.Server.Region != f.node.settings.Host.Region
-		verdict, resp, err := f.node.exchanger.exchange(attemptCtx, f.request, choice.Server, crossRegion, remaining)
+		verdict, resp, err := f.node.exchanger.exchange(attemptCtx, f.request, choice.Server, crossRegion, remaining,
+			func() { progressAt.Store(int64(time.Since(startedAt))) })
 		f.results <- attemptResult{number: number, choice: choice, verdict: verdict, resp: resp, err: err, latency: time.Since(startedAt)}
 	}()
 	return true
@@ -287,9 +317,14 @@
 // request may be retried. It returns the response to the caller and true when the
 // request is finished.
 func (f *forwarding) handleResult(ctx context.Context, r attemptResult) (*response, bool) {
-	f.active[r.number].cancel()
+	cancel := f.active[r.number].cancel
 	delete(f.active, r.number)
 	f.node.serverState.finishAttempt(r)
+	if r.resp != nil && r.resp.rest != nil {
+		f.node.superviseStream(r, cancel)
+	} else {
+		cancel()
+	}
 	f.recordAttempt(r)
 	// Attempts at a server that cannot be reached or whose address belongs to
 	// another server do not count towards max_attempts.
@@ -339,13 +374,25 @@
 	return allowed
 }
 
+// superviseStream lets a streamed response end its attempt, and records it if the
+// server does not deliver the rest.
+func (n *Node) superviseStream(r attemptResult, cancel context.CancelFunc) {
+	r.resp.rest.cancel = cancel
+	server := r.choice.Server
+	r.resp.rest.failed = func(err error) {
+		n.serverState.recordCutStream(server.Key)
+		n.log.WithFields(telemetry.Fields{"event": "response_cut", "server": server.ID, "bytes": r.resp.rest.read}).WithError(err).
+			Warn("a backend server did not deliver the rest of a response")
+	}
+}
+
 func reasonOf(v Verdict) model.Reason {
 	switch v {
 	case Refused, Misdirected:
 		return model.ReasonShed
 	case ConnectFailed:
 		return model.ReasonConnect
-	case Cancelled:
+	case Cancelled, TimedOut:
 		return model.ReasonTimeout
 	case InvalidResponse, MismatchedResponse, ConnectionLost:
 		return model.ReasonTruncated
@@ -373,7 +420,9 @@
 	if len(f.active) == 0 {
 		return
 	}
-	if f.route.Idempotent || f.reason != model.ReasonCancelled {
+	// After a timeout, the contexts of the attempts end by themselves. The verdict is
+	// then TimedOut, which is evidence about the server.
+	if f.reason != model.ReasonTimeout && (f.route.Idempotent || f.reason != model.ReasonCancelled) {
 		for _, a := range f.active {
 			a.cancel()
 		}
@@ -386,8 +435,8 @@
 func (f *forwarding) collectAbandoned(n int) {
 	for range n {
 		r := <-f.results
-		if r.verdict == ConnectionLost {
-			r.verdict = Cancelled
+		if r.resp != nil {
+			r.resp.close()
 		}
 		f.node.serverState.finishAttempt(r)
 		f.active[r.number].cancel()
--- a/edge/gauges.go
+++ b/edge/gauges.go
@@ -33,6 +33,7 @@
 		"server_age_seconds":     serverAge.Seconds(),
 		"live_hosts":             float64(n.gossiper.LiveCount()),
 		"caller_connections":     float64(n.connectionCount()),
+		"body_bytes":             float64(n.bodyMemory.inUse()),
 		"log_lines_dropped":      float64(n.logWriter.ring.Dropped()),
 		"request_lines_left_out": float64(n.requestLog.skippedTotal.Load()),
 		"observations_dropped":   float64(n.gossiper.Dropped()),
--- a/edge/headers.go
+++ b/edge/headers.go
@@ -31,11 +31,14 @@
 	ConnectFailed
 	// Cancelled: this daemon cancelled the attempt.
 	Cancelled
+	// TimedOut: there was no whole response until the request's deadline.
+	TimedOut
 )
 
 var verdictNames = [...]string{
 	Usable: "usable", ServerFailure: "server-failure", Refused: "refused", Misdirected: "misdirected",
 	MismatchedResponse: "foreign", InvalidResponse: "spoilt", ConnectionLost: "broken", ConnectFailed: "unconnected", Cancelled: "cancelled",
+	TimedOut: "timed-out",
 }
 
 // String returns the form used in logs and metrics.
--- a/edge/node.go
+++ b/edge/node.go
@@ -60,11 +60,14 @@
 	exchanger      *exchanger
 	serverState    *serverState
 	sizeEstimator  sizeEstimator
-	cache          *catalog.Cache
-	follower       *catalog.Follower
-	gossiper       *gossip.Gossiper
-	puller         *puller
-	view           atomic.Pointer[catalog.View]
+	bodyMemory     *bodyMemory
+	// splits holds a *split.Sequence for each route with several services, by name.
+	splits   sync.Map
+	cache    *catalog.Cache
+	follower *catalog.Follower
+	gossiper *gossip.Gossiper
+	puller   *puller
+	view     atomic.Pointer[catalog.View]
 	// viewComplete is closed once view has a configuration and a set of servers.
 	viewComplete chan struct{}
 	// draining is set from the start of a graceful shutdown.
@@ -105,7 +108,8 @@
 	n.attempts = telemetry.NewCounterVec(n.metrics.Scope, "attempts", "verdict", "")
 	n.platform = connect(n.metrics.Scope, n.log)
 	n.headers = n.platform.Headers
-	n.exchanger = newExchanger(n.headers)
+	n.exchanger = newExchanger(n.headers, responseBufferBytes(s.Host.LinkMbps))
+	n.bodyMemory = newBodyMemory(int64(s.MemoryMiB) << 20)
 	n.serverState = newServerState(s, n.log)
 	n.cache = catalog.NewCache(n.apply)
 	if n.gossiper, err = gossip.Listen(s.localHost(), model.Incarnation(rand.Text()), gossipHandler{n}, n.log); err != nil {
--- a/edge/requestlog.go
+++ b/edge/requestlog.go
@@ -57,8 +57,8 @@
 	took := time.Since(f.request.received)
 	n.metrics.Scope.Histogram("request_latency", telemetry.LatencyBuckets).RecordDuration(took)
 	failed := resp.status >= http.StatusInternalServerError
-	if !failed {
-		n.sizeEstimator.sample(f.route.Name, len(resp.body))
+	if !failed && resp.length >= 0 {
+		n.sizeEstimator.sample(f.route.Name, int(resp.length))
 	}
 	for _, a := range f.active {
 		f.attemptNotes = append(f.attemptNotes, attemptNote(a.choice, unanswered, 0, time.Since(a.startedAt)))
--- a/edge/state.go
+++ b/edge/state.go
@@ -95,6 +95,7 @@
 	ConnectionLost:     {gen.Observation_KIND_FAILED, balance.Failed},
 	ConnectFailed:      {gen.Observation_KIND_ABANDONED, balance.Abandoned},
 	Cancelled:          {gen.Observation_KIND_ABANDONED, balance.Abandoned},
+	TimedOut:           {gen.Observation_KIND_TIMED_OUT, balance.TimedOut},
 }
 
 // finishAttempt records the result of an attempt and publishes it.
@@ -113,6 +114,16 @@
 	s.publish(&gen.Observation{Kind: o.kind, Server: uint64(key), Attempt: r.number, LatencyMs: uint32(r.latency.Milliseconds())})
 }
 
+// recordCutStream records that a server did not deliver the rest of a response
+// whose attempt was finished with its first part.
+func (s *serverState) recordCutStream(key balance.ServerKey) {
+	s.mu.Lock()
+	change := s.table.AttemptFinished(time.Now(), key, balance.AttemptKey{Host: s.localHost}, balance.Failed, 0)
+	s.mu.Unlock()
+	s.logBeliefChange(change, "cut-stream", s.localHost)
+	s.publish(&gen.Observation{Kind: gen.Observation_KIND_FAILED, Server: uint64(key)})
+}
+
 // observationResults maps the observations of other daemons to results.
 var observationResults = map[gen.Observation_Kind]balance.Result{
 	gen.Observation_KIND_SUCCEEDED:   balance.Succeeded,
@@ -120,6 +131,7 @@
 	gen.Observation_KIND_SHED:        balance.Shed,
 	gen.Observation_KIND_ABANDONED:   balance.Abandoned,
 	gen.Observation_KIND_MISDIRECTED: balance.Misdirected,
+	gen.Observation_KIND_TIMED_OUT:   balance.TimedOut,
 }
 
 // applyPeerObservation records an observation of another daemon of the data centre.
--- a/standin/consortium/server.go
+++ b/standin/consortium/server.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -42,6 +43,38 @@
 	Garbage
 	// AnswerTwice runs the request and answers twice.
 	AnswerTwice
+	// Large runs the request and answers with LargeBody.
+	Large
+	// LargeChunked is like Large without a Content-Length, in chunks.
+	LargeChunked
+	// LargeTruncated sends half of LargeBody and closes the connection.
+	LargeTruncated
+	// LargeStalled sends half of LargeBody and nothing more.
+	LargeStalled
+	// EndlessHead runs the request and sends header lines until the connection is
+	// closed.
+	EndlessHead
+	// EndlessInterim runs the request and sends 1xx responses until the connection
+	// is closed.
+	EndlessInterim
+	// EndlessBody runs the request and sends a body in chunks until the connection is
+	// closed.
+	EndlessBody
+	// EndlessChunkExtension runs the request and sends a chunk extension until the
+	// connection is closed.
+	EndlessChunkExtension
+	// EndlessTrailer runs the request and sends trailer lines until the connection is
+	// closed.
+	EndlessTrailer
+	// DripBody runs the request and sends one byte of a body each 20 ms until the
+	// connection is closed.
+	DripBody
+	// DripHead runs the request and sends one byte of a header each 20 ms until the
+	// connection is closed.
+	DripHead
+	// NoContent runs the request and answers 204, followed by bytes that are no
+	// answer.
+	NoContent
 	// AnswerEarly runs the request, answers 413 before reading the body, and then
 	// reads it.
 	AnswerEarly
@@ -74,6 +107,8 @@
 	requests    []*ReceivedRequest
 	conns       map[net.Conn]struct{}
 	cancelled   int
+	// endlessBytes counts the bytes that the endless behaviours have sent.
+	endlessBytes int
 }
 
 // NewServer starts a server on a loopback port.
@@ -237,6 +272,79 @@
 	f()
 }
 
+// LargeBodyBytes is the size of LargeBody.
+const LargeBodyBytes = 700 << 10
+
+// LargeBody returns the large body of a correct answer to the request with the
+// identifier.
+func LargeBody(id string) string {
+	line := "answer to " + id + "\n"
+	return strings.Repeat(line, LargeBodyBytes/len(line)+1)[:LargeBodyBytes]
+}
+
+// dripInterval is the pause between the bytes of DripBody and DripHead.
+const dripInterval = 20 * time.Millisecond
+
+// maxEndlessBytes bounds what an endless behaviour sends, should the caller never
+// close the connection.
+const maxEndlessBytes = 1 << 30
+
+// repeat writes text, with a pause after each copy, until the connection is closed
+// or maxEndlessBytes were written. It counts the bytes in Server.EndlessBytes.
+func (s *Server) repeat(c net.Conn, text string, pause time.Duration) bool {
+	for sent := 0; sent < maxEndlessBytes; sent += len(text) {
+		if !write(c, text) {
+			return false
+		}
+		s.update(func() { s.endlessBytes += len(text) })
+		time.Sleep(pause)
+	}
+	return false
+}
+
+// EndlessBytes returns how many bytes the endless behaviours have sent.
+func (s *Server) EndlessBytes() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.endlessBytes
+}
+
+// respondLarge writes an answer with a large or an endless body or head. It returns
+// false if the connection must be closed.
+func (s *Server) respondLarge(c net.Conn, received *ReceivedRequest, b Behaviour, headers string) bool {
+	const status = "HTTP/1.1 200 OK\r\n"
+	const chunked = "Transfer-Encoding: chunked\r\n\r\n"
+	body := LargeBody(received.ID)
+	length := fmt.Sprintf("Content-Length: %d\r\n\r\n", len(body))
+	chunk := fmt.Sprintf("%x\r\n%s\r\n", len(body), body)
+	switch b {
+	case Large:
+		return write(c, status+headers+length+body)
+	case LargeChunked:
+		return write(c, status+headers+chunked+chunk+"0\r\n\r\n")
+	case LargeTruncated:
+		write(c, status+headers+length+body[:len(body)/2])
+		return false
+	case LargeStalled:
+		return write(c, status+headers+length+body[:len(body)/2]) && s.run(c, bufio.NewReader(c), 0, true)
+	case EndlessHead:
+		return write(c, status+headers) && s.repeat(c, strings.Repeat("X-Filler: "+strings.Repeat("x", 100)+"\r\n", 10), 0)
+	case EndlessInterim:
+		return s.repeat(c, "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n", 0)
+	case EndlessBody:
+		return write(c, status+headers+chunked) && s.repeat(c, chunk, 0)
+	case EndlessChunkExtension:
+		return write(c, status+headers+chunked+"5;x=") && s.repeat(c, strings.Repeat("y", 1000), 0)
+	case EndlessTrailer:
+		return write(c, status+headers+chunked+"0\r\n") && s.repeat(c, "X-Filler: "+strings.Repeat("x", 100)+"\r\n", 0)
+	case DripBody:
+		return write(c, status+headers+chunked) && s.repeat(c, "1\r\nx\r\n", dripInterval)
+	case DripHead:
+		return write(c, status+headers) && s.repeat(c, "x", dripInterval)
+	}
+	return write(c, "HTTP/1.1 204 No Content\r\n"+headers+"\r\nbytes that are no answer") && s.repeat(c, "x", dripInterval)
+}
+
 // Body returns the body of a correct answer to the request with the identifier.
 func Body(id string) string { return "answer to " + id + "\n" }
 
@@ -246,6 +354,9 @@
 	idHeader := "Agateusher-Request-Id: " + received.ID + "\r\n"
 	signatureHeader := "Agateusher-Response-Signature: " + s.ID + "." + received.ID + "\r\n"
 	lengthHeader := fmt.Sprintf("Content-Length: %d\r\n", len(body))
+	if b >= Large && b <= NoContent {
+		return s.respondLarge(c, received, b, idHeader+signatureHeader)
+	}
 	response := "HTTP/1.1 200 OK\r\n" + idHeader + signatureHeader + lengthHeader + "\r\n" + body
 	switch b {
 	case Fail:
