catalog: daemons fetch what has changed instead of the whole content

Cause: a daemon that learns of a newer version fetched the whole content, for 720 servers about 150 KB, from the relay, which encoded it for each of the 54 other hosts of its data centre, at each change. A daemon now sends its versions; the answer has the configuration only if it is newer, and the changed and removed entries if the last 64 changes reach back to the caller's revision. TestDifferences (rapid) compares the result with the whole set.

--- a/catalog/cache.go
+++ b/catalog/cache.go
@@ -30,18 +30,44 @@
 // Complete reports whether both the configuration and the servers are known.
 func (v *View) Complete() bool { return v.Config != nil && v.Revision > 0 }
 
-// Snapshot is the whole content as sent to another daemon. Ages are relative to
-// the moment of the snapshot. The cursors are the revisions to watch from.
+// Versions identifies the content that a daemon has: the configuration's epoch and
+// the servers' revision; zero if there is none.
+type Versions struct {
+	Epoch    model.Epoch `json:"epoch"`
+	Revision Revision    `json:"revision"`
+}
+
+// Snapshot is the content as sent to another daemon, either whole or what has
+// changed since the versions that the other one has. Ages are relative to the
+// moment of the snapshot. The cursors are the revisions to watch from.
 type Snapshot struct {
-	Config       *Config            `json:"config"`
-	ConfigCursor Revision           `json:"configCursor"`
-	ConfigAge    time.Duration      `json:"configAge"`
-	Servers      map[string]*Server `json:"servers"`
-	Revision     Revision           `json:"revision"`
-	ServerCursor Revision           `json:"serverCursor"`
-	ServerAge    time.Duration      `json:"serverAge"`
+	// Config is nil if there is none, or if Epoch is that of the receiver.
+	Config       *Config       `json:"config"`
+	Epoch        model.Epoch   `json:"epoch,omitempty"`
+	ConfigCursor Revision      `json:"configCursor"`
+	ConfigAge    time.Duration `json:"configAge"`
+	// Since is the revision that Servers and Removed are the changes to; zero:
+	// Servers is the whole set.
+	Since   Revision           `json:"since,omitempty"`
+	Servers map[string]*Server `json:"servers"`
+	// Removed names the entries that were removed since Since.
+	Removed      []string      `json:"removed,omitempty"`
+	Revision     Revision      `json:"revision"`
+	ServerCursor Revision      `json:"serverCursor"`
+	ServerAge    time.Duration `json:"serverAge"`
+}
+
+// revisionChange is one step of the servers from one revision to the next.
+type revisionChange struct {
+	from Revision
+	// names are the entries that were added, changed or removed.
+	names []string
 }
 
+// maxHistory is the number of past changes of the servers that a daemon can send
+// instead of the whole set.
+const maxHistory = 64
+
 // Cache holds a daemon's copy of the configuration and of the servers. It is safe
 // for concurrent use.
 type Cache struct {
@@ -59,6 +85,9 @@
 	revision           Revision
 	serverCursor       Revision
 	serversConfirmedAt time.Time
+	// history has the latest changes of servers, the oldest first; each one begins
+	// where the one before it ends.
+	history []revisionChange
 }
 
 // NewCache returns an empty Cache. onChange receives the new view after each
@@ -85,26 +114,31 @@
 	return now.Sub(at)
 }
 
-// Versions returns the configuration's epoch and the servers' revision; zero if
-// there is none.
-func (c *Cache) Versions() (model.Epoch, Revision) {
+// Versions returns the versions of the content.
+func (c *Cache) Versions() Versions {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.config == nil {
-		return 0, c.revision
+	return c.versions()
+}
+
+// versions is Versions with c.mu held.
+func (c *Cache) versions() Versions {
+	v := Versions{Revision: c.revision}
+	if c.config != nil {
+		v.Epoch = c.config.Epoch
 	}
-	return c.config.Epoch, c.revision
+	return v
 }
 
 // Confirm records that the store confirmed these versions to another daemon. It
 // has no effect on content of another version.
-func (c *Cache) Confirm(epoch model.Epoch, revision Revision, confirmedAt time.Time) {
+func (c *Cache) Confirm(v Versions, confirmedAt time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.config != nil && c.config.Epoch == epoch && confirmedAt.After(c.configConfirmedAt) {
+	if c.config != nil && c.config.Epoch == v.Epoch && confirmedAt.After(c.configConfirmedAt) {
 		c.configConfirmedAt = confirmedAt
 	}
-	if c.revision == revision && revision != 0 && confirmedAt.After(c.serversConfirmedAt) {
+	if c.revision == v.Revision && v.Revision != 0 && confirmedAt.After(c.serversConfirmedAt) {
 		c.serversConfirmedAt = confirmedAt
 	}
 }
@@ -133,6 +167,7 @@
 func (c *Cache) putServers(servers map[string]*Server, revision, cursor Revision, confirmedAt time.Time) (applied bool) {
 	c.mu.Lock()
 	if revision > c.revision {
+		c.recordChange(servers)
 		c.servers, c.revision, applied = servers, revision, true
 	}
 	c.serverCursor = max(c.serverCursor, cursor)
@@ -146,6 +181,44 @@
 	return applied
 }
 
+// recordChange adds the step from the present servers to next to the history. c.mu
+// must be held.
+func (c *Cache) recordChange(next map[string]*Server) {
+	if c.revision == 0 {
+		return
+	}
+	step := revisionChange{from: c.revision}
+	for name, s := range next {
+		if old, ok := c.servers[name]; !ok || (old != s && *old != *s) {
+			step.names = append(step.names, name)
+		}
+	}
+	for name := range c.servers {
+		if _, ok := next[name]; !ok {
+			step.names = append(step.names, name)
+		}
+	}
+	if len(c.history) == maxHistory {
+		c.history = append(c.history[:0], c.history[1:]...)
+	}
+	c.history = append(c.history, step)
+}
+
+// changedSince returns the names of the entries that may differ from those at a
+// revision; false if the history does not reach back to it. c.mu must be held.
+func (c *Cache) changedSince(revision Revision) (names []string, ok bool) {
+	if revision == c.revision {
+		return nil, true
+	}
+	for i := len(c.history) - 1; i >= 0; i-- {
+		names = append(names, c.history[i].names...)
+		if c.history[i].from == revision {
+			return names, true
+		}
+	}
+	return nil, false
+}
+
 // snapshotServers returns a copy of the servers and the revision to watch from.
 func (c *Cache) snapshotServers() (map[string]*Server, Revision) {
 	c.mu.Lock()
@@ -178,41 +251,100 @@
 	return expired
 }
 
-// Snapshot returns the whole content.
-func (c *Cache) Snapshot(now time.Time) Snapshot {
+// Snapshot returns the content for a daemon that has the given versions: what has
+// changed since, or the whole if that is not known.
+func (c *Cache) Snapshot(now time.Time, has Versions) Snapshot {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	v := c.versions()
 	e := Snapshot{
-		Config: c.config, ConfigCursor: c.configCursor, ConfigAge: ageOf(now, c.configConfirmedAt),
-		Servers: make(map[string]*Server, len(c.servers)), Revision: c.revision,
-		ServerCursor: c.serverCursor, ServerAge: ageOf(now, c.serversConfirmedAt),
+		Config: c.config, Epoch: v.Epoch, ConfigCursor: c.configCursor, ConfigAge: ageOf(now, c.configConfirmedAt),
+		Revision: v.Revision, ServerCursor: c.serverCursor, ServerAge: ageOf(now, c.serversConfirmedAt),
 	}
-	for name, s := range c.servers {
-		copied := *s
-		copied.WarmupRemaining = max(0, s.WarmAt.Sub(now))
-		if !s.GraceUntil.IsZero() {
-			copied.GraceRemaining = max(time.Millisecond, s.GraceUntil.Sub(now))
+	if has.Epoch == v.Epoch {
+		e.Config = nil
+	}
+	names, ok := c.changedSince(has.Revision)
+	if !ok || has.Revision == 0 {
+		e.Servers = make(map[string]*Server, len(c.servers))
+		for name, s := range c.servers {
+			e.Servers[name] = exported(s, now)
+		}
+		return e
+	}
+	e.Since, e.Servers = has.Revision, make(map[string]*Server, len(names))
+	for _, name := range names {
+		if s, ok := c.servers[name]; ok {
+			e.Servers[name] = exported(s, now)
+		} else {
+			e.Removed = append(e.Removed, name)
 		}
-		e.Servers[name] = &copied
 	}
 	return e
 }
 
-// Merge applies the parts of another daemon's content that are newer.
-func (c *Cache) Merge(now time.Time, e Snapshot) {
-	if e.Config != nil {
+// exported returns a copy of s with times relative to now.
+func exported(s *Server, now time.Time) *Server {
+	copied := *s
+	copied.WarmupRemaining = max(0, s.WarmAt.Sub(now))
+	if !s.GraceUntil.IsZero() {
+		copied.GraceRemaining = max(time.Millisecond, s.GraceUntil.Sub(now))
+	}
+	return &copied
+}
+
+// imported sets the times of a received entry by this daemon's clock.
+func imported(s *Server, now time.Time) *Server {
+	s.WarmAt = now.Add(s.WarmupRemaining)
+	if s.GraceRemaining > 0 {
+		s.GraceUntil = now.Add(s.GraceRemaining)
+	}
+	s.WarmupRemaining, s.GraceRemaining = 0, 0
+	return s
+}
+
+// Merge applies the parts of another daemon's content that are newer. It returns
+// false if the snapshot holds changes to a revision that this daemon does not have.
+func (c *Cache) Merge(now time.Time, e Snapshot) bool {
+	switch {
+	case e.Config != nil:
 		c.putConfig(e.Config, e.ConfigCursor, now.Add(-e.ConfigAge))
+	case e.Epoch != 0:
+		c.Confirm(Versions{Epoch: e.Epoch}, now.Add(-e.ConfigAge))
 	}
 	if e.Revision == 0 {
-		return
+		return true
 	}
-	for _, s := range e.Servers {
-		s.WarmAt = now.Add(s.WarmupRemaining)
-		if s.GraceRemaining > 0 {
-			s.GraceUntil = now.Add(s.GraceRemaining)
+	servers := make(map[string]*Server, len(e.Servers))
+	if e.Since != 0 {
+		known, revision := c.serversAt()
+		if revision != e.Since {
+			return revision >= e.Revision
 		}
+		servers = known
+	}
+	for name, s := range e.Servers {
+		if s != nil { // a null in a damaged message
+			servers[name] = imported(s, now)
+		}
+	}
+	for _, name := range e.Removed {
+		delete(servers, name)
 	}
-	c.putServers(e.Servers, e.Revision, e.ServerCursor, now.Add(-e.ServerAge))
+	confirmedAt := now.Add(-e.ServerAge)
+	if e.Since == e.Revision {
+		c.Confirm(Versions{Revision: e.Revision}, confirmedAt)
+		return true
+	}
+	c.putServers(servers, e.Revision, e.ServerCursor, confirmedAt)
+	return true
+}
+
+// serversAt returns a copy of the servers and their revision.
+func (c *Cache) serversAt() (map[string]*Server, Revision) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return maps.Clone(c.servers), c.revision
 }
 
 // View returns the present configuration and servers.
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"maps"
 	"sync"
@@ -13,6 +15,7 @@
 
 	. "github.com/onsi/gomega"
 	"github.com/sirupsen/logrus"
+	"pgregory.net/rapid"
 
 	"github.com/agateusher/agateusher/core/model"
 	"github.com/agateusher/agateusher/kernel"
@@ -107,20 +110,88 @@
 	a, b := NewCache(nil), NewCache(nil)
 	a.putConfig(&Config{Epoch: 2}, 5, now.Add(-time.Second))
 	a.putServers(map[string]*Server{"i-1": {ID: "i-1", GraceUntil: now.Add(time.Second)}}, 6, 6, now.Add(-time.Second))
-	b.Merge(now, a.Snapshot(now))
+	b.Merge(now, a.Snapshot(now, Versions{}))
 	config, servers := b.Ages(now)
 	g.Expect(config).To(Equal(time.Second))
 	g.Expect(servers).To(Equal(time.Second))
 	g.Expect(b.ExpireLapsed(now.Add(900 * time.Millisecond))).To(BeEmpty())
 	g.Expect(b.ExpireLapsed(now.Add(1100 * time.Millisecond))).To(Equal([]model.ServerID{"i-1"}))
-	b.Confirm(2, 6, now)
+	b.Confirm(Versions{Epoch: 2, Revision: 6}, now)
 	config, _ = b.Ages(now)
 	g.Expect(config).To(BeZero())
-	b.Confirm(1, 5, now.Add(time.Second))
+	b.Confirm(Versions{Epoch: 1, Revision: 5}, now.Add(time.Second))
 	config, _ = b.Ages(now.Add(time.Second))
 	g.Expect(config).To(Equal(time.Second))
 }
 
+// Guards against changes that are lost or undone when daemons exchange only the
+// difference between their versions: the content of a daemon that pulls now and then
+// is always that of its peer, and a difference costs as much as its changes.
+func TestDifferences(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Now()
+		peer, local := NewCache(nil), NewCache(nil)
+		servers := map[string]*Server{}
+		for i := range 20 {
+			name := fmt.Sprint("i-", i)
+			servers[name] = &Server{ID: model.ServerID(name), Service: "s", Slots: 1}
+		}
+		revision := Revision(5)
+		peer.putServers(maps.Clone(servers), revision, revision, now)
+		for range rapid.IntRange(1, 3*maxHistory).Draw(t, "steps") {
+			name := fmt.Sprint("i-", rapid.IntRange(0, 25).Draw(t, "name"))
+			if rapid.Bool().Draw(t, "remove") {
+				delete(servers, name)
+			} else {
+				servers[name] = &Server{ID: model.ServerID(name), Service: "s", Slots: rapid.IntRange(1, 3).Draw(t, "slots")}
+			}
+			revision += Revision(rapid.IntRange(1, 3).Draw(t, "gap"))
+			peer.putServers(maps.Clone(servers), revision, revision, now)
+			if rapid.IntRange(0, 4).Draw(t, "pull") != 0 {
+				continue
+			}
+			has := local.Versions()
+			data, err := json.Marshal(peer.Snapshot(now, has))
+			if err != nil {
+				t.Fatal(err)
+			}
+			var e Snapshot
+			if err := json.Unmarshal(data, &e); err != nil {
+				t.Fatal(err)
+			}
+			if e.Since == 0 && has.Revision != 0 && revision-has.Revision < maxHistory/3 {
+				t.Fatalf("the whole set was sent for %d revisions", revision-has.Revision)
+			}
+			if !local.Merge(now, e) {
+				t.Fatal("a difference to the own version was refused")
+			}
+			got, _ := local.serversAt()
+			if len(got) != len(servers) {
+				t.Fatalf("%d servers instead of %d", len(got), len(servers))
+			}
+			for name, s := range servers {
+				if got[name] == nil || got[name].Slots != s.Slots {
+					t.Fatalf("server %s is %v instead of %v", name, got[name], s)
+				}
+			}
+		}
+	})
+}
+
+// Guards against a difference being applied to content of another revision, and
+// against damaged messages that panic.
+func TestMergeRefusesForeignDifferences(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	cache := NewCache(nil)
+	cache.putServers(map[string]*Server{"i-1": {ID: "i-1"}}, 10, 10, now)
+	g.Expect(cache.Merge(now, Snapshot{Since: 12, Revision: 13, Removed: []string{"i-1"}})).To(BeFalse())
+	g.Expect(cache.Merge(now, Snapshot{Since: 8, Revision: 9, Removed: []string{"i-1"}})).To(BeTrue(), "older than the own content")
+	g.Expect(serverNames(cache)).To(ConsistOf("i-1"))
+	g.Expect(cache.Merge(now, Snapshot{Since: 10, Revision: 14, Servers: map[string]*Server{"i-2": nil}})).To(BeTrue())
+	g.Expect(serverNames(cache)).To(ConsistOf("i-1"))
+}
+
 // fakeSource is a fake store in virtual time.
 type fakeSource struct {
 	mu       sync.Mutex
@@ -252,8 +323,7 @@
 		before := f.callCount()
 		for range 20 {
 			time.Sleep(100 * time.Millisecond)
-			epoch, revision := cache.Versions()
-			cache.Confirm(epoch, revision, time.Now())
+			cache.Confirm(cache.Versions(), time.Now())
 		}
 		g.Expect(f.callCount()).To(Equal(before))
 		f.set(func() { f.epoch, f.revision = 2, 11 })
--- a/edge/gauges.go
+++ b/edge/gauges.go
@@ -24,11 +24,11 @@
 }
 
 func (n *Node) updateGauges(now time.Time) {
-	epoch, revision := n.cache.Versions()
+	versions := n.cache.Versions()
 	configAge, serverAge := n.cache.Ages(now)
 	for name, value := range map[string]float64{
-		"config_epoch":           float64(epoch),
-		"server_revision":        float64(revision),
+		"config_epoch":           float64(versions.Epoch),
+		"server_revision":        float64(versions.Revision),
 		"config_age_seconds":     configAge.Seconds(),
 		"server_age_seconds":     serverAge.Seconds(),
 		"live_hosts":             float64(n.gossiper.LiveCount()),
--- a/edge/node.go
+++ b/edge/node.go
@@ -228,9 +228,9 @@
 
 // State implements gossip.Handler.
 func (p gossipHandler) State() gossip.State {
-	epoch, revision := p.cache.Versions()
+	v := p.cache.Versions()
 	config, servers := p.cache.Ages(time.Now())
-	return gossip.State{Leaving: p.draining.Load(), Epoch: epoch, Revision: uint64(revision), ConfirmedAge: max(config, servers)}
+	return gossip.State{Leaving: p.draining.Load(), Epoch: v.Epoch, Revision: uint64(v.Revision), ConfirmedAge: max(config, servers)}
 }
 
 // heartbeatTransitTime is added to the age in a heartbeat, to account for the time
@@ -239,12 +239,12 @@
 
 // PeerState implements gossip.Handler.
 func (p gossipHandler) PeerState(h gossip.Host, s gossip.State) {
-	epoch, revision := p.cache.Versions()
-	if s.Epoch > epoch || catalog.Revision(s.Revision) > revision {
+	own, peer := p.cache.Versions(), catalog.Versions{Epoch: s.Epoch, Revision: catalog.Revision(s.Revision)}
+	if peer.Epoch > own.Epoch || peer.Revision > own.Revision {
 		p.puller.enqueue(h.Address)
 		return
 	}
-	p.cache.Confirm(s.Epoch, catalog.Revision(s.Revision), time.Now().Add(-s.ConfirmedAge-heartbeatTransitTime))
+	p.cache.Confirm(peer, time.Now().Add(-s.ConfirmedAge-heartbeatTransitTime))
 }
 
 // PeerObservation implements gossip.Handler.
--- a/edge/pull.go
+++ b/edge/pull.go
@@ -63,18 +63,28 @@
 	}
 }
 
+// pull fetches what has changed since this daemon's versions. If the other daemon
+// knows only changes to another version by now, it fetches the whole content.
 func (p *puller) pull(address string) {
-	var snapshot catalog.Snapshot
-	startedAt := time.Now()
-	if err := p.get(address, catalogPath, &snapshot); err != nil {
-		p.node.log.WithFields(telemetry.Fields{"event": "pull_failed", "peer": address}).WithError(err).Info("cannot fetch newer content from another daemon")
-		return
-	}
-	epochBefore, _ := p.node.cache.Versions()
-	p.node.cache.Merge(startedAt, snapshot)
-	epoch, revision := p.node.cache.Versions()
-	if epoch != epochBefore {
-		p.node.log.WithFields(telemetry.Fields{"event": "config_applied", "epoch": epoch, "revision": revision, "from": address}).Info("configuration in force")
+	has := p.node.cache.Versions()
+	for range 2 {
+		var snapshot catalog.Snapshot
+		startedAt := time.Now()
+		path := fmt.Sprintf("%s?%s=%d&%s=%d", catalogPath, epochParameter, has.Epoch, revisionParameter, has.Revision)
+		if err := p.get(address, path, &snapshot); err != nil {
+			p.node.log.WithFields(telemetry.Fields{"event": "pull_failed", "peer": address}).WithError(err).Info("cannot fetch newer content from another daemon")
+			return
+		}
+		before := p.node.cache.Versions()
+		merged := p.node.cache.Merge(startedAt, snapshot)
+		after := p.node.cache.Versions()
+		if after.Epoch != before.Epoch {
+			p.node.log.WithFields(telemetry.Fields{"event": "config_applied", "epoch": after.Epoch, "revision": after.Revision, "from": address}).Info("configuration in force")
+		}
+		if merged {
+			return
+		}
+		has = catalog.Versions{}
 	}
 }
 
--- a/edge/servers.go
+++ b/edge/servers.go
@@ -7,10 +7,13 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/go-chi/chi/v5"
 
+	"github.com/agateusher/agateusher/catalog"
+	"github.com/agateusher/agateusher/core/model"
 	"github.com/agateusher/agateusher/gossip"
 	"github.com/agateusher/agateusher/kernel"
 	"github.com/agateusher/agateusher/telemetry"
@@ -22,6 +25,12 @@
 	hostsPath   = "/hosts"
 )
 
+// Query parameters of catalogPath: the versions that the caller has.
+const (
+	epochParameter    = "epoch"
+	revisionParameter = "revision"
+)
+
 // serverHeaderTimeout bounds the reading of a request header on the listeners other
 // than the callers'.
 const serverHeaderTimeout = 2 * time.Second
@@ -72,8 +81,17 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-func (n *Node) serveCatalog(w http.ResponseWriter, _ *http.Request) {
-	n.writeJSON(w, n.cache.Snapshot(time.Now()))
+// serveCatalog answers with what has changed since the caller's versions. Without
+// valid parameters it answers with the whole content.
+func (n *Node) serveCatalog(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	epoch, epochErr := strconv.ParseUint(q.Get(epochParameter), 10, 64)
+	revision, revisionErr := strconv.ParseUint(q.Get(revisionParameter), 10, 64)
+	has := catalog.Versions{Epoch: model.Epoch(epoch), Revision: catalog.Revision(revision)}
+	if epochErr != nil || revisionErr != nil {
+		has = catalog.Versions{}
+	}
+	n.writeJSON(w, n.cache.Snapshot(time.Now(), has))
 }
 
 func (n *Node) serveHosts(w http.ResponseWriter, _ *http.Request) {
