One relay follows the store for the whole fleet

Cause: each data centre had a relay of its own with two watches of 1 s, so that calls grew with the data centres, and a relay that the store silently stopped serving noticed it only at the end of its watch (up to 1.4 s, then its peers waited 1.5 s more): a leaving server could get work after drain_ms. The relay of the first data centre in order now follows the store for the fleet and sends its versions to the relays of the others, at each change and every 0.3 s; these fetch the difference. A check that costs a tenth of a call shows every 0.4 s whether the store still serves the relay; the first failure hands the role on. A watch without a response on a dead connection is begun again at once. While the store fails, the relay of each data centre tries, ever slower in order of preference. Also: an address in an old host list no longer replaces that of a live member, and a restart under another address is noticed (TestAddressChanges). fakeSource's watches return when there is a change, as the store's do; before, they returned at the end of the wait.

--- a/catalog/cache.go
+++ b/catalog/cache.go
@@ -181,6 +181,12 @@
 	return applied
 }
 
+// confirmConfig records that the store confirmed the configuration.
+func (c *Cache) confirmConfig(at time.Time) { c.putConfig(nil, 0, at) }
+
+// confirmServers records that the store confirmed the servers.
+func (c *Cache) confirmServers(at time.Time) { c.putServers(nil, 0, 0, at) }
+
 // recordChange adds the step from the present servers to next to the history. c.mu
 // must be held.
 func (c *Cache) recordChange(next map[string]*Server) {
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -202,6 +202,7 @@
 	err      error
 	hang     bool
 	calls    int
+	pings    int
 }
 
 var errDown = errors.New("down")
@@ -231,12 +232,35 @@
 	if err := f.call(ctx); err != nil {
 		return nil, 0, err
 	}
-	time.Sleep(wait)
+	if err := f.await(ctx, wait, func() bool { return f.revision > after }); err != nil {
+		return nil, 0, err
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return &Config{Epoch: f.epoch}, f.revision, nil
 }
 
+// await waits until a condition holds, as a watch does. A silent store holds up the
+// response, a failing one ends the watch.
+func (f *fakeSource) await(ctx context.Context, wait time.Duration, condition func() bool) error {
+	for end := time.Now().Add(wait); ; time.Sleep(5 * time.Millisecond) {
+		f.mu.Lock()
+		hang, err, met := f.hang, f.err, condition()
+		f.mu.Unlock()
+		switch {
+		case hang:
+			<-ctx.Done()
+			return ctx.Err()
+		case err != nil:
+			return err
+		case met || !time.Now().Before(end):
+			return nil
+		case ctx.Err() != nil:
+			return ctx.Err()
+		}
+	}
+}
+
 func (f *fakeSource) Servers(ctx context.Context) (map[string]*Server, Revision, error) {
 	if err := f.call(ctx); err != nil {
 		return nil, 0, err
@@ -250,18 +274,31 @@
 	if err := f.call(ctx); err != nil {
 		return nil, 0, err
 	}
-	f.mu.Lock()
-	if len(f.events) == 0 {
-		f.mu.Unlock()
-		time.Sleep(wait)
-		f.mu.Lock()
+	if err := f.await(ctx, wait, func() bool { return len(f.events) > 0 }); err != nil {
+		return nil, 0, err
 	}
+	f.mu.Lock()
 	defer f.mu.Unlock()
 	events := f.events
 	f.events = nil
 	return events, f.revision, nil
 }
 
+func (f *fakeSource) Ping(ctx context.Context) error {
+	f.mu.Lock()
+	f.pings++
+	hang, err := f.hang, f.err
+	f.mu.Unlock()
+	if hang {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	if errors.Is(err, ErrHistoryGone) {
+		return nil
+	}
+	return err
+}
+
 func (f *fakeSource) callCount() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -283,7 +320,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan error, 1)
 		go func() {
-			done <- kernel.RunTasks(ctx, NewFollower(cache, source, func() int { return rank }, discardLogger()).Tasks()...)
+			done <- kernel.RunTasks(ctx, NewFollower(cache, source, func() Role { return Role{Rank: rank, Relay: rank == 0} }, discardLogger()).Tasks()...)
 		}()
 		defer func() {
 			cancel()
@@ -359,6 +396,37 @@
 	})
 }
 
+// Guards against a relay that waits for events that never come, because the store
+// silently stopped serving it after the watch began: a leaving server would get work
+// until the watch ends.
+func TestSilentlyRefusedRelay(t *testing.T) {
+	follow(t, 0, func(g *WithT, f *fakeSource, cache *Cache) {
+		time.Sleep(1150 * time.Millisecond) // shortly after the second watch began
+		f.set(func() { f.hang, f.calls = true, 0 })
+		time.Sleep(1100 * time.Millisecond)
+		g.Expect(f.callCount()).To(BeNumerically(">", 0), "the relay noticed nothing")
+		_, age := cache.Ages(time.Now())
+		g.Expect(age).To(BeNumerically(">", time.Second))
+	})
+}
+
+// Guards against a relay whose calls of the store grow without changes, and against
+// content that a healthy store does not confirm often enough.
+func TestCallsOfAnIdleRelay(t *testing.T) {
+	follow(t, 0, func(g *WithT, f *fakeSource, cache *Cache) {
+		f.set(func() { f.calls, f.pings = 0, 0 })
+		for range 300 {
+			time.Sleep(100 * time.Millisecond)
+			config, servers := cache.Ages(time.Now())
+			g.Expect(max(config, servers)).To(BeNumerically("<", 600*time.Millisecond))
+		}
+		f.set(func() {
+			g.Expect(f.calls).To(BeNumerically("<=", 52), "two watches of 1.2 s in 30 s")
+			g.Expect(f.pings).To(BeNumerically("<=", 76))
+		})
+	})
+}
+
 // Guards against changes that are missed when the store no longer keeps its
 // history.
 func TestHistoryGone(t *testing.T) {
--- a/catalog/follower.go
+++ b/catalog/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/agateusher/agateusher/kernel"
@@ -10,9 +11,18 @@
 )
 
 const (
-	// watchWait is how long a watch waits for a change. A response without one
-	// confirms the present content.
-	watchWait = time.Second
+	// watchWait is how long a watch waits for a change. It bounds the delay of a change
+	// if a watch waits on a connection that went silent while other calls succeed.
+	watchWait = 1200 * time.Millisecond
+	// pingInterval is the interval between checks, while a watch waits, that the
+	// store still serves this daemon; a check costs a tenth of a watch. A daemon
+	// that the store no longer answers would wait for events that never come.
+	pingInterval = 400 * time.Millisecond
+	// pingTimeout bounds one check.
+	pingTimeout = 400 * time.Millisecond
+	// failingHold is how long after a failed call another daemon is preferred as
+	// the relay.
+	failingHold = 3 * time.Second
 	// watchTimeoutMargin is the time beyond the wait of a watch after which the
 	// connection is considered lost.
 	watchTimeoutMargin = 400 * time.Millisecond
@@ -21,9 +31,12 @@
 	// batchDelay is the pause after a change of the servers, so that changes in
 	// quick succession cost only one call.
 	batchDelay = 200 * time.Millisecond
-	// retryDelay is the pause after a failed call of the relay or of the daemon
-	// that follows it in rank.
+	// retryDelay is the pause after a failed call of the first daemon in rank of the
+	// first data centre in order. It grows with rank and order: every call is charged
+	// for, and it is enough for the fleet if one daemon finds that the store is back.
 	retryDelay = 250 * time.Millisecond
+	// minWatchTimeout bounds the response to a watch that does not wait.
+	minWatchTimeout = 400 * time.Millisecond
 	// backoffMin is the pause after the first failed call of any other daemon. It
 	// doubles with each failure up to backoffMax. Every call is charged for, also
 	// during an outage of the store, and it is enough for the data centre if one
@@ -49,37 +62,134 @@
 	lapseGrace = 2200 * time.Millisecond
 )
 
+// Role is this daemon's part in following the store.
+type Role struct {
+	// Rank is this daemon's position among the live daemons of its data centre;
+	// zero is the data centre's relay.
+	Rank int
+	// Order is the number of data centres whose relays are preferred to that of this
+	// daemon's own.
+	Order int
+	// Relay is set if this daemon follows the store for the whole fleet.
+	Relay bool
+}
+
 // Follower keeps a Cache up to date from the store.
 type Follower struct {
 	cache  *Cache
 	source Source
-	// rank returns this daemon's position among the live ones of its data
-	// centre; zero is the relay.
-	rank func() int
-	log  telemetry.Logger
+	role   func() Role
+	log    telemetry.Logger
+	loops  []*syncLoop
+
+	mu sync.Mutex
+	// failedAt is when a call of the store last failed; zero if one has succeeded
+	// since.
+	failedAt time.Time
+	// pingedAt is when the last successful check of the store began.
+	pingedAt time.Time
 }
 
-// NewFollower returns a Follower, which works while its tasks run.
-func NewFollower(cache *Cache, source Source, rank func() int, log telemetry.Logger) *Follower {
-	return &Follower{cache: cache, source: source, rank: rank, log: log}
+// NewFollower returns a Follower, which works while its tasks run. role returns this
+// daemon's present role.
+func NewFollower(cache *Cache, source Source, role func() Role, log telemetry.Logger) *Follower {
+	f := &Follower{cache: cache, source: source, role: role, log: log}
+	f.loops = []*syncLoop{
+		{follower: f, kind: "configuration", sync: f.syncConfig, confirm: f.cache.confirmConfig, age: func(now time.Time) time.Duration {
+			a, _ := f.cache.Ages(now)
+			return a
+		}},
+		{follower: f, kind: "servers", sync: f.syncServers, confirm: f.cache.confirmServers, age: func(now time.Time) time.Duration {
+			_, a := f.cache.Ages(now)
+			return a
+		}},
+	}
+	return f
 }
 
 // Tasks returns the follower's long-running tasks.
 func (f *Follower) Tasks() []kernel.Task {
-	config := &syncLoop{follower: f, kind: "configuration", sync: f.syncConfig, age: func(now time.Time) time.Duration {
-		a, _ := f.cache.Ages(now)
-		return a
-	}}
-	servers := &syncLoop{follower: f, kind: "servers", sync: f.syncServers, age: func(now time.Time) time.Duration {
-		_, a := f.cache.Ages(now)
-		return a
-	}}
 	return []kernel.Task{
-		{Name: "follow-configuration", Run: config.run},
-		{Name: "follow-servers", Run: servers.run},
+		{Name: "follow-configuration", Run: f.loops[0].run},
+		{Name: "follow-servers", Run: f.loops[1].run},
+		{Name: "check-store", Run: f.checkStore},
 	}
 }
 
+// StoreFailing reports whether calls of the store failed lately. Another daemon is
+// preferred as the relay then.
+func (f *Follower) StoreFailing() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.failedAt.IsZero() && time.Since(f.failedAt) < failingHold
+}
+
+func (f *Follower) recordCall(failed bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.failedAt = time.Time{}
+	if failed {
+		f.failedAt = time.Now()
+	}
+}
+
+// checkStore checks at intervals that the store still serves this daemon while a
+// watch waits. A success confirms what is watched; a failure ends the watches.
+func (f *Follower) checkStore(ctx context.Context) error {
+	ticker := time.NewTicker(pingInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		began := time.Now()
+		var waiting []*syncLoop
+		for _, l := range f.loops {
+			if l.waitsSince(began) {
+				waiting = append(waiting, l)
+			}
+		}
+		if len(waiting) == 0 {
+			continue
+		}
+		err := f.ping(ctx)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err == nil {
+			f.recordPing(began)
+		}
+		for _, l := range waiting {
+			if err != nil {
+				l.interrupt()
+			} else if l.waitsSince(began) {
+				l.confirm(began)
+			}
+		}
+	}
+}
+
+func (f *Follower) recordPing(began time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.pingedAt = began
+}
+
+// pingedSince reports whether the store has answered a check since a time.
+func (f *Follower) pingedSince(at time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.pingedAt.After(at)
+}
+
+func (f *Follower) ping(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	return f.source.Ping(ctx)
+}
+
 // syncLoop keeps one kind of content up to date: the configuration or the
 // servers.
 type syncLoop struct {
@@ -87,9 +197,11 @@
 	kind     string
 	// sync calls the store once and applies the result.
 	sync func(ctx context.Context, l *syncLoop) error
+	// confirm records that the store confirmed the content.
+	confirm func(at time.Time)
 	// age returns the time since the store last confirmed the content.
 	age func(now time.Time) time.Duration
-	// isRelay is set while this daemon is the relay of its data centre.
+	// isRelay is set while this daemon is the relay.
 	isRelay bool
 	// fullRead is set if the next call has to read the whole content.
 	fullRead bool
@@ -100,6 +212,60 @@
 	failures int
 	// outageEnd is when the last outage longer than outageMin ended.
 	outageEnd time.Time
+
+	mu sync.Mutex
+	// waitingSince is when the present watch began to wait; zero without one.
+	waitingSince time.Time
+	endWatch     context.CancelFunc
+}
+
+var (
+	// errStoreSilent ends a watch while the store does not answer other calls.
+	errStoreSilent = errors.New("the store does not answer while a watch waits")
+	// errWatchLost is returned for a watch without a response although the store
+	// answers other calls: its connection is dead.
+	errWatchLost = errors.New("a watch was not answered although the store answers other calls")
+)
+
+// watchContext returns the context of a watch that waits for the given time, and a
+// function to be called with the watch's error at its end, which returns the error
+// to report.
+func (l *syncLoop) watchContext(ctx context.Context, wait time.Duration) (context.Context, func(error) error) {
+	ctx, cancel := context.WithTimeout(ctx, max(minWatchTimeout, wait+watchTimeoutMargin))
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	interrupted := false
+	l.waitingSince, l.endWatch = time.Now(), func() { interrupted = true; cancel() }
+	return ctx, func(err error) error {
+		cancel()
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		began := l.waitingSince
+		l.waitingSince, l.endWatch = time.Time{}, nil
+		switch {
+		case err != nil && interrupted:
+			return errStoreSilent
+		case errors.Is(err, context.DeadlineExceeded) && l.follower.pingedSince(began):
+			return errWatchLost
+		}
+		return err
+	}
+}
+
+// waitsSince reports whether a watch is waiting that began before a time.
+func (l *syncLoop) waitsSince(at time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.waitingSince.IsZero() && l.waitingSince.Before(at)
+}
+
+// interrupt ends the watch that is waiting.
+func (l *syncLoop) interrupt() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.endWatch != nil {
+		l.endWatch()
+	}
 }
 
 func (l *syncLoop) run(ctx context.Context) error {
@@ -118,16 +284,15 @@
 
 // due reports whether this daemon has to call the store now.
 func (l *syncLoop) due() bool {
-	rank := l.follower.rank()
-	l.logRoleChange(rank == 0)
-	if rank == 0 {
+	role := l.follower.role()
+	l.logRoleChange(role.Relay)
+	if role.Relay {
 		return true
 	}
-	return l.age(time.Now()) > staleAfter+min(staleStaggerMax, time.Duration(rank)*staleStagger)
+	return l.age(time.Now()) > staleAfter+min(staleStaggerMax, time.Duration(role.Rank)*staleStagger)
 }
 
-// logRoleChange logs that this daemon has become the relay of its data centre, or
-// no longer is.
+// logRoleChange logs that this daemon has become the relay, or no longer is.
 func (l *syncLoop) logRoleChange(isRelay bool) {
 	if isRelay == l.isRelay {
 		return
@@ -144,6 +309,9 @@
 func (l *syncLoop) syncOnce(ctx context.Context) (pause time.Duration) {
 	err := l.sync(ctx, l)
 	now := time.Now()
+	if ctx.Err() == nil {
+		l.follower.recordCall(err != nil && !errors.Is(err, ErrHistoryGone) && !errors.Is(err, errWatchLost))
+	}
 	switch {
 	case err == nil:
 		if !l.failingSince.IsZero() {
@@ -157,6 +325,9 @@
 		return 0
 	case ctx.Err() != nil:
 		return 0
+	case errors.Is(err, errWatchLost):
+		l.follower.log.WithFields(telemetry.Fields{"event": "watch_lost", "kind": l.kind}).WithError(err).Info("watching again on another connection")
+		return 0
 	case errors.Is(err, ErrHistoryGone):
 		l.follower.log.WithFields(telemetry.Fields{"event": "history_gone", "kind": l.kind}).Warn("the store no longer keeps this revision; reading the whole content")
 		pause = 0
@@ -176,9 +347,13 @@
 // backoff returns the pause after a failed call. A daemon without content cannot
 // serve requests and does not back off.
 func (l *syncLoop) backoff() time.Duration {
-	if l.follower.rank() < relayCandidates || l.age(time.Now()) >= unconfirmedAge {
+	role := l.follower.role()
+	if l.age(time.Now()) >= unconfirmedAge {
 		return retryDelay
 	}
+	if role.Rank < relayCandidates {
+		return retryDelay * time.Duration((1+role.Rank)*(1+role.Order))
+	}
 	l.failures++
 	return min(backoffMax, backoffMin<<min(l.failures-1, 8))
 }
@@ -199,19 +374,19 @@
 		}
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, f.watchDuration(l)+watchTimeoutMargin)
-	defer cancel()
-	c, r, err := f.source.WatchConfig(ctx, cursor, f.watchDuration(l))
-	if err == nil {
+	wait := f.watchDuration(l)
+	ctx, end := l.watchContext(ctx, wait)
+	c, r, err := f.source.WatchConfig(ctx, cursor, wait)
+	if err = end(err); err == nil {
 		f.applyConfig(c, r, time.Now())
 	}
 	return err
 }
 
 // watchDuration returns how long a watch waits for a change. If the content is
-// stale, the watch returns at once.
+// stale, or this daemon is not the relay, the watch returns at once.
 func (f *Follower) watchDuration(l *syncLoop) time.Duration {
-	if l.age(time.Now()) > staleAfter {
+	if l.age(time.Now()) > staleAfter || !f.role().Relay {
 		return time.Millisecond
 	}
 	return watchWait
@@ -237,10 +412,10 @@
 		f.cache.putServers(servers, r, r, began)
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, f.watchDuration(l)+watchTimeoutMargin)
-	defer cancel()
-	events, r, err := f.source.WatchServers(ctx, cursor, f.watchDuration(l))
-	if err != nil {
+	wait := f.watchDuration(l)
+	ctx, end := l.watchContext(ctx, wait)
+	events, r, err := f.source.WatchServers(ctx, cursor, wait)
+	if err = end(err); err != nil {
 		return err
 	}
 	f.applyServers(l, known, events, r)
--- a/catalog/types.go
+++ b/catalog/types.go
@@ -127,6 +127,8 @@
 	Servers(ctx context.Context) (map[string]*Server, Revision, error)
 	// WatchServers waits for changes after a revision, at most for wait.
 	WatchServers(ctx context.Context, after Revision, wait time.Duration) ([]ServerEvent, Revision, error)
+	// Ping checks that the store serves this daemon. It is the cheapest call.
+	Ping(ctx context.Context) error
 }
 
 // ErrHistoryGone is returned by a watch if the store no longer keeps the
--- a/edge/node.go
+++ b/edge/node.go
@@ -116,7 +116,10 @@
 		return nil, &StartError{Component: "gossip", Err: err}
 	}
 	n.serverState.publish = n.gossiper.Publish
-	n.follower = catalog.NewFollower(n.cache, n.platform.Source, n.gossiper.Rank, n.log)
+	n.follower = catalog.NewFollower(n.cache, n.platform.Source, func() catalog.Role {
+		r := n.gossiper.Role()
+		return catalog.Role{Rank: r.Rank, Order: r.Order, Relay: r.FleetRelay}
+	}, n.log)
 	n.puller = newPuller(n)
 	if n.callerListener, err = net.Listen("tcp4", s.Listeners.Caller); err != nil {
 		return nil, &StartError{Component: "caller listener", Err: err}
@@ -158,6 +161,9 @@
 func (n *Node) apply(v *catalog.View) {
 	n.serverState.setServers(v)
 	before := n.view.Swap(v)
+	if n.gossiper.Role().Rank == 0 {
+		n.gossiper.Announce()
+	}
 	if v.Complete() && (before == nil || !before.Complete()) {
 		close(n.viewComplete)
 	}
@@ -230,7 +236,7 @@
 func (p gossipHandler) State() gossip.State {
 	v := p.cache.Versions()
 	config, servers := p.cache.Ages(time.Now())
-	return gossip.State{Leaving: p.draining.Load(), Epoch: v.Epoch, Revision: uint64(v.Revision), ConfirmedAge: max(config, servers)}
+	return gossip.State{Leaving: p.draining.Load(), Epoch: v.Epoch, Revision: uint64(v.Revision), ConfirmedAge: max(config, servers), StoreFailing: p.follower.StoreFailing()}
 }
 
 // heartbeatTransitTime is added to the age in a heartbeat, to account for the time
--- a/edge/pull.go
+++ b/edge/pull.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	// pullTimeout bounds a pull from a daemon of the data centre.
+	// pullTimeout bounds a pull from another daemon.
 	pullTimeout = 600 * time.Millisecond
 	// pullQueueSize is the capacity of the ring of daemons to pull from. When it
 	// is full, new entries are dropped, since any daemon in it has newer content.
@@ -32,7 +32,7 @@
 func newPuller(n *Node) *puller {
 	return &puller{node: n, queue: kernel.NewRing[string]("pulls", pullQueueSize, kernel.DropNewest), client: &http.Client{
 		Timeout:   pullTimeout,
-		Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: sameRegionDialTimeout}).DialContext, DisableKeepAlives: true},
+		Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: crossRegionDialTimeout}).DialContext, DisableKeepAlives: true},
 	}}
 }
 
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -120,7 +121,7 @@
 	relays := func(of []*node) int {
 		count := 0
 		for _, n := range of {
-			if n.Rank() == 0 {
+			if n.Role().Rank == 0 {
 				count++
 			}
 		}
@@ -130,7 +131,7 @@
 	g.Expect(relays(nodes)).To(Equal(1))
 	var rest []*node
 	for _, n := range nodes {
-		if n.Rank() == 0 {
+		if n.Role().Rank == 0 {
 			n.with(func() { n.state.Leaving = true })
 			n.Announce()
 		} else {
@@ -139,11 +140,76 @@
 	}
 	g.Eventually(func() int { return relays(rest) }).WithTimeout(500 * time.Millisecond).Should(Equal(1))
 	for _, n := range rest {
-		if n.Rank() == 0 {
+		if n.Role().Rank == 0 {
 			n.stop()
 		}
 	}
-	g.Eventually(func() int { return min(rest[0].Rank(), rest[1].Rank()) }).WithTimeout(2 * time.Second).Should(Equal(0))
+	g.Eventually(func() int { return min(rest[0].Role().Rank, rest[1].Role().Rank) }).WithTimeout(2 * time.Second).Should(Equal(0))
+}
+
+// Guards against calls of the store that grow with the number of data centres, and
+// against a fleet without a relay when the present one stops, or is refused by the
+// store.
+func TestOneFleetRelay(t *testing.T) {
+	g := NewWithT(t)
+	var nodes []*node
+	var hosts []Host
+	for i, dc := range []model.DataCentre{"x", "x", "y", "y", "z", "z"} {
+		n := start(t, fmt.Sprint("h", i), dc)
+		nodes, hosts = append(nodes, n), append(hosts, n.self)
+	}
+	for _, n := range nodes {
+		n.AddHosts(hosts)
+	}
+	relays := func() (found []*node) {
+		for _, n := range nodes {
+			if n.Role().FleetRelay {
+				found = append(found, n)
+			}
+		}
+		return found
+	}
+	one := func(not *node) func() bool {
+		return func() bool { found := relays(); return len(found) == 1 && found[0] != not }
+	}
+	g.Eventually(one(nil)).WithTimeout(3 * time.Second).Should(BeTrue())
+	g.Consistently(one(nil)).WithTimeout(time.Second).Should(BeTrue())
+
+	refused := relays()[0]
+	refused.with(func() { refused.state.StoreFailing = true })
+	refused.Announce()
+	g.Eventually(one(refused)).WithTimeout(500 * time.Millisecond).Should(BeTrue())
+	refused.with(func() { refused.state.StoreFailing = false })
+	g.Eventually(one(nil)).WithTimeout(2 * time.Second).Should(BeTrue())
+
+	stopped := relays()[0]
+	stopped.stop()
+	nodes = slices.DeleteFunc(nodes, func(n *node) bool { return n == stopped })
+	g.Eventually(one(stopped)).WithTimeout(2500 * time.Millisecond).Should(BeTrue())
+}
+
+// Guards against an address in an old list that replaces the one a live daemon sends
+// from, and against a restart under another address that is not noticed.
+func TestAddressChanges(t *testing.T) {
+	g := NewWithT(t)
+	a, b := start(t, "a", "x"), start(t, "b", "x")
+	a.AddHosts([]Host{b.self})
+	g.Eventually(a.LiveCount).WithTimeout(2 * time.Second).Should(Equal(2))
+	old := b.self
+	old.Address = "127.0.0.1:9"
+	a.AddHosts([]Host{old})
+	g.Expect(a.Hosts()).To(ContainElement(b.self))
+	b.stop()
+	moved := b.self
+	address, err := standin.FreeAddress()
+	g.Expect(err).NotTo(HaveOccurred())
+	moved.Address = address
+	again := startAt(t, moved, "2")
+	again.AddHosts([]Host{a.self})
+	g.Eventually(func() (gone []model.HostID) {
+		a.with(func() { gone = append(gone, a.recorder.gone...) })
+		return gone
+	}).WithTimeout(3 * time.Second).Should(ContainElement(model.HostID("b")))
 }
 
 // Guards against a small host that becomes the relay, and so sends its content to
@@ -166,7 +232,7 @@
 		nodes[2].AddHosts([]Host{n.self})
 		n.AddHosts([]Host{nodes[2].self})
 	}
-	g.Eventually(func() []int { return []int{nodes[0].Rank(), nodes[2].Rank()} }).WithTimeout(3 * time.Second).Should(Equal([]int{1, 0}))
+	g.Eventually(func() []int { return []int{nodes[0].Role().Rank, nodes[2].Role().Rank} }).WithTimeout(3 * time.Second).Should(Equal([]int{1, 0}))
 }
 
 // Guards against attempts of a stopped process that count as outstanding for ever
--- a/gossip/gossiper.go
+++ b/gossip/gossiper.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/agateusher/agateusher/core/model"
+	"github.com/agateusher/agateusher/core/ranking"
 	gen "github.com/agateusher/agateusher/gen/agateusher/v1"
 	"github.com/agateusher/agateusher/kernel"
 	"github.com/agateusher/agateusher/telemetry"
@@ -30,6 +31,9 @@
 	flushDelay = 2 * time.Millisecond
 	// digestInterval is the time between digests to other data centres.
 	digestInterval = 300 * time.Millisecond
+	// claimLifetime is how long a daemon counts as the fleet's relay after it last
+	// said so. It covers the loss of two messages in a row.
+	claimLifetime = 950 * time.Millisecond
 	// digestRelays is how many daemons of each other data centre a digest is
 	// sent to.
 	digestRelays = 2
@@ -43,6 +47,8 @@
 	Revision uint64
 	// ConfirmedAge is how long ago the store last confirmed the sender's content.
 	ConfirmedAge time.Duration
+	// StoreFailing is set while the sender's calls of the store fail.
+	StoreFailing bool
 }
 
 // Handler provides this daemon's state and receives that of other daemons. Its
@@ -51,7 +57,7 @@
 	// State returns this daemon's own state.
 	State() State
 	// PeerState is called for each heartbeat or batch of observations from
-	// another daemon of the data centre.
+	// another daemon of the data centre, and for each message of the fleet's relay.
 	PeerState(h Host, s State)
 	// PeerObservation is called for each observation received from another daemon
 	// of the data centre.
@@ -83,6 +89,9 @@
 
 	mu      sync.Mutex
 	members memberTable
+	// claims has, by data centre, when its relay last said that it follows the
+	// store for the whole fleet.
+	claims map[model.DataCentre]time.Time
 	// reportedGone holds the members that were reported as gone and have not been
 	// heard from since.
 	reportedGone map[model.HostID]bool
@@ -114,7 +123,7 @@
 	return &Gossiper{
 		self: self, incarnation: string(incarnation), handler: h, socket: socket, log: log,
 		pending: kernel.NewRing[*gen.Observation]("observations", observationQueueSize, kernel.DropNewest),
-		members: memberTable{}, reportedGone: map[model.HostID]bool{},
+		members: memberTable{}, claims: map[model.DataCentre]time.Time{}, reportedGone: map[model.HostID]bool{},
 	}, nil
 }
 
@@ -149,12 +158,48 @@
 // was full.
 func (g *Gossiper) Dropped() uint64 { return g.pending.Dropped() }
 
-// Rank returns this daemon's position among the live daemons of its data centre;
-// zero is the relay.
-func (g *Gossiper) Rank() int {
+// Role is this daemon's part in following the store.
+type Role struct {
+	// Rank is this daemon's position among the live daemons of its data centre;
+	// zero is the data centre's relay.
+	Rank int
+	// Order is the number of known data centres whose relays are preferred to that of
+	// this daemon's own as the fleet's relay.
+	Order int
+	// FleetRelay is set if this daemon follows the store for the whole fleet. No
+	// more than one daemon does so while all hear each other and the store serves
+	// them; several cost calls, but do no harm. While the store fails, the relay of
+	// each data centre tries.
+	FleetRelay bool
+}
+
+// Role returns this daemon's role.
+func (g *Gossiper) Role() Role {
+	state, now := g.handler.State(), time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.members.rank(g.self, g.handler.State().Leaving, time.Now())
+	r := Role{Rank: g.members.rank(g.self, state, now)}
+	claimed := false
+	for _, dc := range g.members.dataCentres() {
+		preferred := precedes(dc, g.self.DataCentre)
+		if preferred {
+			r.Order++
+		}
+		if preferred || (state.StoreFailing && dc != g.self.DataCentre) {
+			claimed = claimed || now.Sub(g.claims[dc]) < claimLifetime
+		}
+	}
+	r.FleetRelay = r.Rank == 0 && !claimed
+	return r
+}
+
+// fleetRelayKey is the ranking key of the data centre whose relay follows the store
+// for the whole fleet.
+const fleetRelayKey = "fleet-relay"
+
+// precedes reports whether the relay of a is preferred to that of b as the fleet's.
+func precedes(a, b model.DataCentre) bool {
+	return ranking.Rank(fleetRelayKey, []model.HostID{model.HostID(a), model.HostID(b)})[0] == model.HostID(a) && a != b
 }
 
 // LiveCount returns the number of live daemons of the data centre, including this
@@ -172,9 +217,12 @@
 	return n
 }
 
-// Announce sends a heartbeat at once. It is called after a change of this daemon's
-// state.
-func (g *Gossiper) Announce() { g.broadcast(g.message(), true) }
+// Announce sends a heartbeat at once, also to other data centres if this daemon is
+// the fleet's relay. It is called after a change of this daemon's state.
+func (g *Gossiper) Announce() {
+	g.broadcast(g.message(), true)
+	g.sendClaim()
+}
 
 func (g *Gossiper) send(ctx context.Context) error {
 	ticker := time.NewTicker(heartbeatInterval / 2)
@@ -192,6 +240,7 @@
 			if now.Sub(lastDigest) >= digestInterval {
 				lastDigest = now
 				g.sendDigest()
+				g.sendClaim()
 			}
 		}
 	}
@@ -227,6 +276,7 @@
 		ConfirmedAgeMs: uint32(s.ConfirmedAge.Milliseconds()),
 		Outstanding:    g.handler.Outstanding(),
 		Weight:         g.self.Weight,
+		StoreFailing:   s.StoreFailing,
 	}
 }
 
@@ -268,7 +318,7 @@
 // sendDigest sends this data centre's loads to the other data centres of the
 // region, if this daemon is the relay.
 func (g *Gossiper) sendDigest() {
-	if g.Rank() != 0 {
+	if g.Role().Rank != 0 {
 		return
 	}
 	loads := g.handler.LocalLoads()
@@ -277,11 +327,28 @@
 	}
 	m := g.message()
 	m.Loads = loads
+	g.write(m, g.relaysElsewhere(func(r model.Region) bool { return r == g.self.Region }))
+}
+
+// sendClaim sends this daemon's versions to the relays of the other data centres, if
+// this daemon is the fleet's relay.
+func (g *Gossiper) sendClaim() {
+	m := g.message()
+	if m.StoreFailing || !g.Role().FleetRelay {
+		return
+	}
+	m.Outstanding, m.FleetRelay = nil, true
+	g.write(m, g.relaysElsewhere(func(model.Region) bool { return true }))
+}
+
+// relaysElsewhere returns the addresses of the likely relays of each other data
+// centre in the regions that match.
+func (g *Gossiper) relaysElsewhere(match func(model.Region) bool) (to []*net.UDPAddr) {
 	g.mu.Lock()
-	var to []*net.UDPAddr
+	defer g.mu.Unlock()
 	seen := map[model.DataCentre]bool{g.self.DataCentre: true}
 	for _, x := range g.members {
-		if x.Region != g.self.Region || seen[x.DataCentre] {
+		if seen[x.DataCentre] || !match(x.Region) {
 			continue
 		}
 		seen[x.DataCentre] = true
@@ -289,8 +356,7 @@
 			to = append(to, r.udpAddress)
 		}
 	}
-	g.mu.Unlock()
-	g.write(m, to)
+	return to
 }
 
 // expire reports members that have been silent for twice the livenessTimeout.
@@ -338,9 +404,7 @@
 		return
 	}
 	if model.DataCentre(m.DataCentre) != g.self.DataCentre {
-		g.handler.RemoteLoads(model.DataCentre(m.DataCentre), m.Loads)
-		// A digest is sent to only some daemons of a data centre.
-		g.forward(m)
+		g.handleRemote(m, from)
 		return
 	}
 	if len(m.Loads) > 0 {
@@ -353,16 +417,37 @@
 	if restarted {
 		g.handler.PeerGone(h.ID)
 	}
-	g.handler.PeerState(h, State{
-		Leaving: m.Leaving, Epoch: model.Epoch(m.Epoch), Revision: m.Revision,
-		ConfirmedAge: time.Duration(m.ConfirmedAgeMs) * time.Millisecond,
-	})
+	g.handler.PeerState(h, stateOf(m))
 	for _, o := range m.Observations {
 		g.handler.PeerObservation(h.ID, o)
 	}
 	g.handler.PeerOutstanding(h.ID, m.Outstanding)
 }
 
+func stateOf(m *gen.Gossip) State {
+	return State{
+		Leaving: m.Leaving, Epoch: model.Epoch(m.Epoch), Revision: m.Revision,
+		ConfirmedAge: time.Duration(m.ConfirmedAgeMs) * time.Millisecond, StoreFailing: m.StoreFailing,
+	}
+}
+
+// handleRemote handles a message from another data centre.
+func (g *Gossiper) handleRemote(m *gen.Gossip, from *net.UDPAddr) {
+	dc := model.DataCentre(m.DataCentre)
+	if len(m.Loads) > 0 {
+		g.handler.RemoteLoads(dc, m.Loads)
+		// A digest is sent to only some daemons of a data centre.
+		g.forward(m)
+	}
+	if !m.FleetRelay {
+		return
+	}
+	g.mu.Lock()
+	g.claims[dc] = time.Now()
+	g.mu.Unlock()
+	g.handler.PeerState(Host{ID: model.HostID(m.Host), DataCentre: dc, Region: model.Region(m.Region), Address: from.String()}, stateOf(m))
+}
+
 // forward sends a digest of another data centre to the live daemons of this one.
 // The message has no incarnation, so that it does not count as a heartbeat.
 func (g *Gossiper) forward(m *gen.Gossip) {
@@ -389,7 +474,7 @@
 	h = Host{ID: model.HostID(m.Host), DataCentre: model.DataCentre(m.DataCentre), Region: model.Region(m.Region), Address: from.String(), Weight: m.Weight}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	x, err := g.members.add(h, now)
+	x, err := g.members.hear(h, now)
 	if err != nil {
 		// Does not happen: the socket returns valid addresses.
 		return h, false
@@ -402,7 +487,7 @@
 		g.log.WithFields(telemetry.Fields{"event": "peer_found", "peer": h.ID, "incarnation": m.Incarnation}).Debug("first heartbeat from a daemon of the data centre")
 	}
 	delete(g.reportedGone, h.ID)
-	x.incarnation, x.leaving, x.lastReceived = m.Incarnation, m.Leaving, now
+	x.incarnation, x.leaving, x.storeFailing, x.lastReceived = m.Incarnation, m.Leaving, m.StoreFailing, now
 	return h, restarted
 }
 
--- a/gossip/member.go
+++ b/gossip/member.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"net"
 	"slices"
 	"time"
@@ -40,6 +41,7 @@
 	udpAddress   *net.UDPAddr
 	incarnation  string
 	leaving      bool
+	storeFailing bool
 	lastReceived time.Time
 	lastAdded    time.Time
 	lastSent     time.Time
@@ -65,37 +67,79 @@
 // memberTable holds the members by ID; guarded by Gossiper.mu.
 type memberTable map[model.HostID]*member
 
-// add adds a member, or updates one whose address has not changed. A new address
-// replaces the member.
+// add adds a listed member, or updates its weight. Another address than that of a
+// live member is ignored: the list may be older than the member's datagrams.
 func (t memberTable) add(h Host, now time.Time) (*member, error) {
 	m, ok := t[h.ID]
-	if ok && m.Address == h.Address {
+	if ok && (m.Address == h.Address || m.live(now)) {
 		m.lastAdded = now
 		m.Weight = max(m.Weight, h.Weight)
 		return m, nil
 	}
+	return t.put(h, now)
+}
+
+// hear returns the member that a datagram came from. A member with a new address
+// keeps its incarnation, so that its restart is noticed.
+func (t memberTable) hear(h Host, now time.Time) (*member, error) {
+	m, ok := t[h.ID]
+	if !ok {
+		return t.put(h, now)
+	}
+	m.lastAdded = now
+	m.Weight = max(m.Weight, h.Weight)
+	if m.Address == h.Address {
+		return m, nil
+	}
+	udpAddress, err := net.ResolveUDPAddr("udp4", h.Address)
+	if err != nil {
+		return nil, err
+	}
+	m.Address, m.udpAddress = h.Address, udpAddress
+	return m, nil
+}
+
+func (t memberTable) put(h Host, now time.Time) (*member, error) {
 	udpAddress, err := net.ResolveUDPAddr("udp4", h.Address)
 	if err != nil {
 		return nil, err
 	}
-	m = &member{Host: h, udpAddress: udpAddress, lastAdded: now}
+	m := &member{Host: h, udpAddress: udpAddress, lastAdded: now}
 	t[h.ID] = m
 	return m, nil
 }
 
 // rank returns the position of self among the live members of its data centre. A
-// daemon that is leaving comes after all others.
-func (t memberTable) rank(self Host, leaving bool, now time.Time) int {
-	if leaving {
+// daemon that is leaving comes after all others, and daemons whose calls of the
+// store fail come after those whose calls succeed.
+func (t memberTable) rank(self Host, state State, now time.Time) int {
+	if state.Leaving {
 		return len(t)
 	}
-	hosts := []Host{self}
+	var sound, failing []Host
+	place := func(h Host, storeFailing bool) {
+		if storeFailing {
+			failing = append(failing, h)
+		} else {
+			sound = append(sound, h)
+		}
+	}
+	place(self, state.StoreFailing)
 	for _, m := range t {
 		if m.DataCentre == self.DataCentre && m.live(now) {
-			hosts = append(hosts, m.Host)
+			place(m.Host, m.storeFailing)
 		}
 	}
-	return slices.Index(relayOrder(hosts), self.ID)
+	return slices.Index(append(relayOrder(sound), relayOrder(failing)...), self.ID)
+}
+
+// dataCentres returns the data centres of the members.
+func (t memberTable) dataCentres() []model.DataCentre {
+	seen := map[model.DataCentre]bool{}
+	for _, m := range t {
+		seen[m.DataCentre] = true
+	}
+	return slices.Collect(maps.Keys(seen))
 }
 
 // relayOrder orders hosts by preference as relay: by descending weight, and by
