A starting daemon takes its first content from a seed, not from the store

Seeds call the store at once; others ask the seeds and wait 0.3 to 0.7 s (by host) before they call it themselves. A daemon that has just started does not become the relay for 1.5 s. TestStartOfManyDaemons, TestBootstrapFromPeers.

--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -320,7 +320,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan error, 1)
 		go func() {
-			done <- kernel.RunTasks(ctx, NewFollower(cache, source, func() Role { return Role{Rank: rank, Relay: rank == 0} }, discardLogger()).Tasks()...)
+			done <- kernel.RunTasks(ctx, NewFollower(cache, source, func() Role { return Role{Rank: rank, Relay: rank == 0} }, 0, discardLogger()).Tasks()...)
 		}()
 		defer func() {
 			cancel()
@@ -427,6 +427,36 @@
 	})
 }
 
+// Guards against a start of the whole fleet that reads the whole content from the
+// store once for each daemon, and against a daemon that waits for others for ever.
+func TestBootstrapFromPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		source := &fakeSource{epoch: 1, revision: 10, servers: map[string]*Server{"i-1": {ID: "i-1"}}}
+		peer, cache := NewCache(nil), NewCache(nil)
+		peer.putConfig(&Config{Epoch: 1}, 10, time.Now())
+		peer.putServers(map[string]*Server{"i-1": {ID: "i-1"}}, 10, 10, time.Now())
+		alone := NewCache(nil)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 2)
+		for _, c := range []*Cache{cache, alone} {
+			f := NewFollower(c, source, func() Role { return Role{Rank: 1} }, 500*time.Millisecond, discardLogger())
+			go func() { done <- kernel.RunTasks(ctx, f.Tasks()...) }()
+		}
+		time.Sleep(200 * time.Millisecond)
+		cache.Merge(time.Now(), peer.Snapshot(time.Now(), Versions{}))
+		time.Sleep(250 * time.Millisecond)
+		g.Expect(source.callCount()).To(BeZero())
+		g.Expect(alone.View().Complete()).To(BeFalse())
+		time.Sleep(150 * time.Millisecond)
+		g.Expect(alone.View().Complete()).To(BeTrue())
+		g.Expect(source.callCount()).To(Equal(2))
+		cancel()
+		<-done
+		<-done
+	})
+}
+
 // Guards against changes that are missed when the store no longer keeps its
 // history.
 func TestHistoryGone(t *testing.T) {
--- a/catalog/follower.go
+++ b/catalog/follower.go
@@ -81,6 +81,9 @@
 	role   func() Role
 	log    telemetry.Logger
 	loops  []*syncLoop
+	// bootstrapAt is when this daemon calls the store if it has no content until
+	// then.
+	bootstrapAt time.Time
 
 	mu sync.Mutex
 	// failedAt is when a call of the store last failed; zero if one has succeeded
@@ -91,9 +94,10 @@
 }
 
 // NewFollower returns a Follower, which works while its tasks run. role returns this
-// daemon's present role.
-func NewFollower(cache *Cache, source Source, role func() Role, log telemetry.Logger) *Follower {
-	f := &Follower{cache: cache, source: source, role: role, log: log}
+// daemon's present role. For bootstrapDelay, it waits for the first content of
+// another daemon before it calls the store.
+func NewFollower(cache *Cache, source Source, role func() Role, bootstrapDelay time.Duration, log telemetry.Logger) *Follower {
+	f := &Follower{cache: cache, source: source, role: role, bootstrapAt: time.Now().Add(bootstrapDelay), log: log}
 	f.loops = []*syncLoop{
 		{follower: f, kind: "configuration", sync: f.syncConfig, confirm: f.cache.confirmConfig, age: func(now time.Time) time.Duration {
 			a, _ := f.cache.Ages(now)
@@ -284,12 +288,16 @@
 
 // due reports whether this daemon has to call the store now.
 func (l *syncLoop) due() bool {
+	now := time.Now()
+	if l.age(now) >= unconfirmedAge && now.Before(l.follower.bootstrapAt) {
+		return false
+	}
 	role := l.follower.role()
 	l.logRoleChange(role.Relay)
 	if role.Relay {
 		return true
 	}
-	return l.age(time.Now()) > staleAfter+min(staleStaggerMax, time.Duration(role.Rank)*staleStagger)
+	return l.age(now) > staleAfter+min(staleStaggerMax, time.Duration(role.Rank)*staleStagger)
 }
 
 // logRoleChange logs that this daemon has become the relay, or no longer is.
--- a/edge/lifecycle_test.go
+++ b/edge/lifecycle_test.go
@@ -199,6 +199,34 @@
 	}
 }
 
+// Guards against calls of the store that grow with the fleet: a start of all daemons
+// at once costs as many reads as the seed needs, whatever the number of daemons.
+func TestStartOfManyDaemons(t *testing.T) {
+	s := newSite(t)
+	s.configure(2*time.Second, "")
+	s.server("i-1", service)
+	seed := s.settings("h0")
+	seed.Seeds = []string{seed.Listeners.Admin}
+	daemons := []*daemon{s.daemon(seed)}
+	for i := range 7 {
+		set := s.settings(fmt.Sprint("h", i+1))
+		set.Seeds = seed.Seeds
+		daemons = append(daemons, s.daemon(set))
+	}
+	for _, d := range daemons {
+		s.ready(d)
+	}
+	time.Sleep(2 * time.Second)
+	// One read, and a watch each 1.2 s while the daemons get to know each other and
+	// the relay.
+	s.g.Expect(s.store.Reads("config")).To(BeNumerically("<=", 6))
+	s.g.Expect(s.store.Reads("servers")).To(BeNumerically("<=", 6))
+	s.configure(3*time.Second, "")
+	for _, d := range daemons {
+		s.g.Eventually(d.log.String).WithTimeout(time.Second).Should(ContainSubstring(fmt.Sprintf("epoch=%d ", s.version)))
+	}
+}
+
 // Guards against stale reads of configuration and servers, which have to be current
 // within a time limit. Only the list of hosts may be read from a stale copy.
 func TestStaleReadsAreForHostsOnly(t *testing.T) {
--- a/edge/node.go
+++ b/edge/node.go
@@ -26,6 +26,9 @@
 	// tickInterval is the interval between checks of unanswered attempts and of
 	// lapsed server entries, and the pause after a failed accept.
 	tickInterval = 50 * time.Millisecond
+	// settleTime is how long after its start a daemon does not become the relay. By
+	// then it has read the registry and heard from the other daemons.
+	settleTime = 1500 * time.Millisecond
 )
 
 // Registry lists the daemons of the deployment.
@@ -116,10 +119,7 @@
 		return nil, &StartError{Component: "gossip", Err: err}
 	}
 	n.serverState.publish = n.gossiper.Publish
-	n.follower = catalog.NewFollower(n.cache, n.platform.Source, func() catalog.Role {
-		r := n.gossiper.Role()
-		return catalog.Role{Rank: r.Rank, Order: r.Order, Relay: r.FleetRelay}
-	}, n.log)
+	n.follower = catalog.NewFollower(n.cache, n.platform.Source, n.role, s.bootstrapDelay(), n.log)
 	n.puller = newPuller(n)
 	if n.callerListener, err = net.Listen("tcp4", s.Listeners.Caller); err != nil {
 		return nil, &StartError{Component: "caller listener", Err: err}
@@ -144,6 +144,7 @@
 		kernel.Task{Name: "registry", Run: n.runRegistration},
 		kernel.Task{Name: "gauges", Run: n.runGauges},
 		kernel.Task{Name: "pull", Run: n.puller.run},
+		kernel.Task{Name: "bootstrap", Run: n.bootstrap},
 		kernel.Task{Name: "log", Run: n.logWriter.run},
 		kernel.Task{Name: "stop", Run: func(context.Context) error {
 			<-ctx.Done()
@@ -169,6 +170,14 @@
 	}
 }
 
+// role returns this daemon's part in following the store. A daemon that has just
+// started does not know yet whether another one is the relay.
+func (n *Node) role() catalog.Role {
+	r := n.gossiper.Role()
+	settled := n.settings.isSeed() || time.Since(n.started) >= settleTime
+	return catalog.Role{Rank: r.Rank, Order: r.Order, Relay: r.FleetRelay && settled}
+}
+
 func (n *Node) limits() catalog.Limits {
 	if v := n.view.Load(); v != nil && v.Config != nil {
 		return v.Config.Limits
--- a/edge/pull.go
+++ b/edge/pull.go
@@ -51,6 +51,30 @@
 	}
 }
 
+// bootstrapInterval is the interval between requests for the first content.
+const bootstrapInterval = 80 * time.Millisecond
+
+// bootstrap asks the seeds for the first content, and for their hosts, until there is
+// content from anywhere.
+func (n *Node) bootstrap(ctx context.Context) error {
+	ticker := time.NewTicker(bootstrapInterval)
+	defer ticker.Stop()
+	for i := 0; len(n.settings.Seeds) > 0 && !n.settings.isSeed(); i++ {
+		seed := n.settings.Seeds[i%len(n.settings.Seeds)]
+		if v := n.view.Load(); v != nil && v.Complete() {
+			break
+		}
+		n.puller.enqueue(seed)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+	<-ctx.Done()
+	return nil
+}
+
 // discardQueued drops the daemons queued during a pull. Their next heartbeats queue
 // them again if their content is still newer.
 func (p *puller) discardQueued() {
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -3,10 +3,12 @@
 import (
 	"fmt"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/agateusher/agateusher/core/balance"
 	"github.com/agateusher/agateusher/core/model"
+	"github.com/agateusher/agateusher/core/ranking"
 	"github.com/agateusher/agateusher/gossip"
 	"github.com/agateusher/agateusher/settings"
 )
@@ -17,8 +19,9 @@
 	Listeners ListenerSettings `json:"listeners"`
 	// Store is the address of the platform's store, "ip:port".
 	Store string `json:"store" validate:"hostname_port"`
-	// Seeds are admin addresses of some daemons. They are asked for the list of
-	// hosts while the store is unavailable.
+	// Seeds are admin addresses of some daemons. A starting daemon asks them for the
+	// configuration and the servers, and for the list of hosts while the store is
+	// unavailable.
 	Seeds []string `json:"seeds,omitempty" validate:"dive,hostname_port"`
 	// Regions maps each data centre to its region.
 	Regions map[model.DataCentre]model.Region `json:"regions" validate:"min=1"`
@@ -134,6 +137,27 @@
 	return fmt.Sprintf("settings: a change of %s needs a restart", e.Key)
 }
 
+const (
+	// A daemon without content calls the store between bootstrapDelayMin and
+	// bootstrapDelayMax after its start; at once if it is a seed.
+	bootstrapDelayMin = 300 * time.Millisecond
+	bootstrapDelayMax = 700 * time.Millisecond
+)
+
+// isSeed reports whether this daemon is one of the seeds.
+func (s Settings) isSeed() bool { return slices.Contains(s.Seeds, s.Listeners.Admin) }
+
+// bootstrapDelay returns how long after its start this daemon waits for the content
+// of another one before it calls the store. The delays of daemons differ, so that the
+// first to call can pass its content on.
+func (s Settings) bootstrapDelay() time.Duration {
+	if len(s.Seeds) == 0 || s.isSeed() {
+		return 0
+	}
+	spread := uint64(bootstrapDelayMax - bootstrapDelayMin)
+	return bootstrapDelayMin + time.Duration(ranking.Score("bootstrap", s.Host.ID)%spread)
+}
+
 // localHost returns this daemon's entry in the registry.
 func (s Settings) localHost() gossip.Host {
 	return gossip.Host{
--- a/standin/consortium/store.go
+++ b/standin/consortium/store.go
@@ -79,6 +79,7 @@
 	// return the current state.
 	staleObjects map[string]map[string]Object
 	staleReads   map[string]int
+	reads        map[string]int
 	changes      map[string]int
 }
 
@@ -170,7 +171,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Store{listener: l, objects: map[string]map[string]Object{}, revision: 1, pageSize: 500, changed: make(chan struct{}), staleReads: map[string]int{}, changes: map[string]int{}}
+	s := &Store{listener: l, objects: map[string]map[string]Object{}, revision: 1, pageSize: 500, changed: make(chan struct{}), staleReads: map[string]int{}, reads: map[string]int{}, changes: map[string]int{}}
 	s.server = &http.Server{Handler: s, ReadHeaderTimeout: 5 * time.Second}
 	go func() { _ = s.server.Serve(l) }()
 	return s, nil
@@ -239,6 +240,13 @@
 	return s.staleReads[kind]
 }
 
+// Reads returns the number of lists and watches of a kind that were current.
+func (s *Store) Reads(kind string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads[kind]
+}
+
 // Changes returns the number of executed POST, PUT and DELETE calls for objects of
 // a kind, including those that failed.
 func (s *Store) Changes(kind string) int {
@@ -358,6 +366,8 @@
 		if s.staleObjects != nil {
 			objects = s.staleObjects[kind]
 		}
+	} else {
+		s.reads[kind]++
 	}
 	for _, name := range slices.Sorted(maps.Keys(objects)) {
 		if name <= after {
@@ -387,6 +397,9 @@
 	from, _ := strconv.ParseUint(r.URL.Query().Get("watch"), 10, 64)
 	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
 	deadline := time.After(time.Duration(wait) * time.Millisecond)
+	s.mu.Lock()
+	s.reads[kind]++
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
 		a, expired, changed := s.eventsSince(kind, from), from < s.oldestWatchRevision, s.changed
