edge: TestRelayChangeIsLogged waits until both daemons agree on the relay

Cause of the known failure: the test stopped the relay after the first relay_lost line of the other daemon, which logs one for the configuration and one for the servers; between them the other was still the relay for the servers in its own view and had no second change to log. The test now waits until one daemon holds both roles and the other none, and checks the same lines. With daemons that do not become the relay before they have settled, the first wait of the old test never ended.

--- a/edge/requestlog_test.go
+++ b/edge/requestlog_test.go
@@ -98,10 +98,15 @@
 	s.configure(2*time.Second, "")
 	s.server("i-1", service)
 	daemons := []*daemon{s.ready(s.daemon(s.settings("h1"))), s.ready(s.daemon(s.settings("h2")))}
-	lost := func(d *daemon) bool { return strings.Contains(d.log.String(), "event=relay_lost") }
-	s.g.Eventually(func() bool { return lost(daemons[0]) != lost(daemons[1]) }).WithTimeout(5 * time.Second).Should(BeTrue())
+	// held is the number of kinds, configuration and servers, that a daemon is the
+	// relay for by its log.
+	held := func(d *daemon) int {
+		return strings.Count(d.log.String(), "event=relay_gained") - strings.Count(d.log.String(), "event=relay_lost")
+	}
+	s.g.Eventually(func() []int { return []int{held(daemons[0]), held(daemons[1])} }).WithTimeout(5 * time.Second).
+		Should(Or(Equal([]int{2, 0}), Equal([]int{0, 2})))
 	relay, other := daemons[0], daemons[1]
-	if lost(relay) {
+	if held(relay) == 0 {
 		relay, other = other, relay
 	}
 	gained := func() int { return strings.Count(other.log.String(), "event=relay_gained") }
