--- a/catalog/follower.go
+++ b/catalog/follower.go
@@ -33,7 +33,7 @@
 	batchDelay = 200 * time.Millisecond
 	// retryDelay is the pause after a failed call of the first daemon in rank of the
 	// first data centre in order. It grows with rank and order: every call is charged
-	// for, and it is enough for the fleet if one daemon finds that the store is back.
+	// for, and it is enough for the region if one daemon finds that the store is back.
 	retryDelay = 250 * time.Millisecond
 	// minWatchTimeout bounds the response to a watch that does not wait.
 	minWatchTimeout = 400 * time.Millisecond
@@ -67,10 +67,10 @@
 	// Rank is this daemon's position among the live daemons of its data centre;
 	// zero is the data centre's relay.
 	Rank int
-	// Order is the number of data centres whose relays are preferred to that of this
-	// daemon's own.
+	// Order is the number of data centres of the region whose relays are preferred to
+	// that of this daemon's own.
 	Order int
-	// Relay is set if this daemon follows the store for the whole fleet.
+	// Relay is set if this daemon follows the store for its whole region.
 	Relay bool
 }
 
--- a/edge/node.go
+++ b/edge/node.go
@@ -175,7 +175,7 @@
 func (n *Node) role() catalog.Role {
 	r := n.gossiper.Role()
 	settled := n.settings.isSeed() || time.Since(n.started) >= settleTime
-	return catalog.Role{Rank: r.Rank, Order: r.Order, Relay: r.FleetRelay && settled}
+	return catalog.Role{Rank: r.Rank, Order: r.Order, Relay: r.RegionRelay && settled}
 }
 
 func (n *Node) limits() catalog.Limits {
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -148,9 +148,9 @@
 }
 
 // Guards against calls of the store that grow with the number of data centres, and
-// against a fleet without a relay when the present one stops, or is refused by the
+// against a region without a relay when the present one stops, or is refused by the
 // store.
-func TestOneFleetRelay(t *testing.T) {
+func TestOneRegionRelay(t *testing.T) {
 	g := NewWithT(t)
 	var nodes []*node
 	var hosts []Host
@@ -163,7 +163,7 @@
 	}
 	relays := func() (found []*node) {
 		for _, n := range nodes {
-			if n.Role().FleetRelay {
+			if n.Role().RegionRelay {
 				found = append(found, n)
 			}
 		}
--- a/gossip/gossiper.go
+++ b/gossip/gossiper.go
@@ -31,7 +31,7 @@
 	flushDelay = 2 * time.Millisecond
 	// digestInterval is the time between digests to other data centres.
 	digestInterval = 300 * time.Millisecond
-	// claimLifetime is how long a daemon counts as the fleet's relay after it last
+	// claimLifetime is how long a daemon counts as the region's relay after it last
 	// said so. It covers the loss of two messages in a row.
 	claimLifetime = 950 * time.Millisecond
 	// digestRelays is how many daemons of each other data centre a digest is
@@ -57,7 +57,7 @@
 	// State returns this daemon's own state.
 	State() State
 	// PeerState is called for each heartbeat or batch of observations from
-	// another daemon of the data centre, and for each message of the fleet's relay.
+	// another daemon of the data centre, and for each message of the region's relay.
 	PeerState(h Host, s State)
 	// PeerObservation is called for each observation received from another daemon
 	// of the data centre.
@@ -90,7 +90,7 @@
 	mu      sync.Mutex
 	members memberTable
 	// claims has, by data centre, when its relay last said that it follows the
-	// store for the whole fleet.
+	// store for the whole region.
 	claims map[model.DataCentre]time.Time
 	// reportedGone holds the members that were reported as gone and have not been
 	// heard from since.
@@ -163,14 +163,14 @@
 	// Rank is this daemon's position among the live daemons of its data centre;
 	// zero is the data centre's relay.
 	Rank int
-	// Order is the number of known data centres whose relays are preferred to that of
-	// this daemon's own as the fleet's relay.
+	// Order is the number of known data centres of the region whose relays are
+	// preferred to that of this daemon's own.
 	Order int
-	// FleetRelay is set if this daemon follows the store for the whole fleet. No
+	// RegionRelay is set if this daemon follows the store for the whole region. No
 	// more than one daemon does so while all hear each other and the store serves
 	// them; several cost calls, but do no harm. While the store fails, the relay of
 	// each data centre tries.
-	FleetRelay bool
+	RegionRelay bool
 }
 
 // Role returns this daemon's role.
@@ -180,7 +180,7 @@
 	defer g.mu.Unlock()
 	r := Role{Rank: g.members.rank(g.self, state, now)}
 	claimed := false
-	for _, dc := range g.members.dataCentres() {
+	for _, dc := range g.members.dataCentres(g.self.Region) {
 		preferred := precedes(dc, g.self.DataCentre)
 		if preferred {
 			r.Order++
@@ -189,17 +189,17 @@
 			claimed = claimed || now.Sub(g.claims[dc]) < claimLifetime
 		}
 	}
-	r.FleetRelay = r.Rank == 0 && !claimed
+	r.RegionRelay = r.Rank == 0 && !claimed
 	return r
 }
 
-// fleetRelayKey is the ranking key of the data centre whose relay follows the store
-// for the whole fleet.
-const fleetRelayKey = "fleet-relay"
+// regionRelayKey is the ranking key of the data centre whose relay follows the store
+// for its region.
+const regionRelayKey = "region-relay"
 
-// precedes reports whether the relay of a is preferred to that of b as the fleet's.
+// precedes reports whether the relay of a is preferred to that of b as the region's.
 func precedes(a, b model.DataCentre) bool {
-	return ranking.Rank(fleetRelayKey, []model.HostID{model.HostID(a), model.HostID(b)})[0] == model.HostID(a) && a != b
+	return ranking.Rank(regionRelayKey, []model.HostID{model.HostID(a), model.HostID(b)})[0] == model.HostID(a) && a != b
 }
 
 // LiveCount returns the number of live daemons of the data centre, including this
@@ -218,7 +218,7 @@
 }
 
 // Announce sends a heartbeat at once, also to other data centres if this daemon is
-// the fleet's relay. It is called after a change of this daemon's state.
+// the region's relay. It is called after a change of this daemon's state.
 func (g *Gossiper) Announce() {
 	g.broadcast(g.message(), true)
 	g.sendClaim()
@@ -327,28 +327,29 @@
 	}
 	m := g.message()
 	m.Loads = loads
-	g.write(m, g.relaysElsewhere(func(r model.Region) bool { return r == g.self.Region }))
+	g.write(m, g.relaysElsewhere())
 }
 
-// sendClaim sends this daemon's versions to the relays of the other data centres, if
-// this daemon is the fleet's relay.
+// sendClaim sends this daemon's versions to the relays of the region's other data
+// centres, if this daemon is the region's relay. Other regions have relays of their
+// own, because bytes between regions cost more than calls of the store.
 func (g *Gossiper) sendClaim() {
 	m := g.message()
-	if m.StoreFailing || !g.Role().FleetRelay {
+	if m.StoreFailing || !g.Role().RegionRelay {
 		return
 	}
-	m.Outstanding, m.FleetRelay = nil, true
-	g.write(m, g.relaysElsewhere(func(model.Region) bool { return true }))
+	m.Outstanding, m.RegionRelay = nil, true
+	g.write(m, g.relaysElsewhere())
 }
 
 // relaysElsewhere returns the addresses of the likely relays of each other data
-// centre in the regions that match.
-func (g *Gossiper) relaysElsewhere(match func(model.Region) bool) (to []*net.UDPAddr) {
+// centre of the region.
+func (g *Gossiper) relaysElsewhere() (to []*net.UDPAddr) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	seen := map[model.DataCentre]bool{g.self.DataCentre: true}
 	for _, x := range g.members {
-		if seen[x.DataCentre] || !match(x.Region) {
+		if seen[x.DataCentre] || x.Region != g.self.Region {
 			continue
 		}
 		seen[x.DataCentre] = true
@@ -439,7 +440,7 @@
 		// A digest is sent to only some daemons of a data centre.
 		g.forward(m)
 	}
-	if !m.FleetRelay {
+	if !m.RegionRelay {
 		return
 	}
 	g.mu.Lock()
--- a/gossip/member.go
+++ b/gossip/member.go
@@ -133,11 +133,13 @@
 	return slices.Index(append(relayOrder(sound), relayOrder(failing)...), self.ID)
 }
 
-// dataCentres returns the data centres of the members.
-func (t memberTable) dataCentres() []model.DataCentre {
+// dataCentres returns the data centres of the members in a region.
+func (t memberTable) dataCentres(r model.Region) []model.DataCentre {
 	seen := map[model.DataCentre]bool{}
 	for _, m := range t {
-		seen[m.DataCentre] = true
+		if m.Region == r {
+			seen[m.DataCentre] = true
+		}
 	}
 	return slices.Collect(maps.Keys(seen))
 }
