edge: an abandoned streamed response no longer ends the process

By reading: collectAbandoned closes a response whose attempt was abandoned, and a streamed one has no cancel function yet; this takes two attempts that are answered at the same moment. TestAbandonedStreamIsClosed panicked before.

--- /dev/null
+++ b/edge/abandoned_test.go
@@ -0,0 +1,48 @@
+package edge
+
+import (
+	"context"
+	"io"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+
+	"github.com/agateusher/agateusher/core/balance"
+	gen "github.com/agateusher/agateusher/gen/agateusher/v1"
+)
+
+// closeRecorder is a body that records that it was closed.
+type closeRecorder struct {
+	io.Reader
+	closed bool
+}
+
+func (c *closeRecorder) Close() error {
+	c.closed = true
+	return nil
+}
+
+// Guards against a process that ends when two attempts of a request are answered at
+// the same time and the response of the second one is streamed.
+func TestAbandonedStreamIsClosed(t *testing.T) {
+	g := NewWithT(t)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	state := newServerState(DefaultSettings(), log)
+	state.publish = func(*gen.Observation) {}
+	ctx, cancel := context.WithCancel(context.Background())
+	body := &closeRecorder{Reader: strings.NewReader("the rest")}
+	f := &forwarding{
+		node: &Node{serverState: state}, results: make(chan attemptResult, 1),
+		active: map[uint64]activeAttempt{1: {cancel: cancel}},
+	}
+	f.results <- attemptResult{
+		number: 1, choice: balance.Choice{}, verdict: Usable,
+		resp: &response{rest: &bodyStream{body: body, ctx: ctx}},
+	}
+	f.collectAbandoned(1)
+	g.Expect(body.closed).To(BeTrue())
+	g.Expect(ctx.Err()).To(HaveOccurred())
+}
--- a/edge/body.go
+++ b/edge/body.go
@@ -172,8 +172,10 @@
 // bodyStream is the part of a response's body that was not buffered. Close ends the
 // attempt.
 type bodyStream struct {
-	body   io.ReadCloser
-	ctx    context.Context
+	body io.ReadCloser
+	ctx  context.Context
+	// cancel ends the attempt. It is nil while the attempt is still one of the
+	// request's active ones.
 	cancel context.CancelFunc
 	// read counts the bytes of the whole body so far.
 	read int64
@@ -197,6 +199,8 @@
 
 // Close implements io.Closer.
 func (s *bodyStream) Close() error {
-	s.cancel()
+	if s.cancel != nil {
+		s.cancel()
+	}
 	return s.body.Close()
 }
