usher-edge: a panic ends one request, attempt or datagram, not the process

Cause: a panic in any goroutine, and a violated invariant, ended the daemon with all its requests. Units of work are contained (telemetry.Contain): logged with the stack, counted, the request answered 502 (a server may have run it). Locks around decisions are released also after a panic. TestPanicsAreContained.

--- a/catalog/cache.go
+++ b/catalog/cache.go
@@ -145,8 +145,18 @@
 
 // putConfig applies a configuration that the store confirmed, if its epoch is
 // newer. A nil config means that the store has no change.
-func (c *Cache) putConfig(config *Config, cursor Revision, confirmedAt time.Time) (applied bool) {
+func (c *Cache) putConfig(config *Config, cursor Revision, confirmedAt time.Time) bool {
+	applied := c.replaceConfig(config, cursor, confirmedAt)
+	if applied {
+		c.publish()
+	}
+	return applied
+}
+
+// replaceConfig is putConfig without the publication.
+func (c *Cache) replaceConfig(config *Config, cursor Revision, confirmedAt time.Time) (applied bool) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	if config != nil && (c.config == nil || config.Epoch > c.config.Epoch) {
 		invariant.Check(c.config == nil || config.Epoch > c.config.Epoch, invariant.EpochUpward, "epoch %s", config.Epoch)
 		c.config, c.routes, applied = config, NewRouteTable(config), true
@@ -155,17 +165,23 @@
 	if confirmedAt.After(c.configConfirmedAt) {
 		c.configConfirmedAt = confirmedAt
 	}
-	c.mu.Unlock()
+	return applied
+}
+
+// putServers replaces the servers if the revision is newer. With revision 0 it
+// only records the cursor and the confirmation.
+func (c *Cache) putServers(servers map[string]*Server, revision, cursor Revision, confirmedAt time.Time) bool {
+	applied := c.replaceServers(servers, revision, cursor, confirmedAt)
 	if applied {
 		c.publish()
 	}
 	return applied
 }
 
-// putServers replaces the servers if the revision is newer. With revision 0 it
-// only records the cursor and the confirmation.
-func (c *Cache) putServers(servers map[string]*Server, revision, cursor Revision, confirmedAt time.Time) (applied bool) {
+// replaceServers is putServers without the publication.
+func (c *Cache) replaceServers(servers map[string]*Server, revision, cursor Revision, confirmedAt time.Time) (applied bool) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	if revision > c.revision {
 		c.recordChange(servers)
 		c.servers, c.revision, applied = servers, revision, true
@@ -174,10 +190,6 @@
 	if confirmedAt.After(c.serversConfirmedAt) {
 		c.serversConfirmedAt = confirmedAt
 	}
-	c.mu.Unlock()
-	if applied {
-		c.publish()
-	}
 	return applied
 }
 
--- a/catalog/follower.go
+++ b/catalog/follower.go
@@ -276,7 +276,9 @@
 	for ctx.Err() == nil {
 		pause := pollDelay
 		if l.due() {
-			pause = l.syncOnce(ctx)
+			if !telemetry.Contain(l.follower.log, nil, l.kind, func() { pause = l.syncOnce(ctx) }) {
+				pause = retryDelay
+			}
 		}
 		select {
 		case <-time.After(pause):
--- a/cmd/usher-edge/main.go
+++ b/cmd/usher-edge/main.go
@@ -65,6 +65,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailure
 	}
+	node.HandleViolations()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	go reload(ctx, node, o.Settings)
--- a/core/model/outcome.go
+++ b/core/model/outcome.go
@@ -51,6 +51,8 @@
 	// ReasonRouteUnreadable: the request's route is in the configuration, but this
 	// version of the program cannot read it.
 	ReasonRouteUnreadable Reason = "route-unreadable"
+	// ReasonInternal: the daemon failed unexpectedly while it handled the request.
+	ReasonInternal Reason = "internal"
 	// ReasonMemory: the memory for the bodies of requests is in use.
 	ReasonMemory Reason = "memory"
 	// ReasonRateLimited: the workspace or route exceeds its rate limit.
--- a/edge/abandoned_test.go
+++ b/edge/abandoned_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/agateusher/agateusher/core/balance"
 	gen "github.com/agateusher/agateusher/gen/agateusher/v1"
+	"github.com/agateusher/agateusher/telemetry"
 )
 
 // closeRecorder is a body that records that it was closed.
@@ -46,3 +47,22 @@
 	g.Expect(body.closed).To(BeTrue())
 	g.Expect(ctx.Err()).To(HaveOccurred())
 }
+
+// Guards against a panic in one request, attempt or datagram that ends the process or
+// leaves a lock held, so that all later requests hang.
+func TestPanicsAreContained(t *testing.T) {
+	g := NewWithT(t)
+	log := logrus.New()
+	var lines strings.Builder
+	log.SetOutput(&lines)
+	n := &Node{log: log, panics: telemetry.NewCounterVec(telemetry.NewMetrics("test").Scope, "panics", "unit", "")}
+	state := newServerState(DefaultSettings(), log)
+	table := state.table
+	state.table = nil // each use panics
+	g.Expect(n.contain("attempt", func() { state.startAttempt(balance.Query{Service: "s"}, false) })).To(BeFalse())
+	g.Expect(n.contain("datagram", func() { state.applyPeerObservation("h", &gen.Observation{}) })).To(BeFalse())
+	state.table = table
+	g.Expect(n.contain("attempt", func() { state.startAttempt(balance.Query{Service: "s"}, false) })).To(BeTrue())
+	g.Expect(strings.Count(lines.String(), "event=panic")).To(Equal(2))
+	g.Expect(lines.String()).To(ContainSubstring("unit=attempt"))
+}
--- a/edge/conn.go
+++ b/edge/conn.go
@@ -120,9 +120,13 @@
 	readerDone := make(chan struct{})
 	go func() {
 		defer close(readerDone)
-		c.readRequests(ctx)
+		if !n.contain("read-requests", func() { c.readRequests(ctx) }) {
+			_ = socket.Close()
+		}
 	}()
-	c.writeResponses()
+	if !n.contain("write-responses", c.writeResponses) {
+		_ = socket.Close()
+	}
 	c.lingerAndClose(readerDone)
 }
 
@@ -145,7 +149,7 @@
 			c.discardUntilClosed()
 			return
 		}
-		go func() { p.response <- c.node.handleRequest(ctx, q) }()
+		go c.answer(ctx, p, q)
 		if p.close {
 			c.discardUntilClosed()
 			return
@@ -153,6 +157,16 @@
 	}
 }
 
+// answer sets the response to a request.
+func (c *conn) answer(ctx context.Context, p *pendingResponse, q *request) {
+	var resp *response
+	if !c.node.contain("request", func() { resp = c.node.handleRequest(ctx, q) }) {
+		// A server may have run the request.
+		resp = c.node.localResponse(q, http.StatusBadGateway, model.ReasonInternal)
+	}
+	p.response <- resp
+}
+
 // awaitRequest waits for the first byte of a request. It returns false if the
 // connection is to be closed, and cancels the requests in progress if the caller
 // has disconnected.
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -295,10 +295,15 @@
 	f.active[number] = activeAttempt{choice: choice, startedAt: startedAt, cancel: cancel, progressAt: progressAt}
 	f.countedAttempts++
 	go func() {
-		crossRegion := choice.Server.Region != f.node.settings.Host.Region
-		verdict, resp, err := f.node.exchanger.exchange(attemptCtx, f.request, choice.Server, crossRegion, remaining,
-			func() { progressAt.Store(int64(time.Since(startedAt))) })
-		f.results <- attemptResult{number: number, choice: choice, verdict: verdict, resp: resp, err: err, latency: time.Since(startedAt)}
+		// Without another result, a server may have run the request.
+		result := attemptResult{number: number, choice: choice, verdict: ConnectionLost}
+		f.node.contain("attempt", func() {
+			crossRegion := choice.Server.Region != f.node.settings.Host.Region
+			result.verdict, result.resp, result.err = f.node.exchanger.exchange(attemptCtx, f.request, choice.Server, crossRegion, remaining,
+				func() { progressAt.Store(int64(time.Since(startedAt))) })
+		})
+		result.latency = time.Since(startedAt)
+		f.results <- result
 	}()
 	return true
 }
@@ -427,7 +432,8 @@
 			a.cancel()
 		}
 	}
-	go f.collectAbandoned(len(f.active))
+	n := len(f.active)
+	go f.node.contain("abandoned-attempts", func() { f.collectAbandoned(n) })
 }
 
 // collectAbandoned records the results of the n attempts that were active when the
--- a/edge/node.go
+++ b/edge/node.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/agateusher/agateusher/catalog"
+	"github.com/agateusher/agateusher/core/invariant"
 	"github.com/agateusher/agateusher/core/model"
 	gen "github.com/agateusher/agateusher/gen/agateusher/v1"
 	"github.com/agateusher/agateusher/gossip"
@@ -57,6 +58,7 @@
 	requestLog     *requestLog
 	metrics        *telemetry.Metrics
 	localResponses *telemetry.CounterVec
+	panics         *telemetry.CounterVec
 	attempts       *telemetry.CounterVec
 	headers        Headers
 	platform       Platform
@@ -109,6 +111,7 @@
 	n.requestLog = newRequestLog(n.log, s.Log.RequestsPerSecond)
 	n.localResponses = telemetry.NewCounterVec(n.metrics.Scope, "answers", "status", "reason")
 	n.attempts = telemetry.NewCounterVec(n.metrics.Scope, "attempts", "verdict", "")
+	n.panics = telemetry.NewCounterVec(n.metrics.Scope, "panics", "unit", "")
 	n.platform = connect(n.metrics.Scope, n.log)
 	n.headers = n.platform.Headers
 	n.exchanger = newExchanger(n.headers, responseBufferBytes(s.Host.LinkMbps))
@@ -170,6 +173,22 @@
 	}
 }
 
+// HandleViolations makes the process count and log broken invariants, with the
+// metrics and the log of this node, instead of panicking.
+func (n *Node) HandleViolations() {
+	violations := telemetry.NewCounterVec(n.metrics.Scope, "invariant_violations", "invariant", "")
+	invariant.SetHandler(func(v invariant.Violation) {
+		violations.Inc(string(v.Name), "")
+		n.log.WithFields(telemetry.Fields{"event": "invariant_violated", "invariant": v.Name}).Error(v.Detail)
+	})
+}
+
+// contain runs one unit of work and keeps a panic in it from ending the process. It
+// returns false after a panic.
+func (n *Node) contain(unit string, f func()) bool {
+	return telemetry.Contain(n.log, n.panics, unit, f)
+}
+
 // role returns this daemon's part in following the store. A daemon that has just
 // started does not know yet whether another one is the relay.
 func (n *Node) role() catalog.Role {
@@ -211,14 +230,18 @@
 		case <-ctx.Done():
 			return nil
 		case now := <-ticker.C:
-			n.serverState.tick()
-			for _, id := range n.cache.ExpireLapsed(now) {
-				n.log.WithFields(telemetry.Fields{"event": "server_lapsed", "server": id}).Info("removed a backend server whose entry did not come back")
-			}
+			n.contain("tick", func() { n.runTick(now) })
 		}
 	}
 }
 
+func (n *Node) runTick(now time.Time) {
+	n.serverState.tick()
+	for _, id := range n.cache.ExpireLapsed(now) {
+		n.log.WithFields(telemetry.Fields{"event": "server_lapsed", "server": id}).Info("removed a backend server whose entry did not come back")
+	}
+}
+
 func (n *Node) addConn(c *conn) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/edge/pull.go
+++ b/edge/pull.go
@@ -45,7 +45,7 @@
 		case <-ctx.Done():
 			return nil
 		case address := <-p.queue.Items():
-			p.pull(address)
+			p.node.contain("pull", func() { p.pull(address) })
 			p.discardQueued()
 		}
 	}
--- a/edge/state.go
+++ b/edge/state.go
@@ -58,26 +58,36 @@
 	s.table.SetServers(time.Now(), list, len(s.regions))
 }
 
+// update changes the table under the lock, which it releases also after a panic.
+func (s *serverState) update(change func(now time.Time)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(time.Now())
+}
+
 // startAttempt chooses a server and records the attempt. It returns a reason other
 // than model.ReasonNone if no server is available.
-func (s *serverState) startAttempt(q balance.Query, retry bool) (balance.Choice, uint64, model.Reason) {
-	s.mu.Lock()
-	now := time.Now()
-	c, ok := s.table.Choose(now, q)
-	if !ok || c.QueueFull {
-		s.mu.Unlock()
-		if ok {
-			return c, 0, model.ReasonQueueFull
+func (s *serverState) startAttempt(q balance.Query, retry bool) (c balance.Choice, number uint64, reason model.Reason) {
+	s.update(func(now time.Time) {
+		var ok bool
+		c, ok = s.table.Choose(now, q)
+		switch {
+		case !ok:
+			reason = model.ReasonNoServer
+			return
+		case c.QueueFull:
+			reason = model.ReasonQueueFull
+			return
 		}
-		return c, 0, model.ReasonNoServer
+		s.lastAttempt++
+		number = s.lastAttempt
+		s.localAttempts[number] = struct{}{}
+		s.table.AttemptStarted(now, c.Server.Key, balance.AttemptKey{Host: s.localHost, Number: number}, retry)
+	})
+	if reason == model.ReasonNone {
+		s.publish(&gen.Observation{Kind: gen.Observation_KIND_STARTED, Server: uint64(c.Server.Key), Attempt: number, Repeat: retry})
 	}
-	s.lastAttempt++
-	number := s.lastAttempt
-	s.localAttempts[number] = struct{}{}
-	s.table.AttemptStarted(now, c.Server.Key, balance.AttemptKey{Host: s.localHost, Number: number}, retry)
-	s.mu.Unlock()
-	s.publish(&gen.Observation{Kind: gen.Observation_KIND_STARTED, Server: uint64(c.Server.Key), Attempt: number, Repeat: retry})
-	return c, number, model.ReasonNone
+	return c, number, reason
 }
 
 // verdictObservations maps verdicts to the observations that are published and
@@ -102,14 +112,14 @@
 func (s *serverState) finishAttempt(r attemptResult) {
 	o := verdictObservations[r.verdict]
 	key := r.choice.Server.Key
-	s.mu.Lock()
-	now := time.Now()
-	delete(s.localAttempts, r.number)
-	change := s.table.AttemptFinished(now, key, balance.AttemptKey{Host: s.localHost, Number: r.number}, o.result, r.latency)
-	if r.verdict == ConnectFailed {
-		s.table.MarkUnreachable(now, key, unreachableDuration)
-	}
-	s.mu.Unlock()
+	var change balance.BeliefChange
+	s.update(func(now time.Time) {
+		delete(s.localAttempts, r.number)
+		change = s.table.AttemptFinished(now, key, balance.AttemptKey{Host: s.localHost, Number: r.number}, o.result, r.latency)
+		if r.verdict == ConnectFailed {
+			s.table.MarkUnreachable(now, key, unreachableDuration)
+		}
+	})
 	s.logBeliefChange(change, r.verdict.String(), s.localHost)
 	s.publish(&gen.Observation{Kind: o.kind, Server: uint64(key), Attempt: r.number, LatencyMs: uint32(r.latency.Milliseconds())})
 }
@@ -117,9 +127,10 @@
 // recordCutStream records that a server did not deliver the rest of a response
 // whose attempt was finished with its first part.
 func (s *serverState) recordCutStream(key balance.ServerKey) {
-	s.mu.Lock()
-	change := s.table.AttemptFinished(time.Now(), key, balance.AttemptKey{Host: s.localHost}, balance.Failed, 0)
-	s.mu.Unlock()
+	var change balance.BeliefChange
+	s.update(func(now time.Time) {
+		change = s.table.AttemptFinished(now, key, balance.AttemptKey{Host: s.localHost}, balance.Failed, 0)
+	})
 	s.logBeliefChange(change, "cut-stream", s.localHost)
 	s.publish(&gen.Observation{Kind: gen.Observation_KIND_FAILED, Server: uint64(key)})
 }
@@ -137,15 +148,14 @@
 // applyPeerObservation records an observation of another daemon of the data centre.
 func (s *serverState) applyPeerObservation(h model.HostID, o *gen.Observation) {
 	key, attempt := balance.ServerKey(o.Server), balance.AttemptKey{Host: h, Number: o.Attempt}
-	s.mu.Lock()
-	now := time.Now()
-	if o.Kind == gen.Observation_KIND_STARTED {
-		s.table.AttemptStarted(now, key, attempt, o.Repeat)
-		s.mu.Unlock()
-		return
-	}
-	change := s.table.AttemptFinished(now, key, attempt, observationResults[o.Kind], time.Duration(o.LatencyMs)*time.Millisecond)
-	s.mu.Unlock()
+	var change balance.BeliefChange
+	s.update(func(now time.Time) {
+		if o.Kind == gen.Observation_KIND_STARTED {
+			s.table.AttemptStarted(now, key, attempt, o.Repeat)
+			return
+		}
+		change = s.table.AttemptFinished(now, key, attempt, observationResults[o.Kind], time.Duration(o.LatencyMs)*time.Millisecond)
+	})
 	s.logBeliefChange(change, "peer", h)
 }
 
@@ -171,9 +181,8 @@
 
 // tick counts long unanswered attempts as evidence against their servers.
 func (s *serverState) tick() {
-	s.mu.Lock()
-	changes := s.table.Tick(time.Now())
-	s.mu.Unlock()
+	var changes []balance.BeliefChange
+	s.update(func(now time.Time) { changes = s.table.Tick(now) })
 	for _, c := range changes {
 		s.logBeliefChange(c, "stall", s.localHost)
 	}
--- a/gossip/gossiper.go
+++ b/gossip/gossiper.go
@@ -396,7 +396,7 @@
 			g.log.WithFields(telemetry.Fields{"event": "gossip_undecodable", "from": from}).WithError(err).Warn("a datagram could not be decoded")
 			continue
 		}
-		g.handle(m, from)
+		telemetry.Contain(g.log, nil, "datagram", func() { g.handle(m, from) })
 	}
 }
 
