core/balance: no probes of suspects while the retry budget is used up

A suspect is probed, and the cost of a failure is that of a retriable one, only while the budget allows the retry. Sound servers that are idle still get requests (floor). TestNoProbesOfSuspectsWithoutBudget failed before.

--- a/core/balance/budget_test.go
+++ b/core/balance/budget_test.go
@@ -164,3 +164,36 @@
 		}
 	})
 }
+
+// Guards against the load pattern "the retry budget is used up while servers fail":
+// requests that could be served by sound servers must not be lost as probes of
+// suspects, whose failure cannot be retried then. Sound servers still get requests.
+func TestNoProbesOfSuspectsWithoutBudget(t *testing.T) {
+	g := NewWithT(t)
+	b := newTableDriver(local(6)...)
+	for range 3 {
+		b.run(1, balance.Failed, time.Millisecond)
+		b.run(2, balance.Failed, time.Millisecond)
+		for k := balance.ServerKey(3); k <= 6; k++ {
+			b.run(k, balance.Succeeded, 20*time.Millisecond)
+		}
+	}
+	for i := range 200 {
+		b.table.AttemptStarted(b.now, 3, balance.AttemptKey{Host: "h9", Number: uint64(i)}, true)
+		b.table.AttemptFinished(b.now, 3, balance.AttemptKey{Host: "h9", Number: uint64(i)}, balance.Abandoned, 0)
+	}
+	g.Expect(b.table.AllowRetry(b.now, registry, true)).To(BeFalse())
+	last := map[balance.ServerKey]time.Time{}
+	end := b.now.Add(2 * time.Second)
+	for b.now.Before(end) {
+		c := b.choose(idempotentQuery())
+		if c.FailingProbability >= 0.5 {
+			t.Fatalf("server %d, failing with %.2f, got a request that cannot be retried", c.Server.Key, c.FailingProbability)
+		}
+		b.run(c.Server.Key, balance.Succeeded, 20*time.Millisecond)
+		last[c.Server.Key] = b.now
+	}
+	for k := balance.ServerKey(3); k <= 6; k++ {
+		g.Expect(end.Sub(last[k])).To(BeNumerically("<", 1500*time.Millisecond), "sound server %d", k)
+	}
+}
--- a/core/balance/choose.go
+++ b/core/balance/choose.go
@@ -114,7 +114,10 @@
 	if !q.Idempotent {
 		svc.lastNonIdempotent = now
 	}
-	if q.Idempotent && q.CanRetry {
+	// Without budget, a failure cannot be retried.
+	retriable := q.Idempotent && q.CanRetry
+	q.CanRetry = q.CanRetry && t.AllowRetry(now, q.Service, q.Idempotent)
+	if retriable {
 		if s := t.probeTarget(now, svc, q); s != nil {
 			c := t.evaluate(now, svc, s, q)
 			c.Probe, c.QueueFull = true, false
@@ -157,6 +160,9 @@
 			now.Before(s.unreachableUntil) || now.Before(s.shedUntil) || !t.probeDue(now, s, renew) {
 			continue
 		}
+		if !q.CanRetry && t.opts.Model.FailingProbability(s.belief, now) >= suspectThreshold {
+			continue // the probe would probably cost the request
+		}
 		if oldest == nil || s.lastSent.Before(oldest.lastSent) {
 			oldest = s
 		}
