A request ends a starting daemon's wait for the seeds

A request without a view makes it call the store at once. TestRequestEndsTheWaitForSeeds failed before.

--- a/catalog/follower.go
+++ b/catalog/follower.go
@@ -81,11 +81,11 @@
 	role   func() Role
 	log    telemetry.Logger
 	loops  []*syncLoop
+
+	mu sync.Mutex
 	// bootstrapAt is when this daemon calls the store if it has no content until
 	// then.
 	bootstrapAt time.Time
-
-	mu sync.Mutex
 	// failedAt is when a call of the store last failed; zero if one has succeeded
 	// since.
 	failedAt time.Time
@@ -120,6 +120,20 @@
 	}
 }
 
+// Demand ends the wait for the first content of another daemon: a request needs it.
+func (f *Follower) Demand() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.bootstrapAt = time.Time{}
+}
+
+// mayBootstrap reports whether a daemon without content may call the store.
+func (f *Follower) mayBootstrap(now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !now.Before(f.bootstrapAt)
+}
+
 // StoreFailing reports whether calls of the store failed lately. Another daemon is
 // preferred as the relay then.
 func (f *Follower) StoreFailing() bool {
@@ -291,8 +305,8 @@
 // due reports whether this daemon has to call the store now.
 func (l *syncLoop) due() bool {
 	now := time.Now()
-	if l.age(now) >= unconfirmedAge && now.Before(l.follower.bootstrapAt) {
-		return false
+	if l.age(now) >= unconfirmedAge {
+		return l.follower.mayBootstrap(now)
 	}
 	role := l.follower.role()
 	l.logRoleChange(role.Relay)
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -138,6 +138,7 @@
 		return n.view.Load()
 	default:
 	}
+	n.follower.Demand()
 	wait, cancel := context.WithDeadline(ctx, n.started.Add(initialViewTimeout))
 	defer cancel()
 	select {
--- a/edge/lifecycle_test.go
+++ b/edge/lifecycle_test.go
@@ -227,6 +227,20 @@
 	}
 }
 
+// Guards against the load pattern "all hosts start again under traffic": a request
+// that arrives right after the start must not wait for seeds that are down.
+func TestRequestEndsTheWaitForSeeds(t *testing.T) {
+	s := newSite(t)
+	s.configure(2*time.Second, "")
+	s.server("i-1", service)
+	set := s.settings("h1")
+	set.Seeds = []string{"127.0.0.1:9"}
+	d := s.daemon(set)
+	r := s.read(d, "id-1")
+	s.g.Expect(r.status).To(Equal(http.StatusOK))
+	s.g.Expect(r.took).To(BeNumerically("<", 250*time.Millisecond))
+}
+
 // Guards against stale reads of configuration and servers, which have to be current
 // within a time limit. Only the list of hosts may be read from a stale copy.
 func TestStaleReadsAreForHostsOnly(t *testing.T) {
