--- a/daemon/fleet_test.go
+++ b/daemon/fleet_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync"
@@ -281,6 +282,21 @@
 	g.Expect(r.status).To(Equal(http.StatusUnprocessableEntity))
 }
 
+// Guards against a planned stop that waits for connections without a request:
+// clients open connections ahead, the more the busier they are.
+func TestUnusedConnectionsDoNotDelayStop(t *testing.T) {
+	g := NewWithT(t)
+	f := newTestFleet(t, 2, 2, nil)
+	n := f.nodes[0]
+	for _, address := range []string{n.caller, n.daemon.settings.Listeners.Fleet} {
+		c, err := net.Dial("tcp", address)
+		g.Expect(err).NotTo(HaveOccurred())
+		t.Cleanup(func() { _ = c.Close() })
+	}
+	n.cancel()
+	g.Eventually(n.done).WithTimeout(4 * time.Second).Should(Receive(BeNil()))
+}
+
 // Guards against a planned stop that cuts requests in flight. The requests are sent
 // to the other daemons' entries.
 func TestPlannedStopFailsNoRequest(t *testing.T) {
