objectapi, edge: unknown outcomes and reloads reported as they are

A PUT or DELETE answered with an unexpected 2xx or 3xx counted as certainly not made, so that an accepted change could be reported as not accepted; only 4xx says that now (TestOutcomeOfChangesByStatus failed before for 201, 202, 206, 304, 307). A reload of seeds and memoryMiB was logged and had no effect; both are applied (TestReloadAppliesMemoryAndSeeds).

--- a/cmd/usher-edge/main.go
+++ b/cmd/usher-edge/main.go
@@ -24,10 +24,6 @@
 	exitUsage   = 2
 )
 
-// memoryLimitRatio is the share of the process's memory (MemoryMiB) to which the
-// garbage collector limits the heap; the rest is for stacks and unread bytes.
-const memoryLimitRatio = 0.6
-
 type options struct {
 	Settings string `long:"settings" short:"s" value-name:"FILE" description:"settings file, JSON with comments; the platform's own path by default"`
 	Check    bool   `long:"check" description:"validate the settings and exit"`
@@ -56,7 +52,7 @@
 		fmt.Println("settings are valid")
 		return 0
 	}
-	debug.SetMemoryLimit(int64(memoryLimitRatio * float64(s.MemoryMiB<<20)))
+	debug.SetMemoryLimit(s.HeapLimit())
 	node, err := edge.New(s, os.Stdout, func(scope telemetry.Scope, log telemetry.Logger) edge.Platform {
 		store := platform.NewStore(s.Store, scope, log)
 		return edge.Platform{Source: store, Registry: store, Headers: platform.Headers{}, ReadinessPath: platform.ReadinessPath}
@@ -89,6 +85,9 @@
 			if err == nil {
 				err = node.Reload(s)
 			}
+			if err == nil {
+				debug.SetMemoryLimit(s.HeapLimit())
+			}
 			node.LogReload(err)
 		}
 	}
--- a/edge/body.go
+++ b/edge/body.go
@@ -59,7 +59,16 @@
 }
 
 func newBodyMemory(processBytes int64) *bodyMemory {
-	return &bodyMemory{limit: int64(bodyMemoryShare * float64(processBytes))}
+	m := &bodyMemory{}
+	m.setProcessBytes(processBytes)
+	return m
+}
+
+// setProcessBytes changes the memory of the process that the limit is a share of.
+func (m *bodyMemory) setProcessBytes(processBytes int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.limit = int64(bodyMemoryShare * float64(processBytes))
 }
 
 // inUse returns the bytes that are reserved.
--- a/edge/abandoned_test.go
+++ b/edge/internal_test.go
@@ -66,3 +66,49 @@
 	g.Expect(strings.Count(lines.String(), "event=panic")).To(Equal(2))
 	g.Expect(lines.String()).To(ContainSubstring("unit=attempt"))
 }
+
+// Guards against a reload that is logged and has no effect.
+func TestReloadAppliesMemoryAndSeeds(t *testing.T) {
+	g := NewWithT(t)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	before := DefaultSettings()
+	n := &Node{
+		settings: before, logger: log, log: log, requestLog: newRequestLog(log, 1),
+		serverState: newServerState(before, log), bodyMemory: newBodyMemory(before.memoryBytes()),
+	}
+	after := before
+	after.MemoryMiB, after.Seeds = 2*before.MemoryMiB, []string{"127.0.0.1:9"}
+	limit := n.bodyMemory.limit
+	g.Expect(n.Reload(after)).To(Succeed())
+	g.Expect(n.bodyMemory.limit).To(Equal(2 * limit))
+	g.Expect(*n.seeds.Load()).To(Equal(after.Seeds))
+}
+
+// Guards against bodies that use more memory together than the process has: without
+// room, no further body is buffered, and what was reserved is free again afterwards.
+func TestBodyMemoryIsBounded(t *testing.T) {
+	g := NewWithT(t)
+	m := newBodyMemory(1 << 20) // 256 KiB for bodies
+	var reservations []*reservation
+	whole := 0
+	for range 10 {
+		r := m.newReservation()
+		reservations = append(reservations, r)
+		data, complete, err := readBody(strings.NewReader(strings.Repeat("x", 100<<10)), 200<<10, r, func() {})
+		if complete {
+			whole++
+			continue
+		}
+		g.Expect(err).To(MatchError(errNoMemory))
+		g.Expect(len(data)).To(BeNumerically("<", 100<<10))
+	}
+	g.Expect(whole).To(Equal(2))
+	g.Expect(m.inUse()).To(BeNumerically("<=", 256<<10))
+	for _, r := range reservations {
+		r.close()
+		r.close()
+		g.Expect(r.grow(1)).To(BeFalse())
+	}
+	g.Expect(m.inUse()).To(BeZero())
+}
--- a/edge/node.go
+++ b/edge/node.go
@@ -66,6 +66,8 @@
 	serverState    *serverState
 	sizeEstimator  sizeEstimator
 	bodyMemory     *bodyMemory
+	// seeds are the seeds in force.
+	seeds atomic.Pointer[[]string]
 	// splits holds a *split.Sequence for each route with several services, by name.
 	splits   sync.Map
 	cache    *catalog.Cache
@@ -115,7 +117,8 @@
 	n.platform = connect(n.metrics.Scope, n.log)
 	n.headers = n.platform.Headers
 	n.exchanger = newExchanger(n.headers, responseBufferBytes(s.Host.LinkMbps))
-	n.bodyMemory = newBodyMemory(int64(s.MemoryMiB) << 20)
+	n.bodyMemory = newBodyMemory(s.memoryBytes())
+	n.seeds.Store(&s.Seeds)
 	n.serverState = newServerState(s, n.log)
 	n.cache = catalog.NewCache(n.apply)
 	if n.gossiper, err = gossip.Listen(s.localHost(), model.Incarnation(rand.Text()), gossipHandler{n}, n.log); err != nil {
--- a/edge/pull.go
+++ b/edge/pull.go
@@ -60,11 +60,13 @@
 	ticker := time.NewTicker(bootstrapInterval)
 	defer ticker.Stop()
 	for i := 0; len(n.settings.Seeds) > 0 && !n.settings.isSeed(); i++ {
-		seed := n.settings.Seeds[i%len(n.settings.Seeds)]
+		seeds := *n.seeds.Load()
 		if v := n.view.Load(); v != nil && v.Complete() {
 			break
 		}
-		n.puller.enqueue(seed)
+		if len(seeds) > 0 {
+			n.puller.enqueue(seeds[i%len(seeds)])
+		}
 		select {
 		case <-ctx.Done():
 			return nil
--- a/edge/reload.go
+++ b/edge/reload.go
@@ -9,10 +9,9 @@
 	"github.com/agateusher/agateusher/telemetry"
 )
 
-// Reload applies changed retry, stop and log settings. It either applies all of these,
-// or none and returns a *RestartError or a *telemetry.LogLevelError. A change of host,
-// listeners, store or regions is a *RestartError. A change of seeds or memoryMiB is
-// accepted but has no effect until a restart.
+// Reload applies changed seeds, memory, retry, stop and log settings. It either applies
+// all of these, or none and returns a *RestartError or a *telemetry.LogLevelError. A
+// change of host, listeners, store or regions is a *RestartError.
 func (n *Node) Reload(next Settings) error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -24,6 +23,8 @@
 	}
 	n.requestLog.limiter.SetLimit(rate.Limit(next.Log.RequestsPerSecond))
 	n.serverState.setBudget(next.Retries)
+	n.bodyMemory.setProcessBytes(next.memoryBytes())
+	n.seeds.Store(&next.Seeds)
 	n.settings.Retries, n.settings.Stop, n.settings.Log = next.Retries, next.Stop, next.Log
 	return nil
 }
--- a/edge/servers.go
+++ b/edge/servers.go
@@ -162,7 +162,7 @@
 		return hosts, true
 	}
 	n.log.WithField("event", "registry_unreadable").WithError(err).Warn("cannot read the registry; asking the seeds")
-	for _, seed := range n.settings.Seeds {
+	for _, seed := range *n.seeds.Load() {
 		if seed == n.settings.Listeners.Admin {
 			continue
 		}
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -147,6 +147,16 @@
 // isSeed reports whether this daemon is one of the seeds.
 func (s Settings) isSeed() bool { return slices.Contains(s.Seeds, s.Listeners.Admin) }
 
+// memoryBytes returns the memory that the process may use.
+func (s Settings) memoryBytes() int64 { return int64(s.MemoryMiB) << 20 }
+
+// heapShare is the share of the process's memory to which the garbage collector limits
+// the heap; the rest is for stacks and unread bytes.
+const heapShare = 0.6
+
+// HeapLimit returns the limit of the heap, in bytes.
+func (s Settings) HeapLimit() int64 { return int64(heapShare * float64(s.memoryBytes())) }
+
 // bootstrapDelay returns how long after its start this daemon waits for the content
 // of another one before it calls the store. The delays of daemons differ, so that the
 // first to call can pass its content on.
--- a/objectapi/client.go
+++ b/objectapi/client.go
@@ -155,7 +155,7 @@
 	case http.StatusRequestEntityTooLarge:
 		return 0, &tooLargeError{key: key, bytes: len(value)}
 	}
-	return 0, r.unexpected("")
+	return 0, cl.unexpectedChange(r)
 }
 
 // Delete implements Store.
@@ -177,6 +177,15 @@
 	case http.StatusPreconditionFailed:
 		return newConflictError(key, expected, r)
 	}
+	return cl.unexpectedChange(r)
+}
+
+// unexpectedChange returns the error for a change that was answered with an unexpected
+// status. Only a refusal, 4xx, says that the change was not made.
+func (cl call) unexpectedChange(r response) error {
+	if r.status < http.StatusBadRequest {
+		return cl.unavailable(r.unexpected(""))
+	}
 	return r.unexpected("")
 }
 
