Routes of usherd may split their requests over services by weight

The operators' objects, RPC and command line know splits: a repeatable route has a list of services with percentages. Validation names the route and says what is wrong: weights that do not add up to 100, a service that is missing or named twice, a split beside a service or with idempotency keys (a key is spent by the service that issued it). usherd and usher-edge share core/split.

--- a/cli/output.go
+++ b/cli/output.go
@@ -108,7 +108,7 @@
 		t.row("NAME", "HOST", "PATH PREFIX", "METHODS", "SERVICE", "REPEATABLE", "ISSUES KEYS FOR", "RATE")
 	}
 	for _, r := range o.Routes {
-		t.row(r.Name, orDash(r.Host), r.PathPrefix, orDash(strings.Join(r.Methods, ",")), r.Service, r.Repeatable, orDash(string(r.IssueKeysFor)), r.RatePerSecond)
+		t.row(r.Name, orDash(r.Host), r.PathPrefix, orDash(strings.Join(r.Methods, ",")), servicesOf(r), r.Repeatable, orDash(string(r.IssueKeysFor)), r.RatePerSecond)
 	}
 	if len(o.Workspaces) > 0 {
 		t.row("ID", "WEIGHT", "RATE")
@@ -123,3 +123,16 @@
 		t.row(l.Name, orDash(l.Separator), orDash(l.Decimal), len(l.Columns))
 	}
 }
+
+// servicesOf returns the service of a route, or the services of its split with their
+// weights.
+func servicesOf(r snapshot.Route) string {
+	if len(r.Split) == 0 {
+		return string(r.Service)
+	}
+	parts := make([]string, len(r.Split))
+	for i, p := range r.Split {
+		parts[i] = fmt.Sprintf("%s:%g%%", p.Service, p.Weight)
+	}
+	return strings.Join(parts, ",")
+}
--- a/core/snapshot/compact.go
+++ b/core/snapshot/compact.go
@@ -59,6 +59,9 @@
 	for i := range o.Routes {
 		r := &o.Routes[i]
 		r.Host, r.Service, r.Methods = intern(in, r.Host), intern(in, r.Service), in.list(r.Methods)
+		for j := range r.Split {
+			r.Split[j].Service = intern(in, r.Split[j].Service)
+		}
 		r.IssueKeysFor = intern[model.RouteName](in, r.IssueKeysFor)
 	}
 }
--- a/core/snapshot/objects.go
+++ b/core/snapshot/objects.go
@@ -90,8 +90,12 @@
 	// PathPrefix matches whole path segments.
 	PathPrefix string `json:"pathPrefix"`
 	// Methods lists the HTTP methods that match; empty matches any.
-	Methods []string          `json:"methods,omitempty"`
-	Service model.ServiceName `json:"service"`
+	Methods []string `json:"methods,omitempty"`
+	// Service is empty if the route has a split.
+	Service model.ServiceName `json:"service,omitempty"`
+	// Split lists the services that share the requests of a repeatable route by
+	// weight.
+	Split []RoutePart `json:"split,omitempty"`
 	// Repeatable marks idempotent requests, such as lookups. Other requests
 	// need an idempotency key.
 	Repeatable bool `json:"repeatable"`
@@ -103,6 +107,25 @@
 	RatePerSecond float64 `json:"ratePerSecond,omitempty"`
 }
 
+// RoutePart is a service with its share of a route's requests.
+type RoutePart struct {
+	Service model.ServiceName `json:"service"`
+	// Weight is the percentage of the requests. The weights of a route add up to 100.
+	Weight float64 `json:"weight"`
+}
+
+// Services returns the services of the route.
+func (r *Route) Services() []model.ServiceName {
+	if len(r.Split) == 0 {
+		return []model.ServiceName{r.Service}
+	}
+	names := make([]model.ServiceName, len(r.Split))
+	for i, p := range r.Split {
+		names[i] = p.Service
+	}
+	return names
+}
+
 // Workspace is a group of callers that share a weight and a rate limit.
 type Workspace struct {
 	ID model.WorkspaceID `json:"id"`
--- a/core/snapshot/references.go
+++ b/core/snapshot/references.go
@@ -80,8 +80,10 @@
 	for i := range o.Routes {
 		r := &o.Routes[i]
 		v.object = r.Ref()
-		if !services[r.Service] {
-			v.require(false, "service", r.Service, "an existing service")
+		for _, name := range r.Services() {
+			if !services[name] {
+				v.require(false, "service", name, "an existing service")
+			}
 		}
 		if r.IssueKeysFor != "" {
 			v.issuedKeyRoute(r, byName[r.IssueKeysFor])
--- a/core/snapshot/validate.go
+++ b/core/snapshot/validate.go
@@ -7,6 +7,8 @@
 	"strings"
 	"unicode"
 	"unicode/utf8"
+
+	"github.com/agateusher/agateusher/core/model"
 )
 
 // Limits of single fields. They are far above the target scale; they prevent a
@@ -98,7 +100,11 @@
 		v.require(isMethod(method) && !seen[method], "methods", method, "upper-case HTTP methods, each once")
 		seen[method] = true
 	}
-	v.require(isName(string(r.Service)), "service", r.Service, nameSyntax)
+	if len(r.Split) == 0 {
+		v.require(isName(string(r.Service)), "service", r.Service, nameSyntax)
+	} else {
+		v.split(r)
+	}
 	v.rate("ratePerSecond", r.RatePerSecond)
 	if r.IssueKeysFor != "" {
 		v.require(isName(string(r.IssueKeysFor)), "issueKeysFor", r.IssueKeysFor, nameSyntax)
@@ -106,6 +112,28 @@
 	}
 }
 
+// splitTolerance is how far the weights of a split may be from adding up to 100.
+const splitTolerance = 1e-6
+
+// split checks the split of a route.
+func (v *validator) split(r Route) {
+	v.require(r.Service == "", "service", r.Service, "empty, because the route has a split")
+	// A key is issued by the service that spends it, so that the choice of a service
+	// must not differ between the two.
+	v.require(r.Repeatable, "repeatable", r.Repeatable, "true, because the route has a split")
+	v.require(r.IssueKeysFor == "", "issueKeysFor", r.IssueKeysFor, "empty, because the route has a split")
+	v.require(len(r.Split) >= 2, "split", len(r.Split), "two services or more")
+	total, seen := 0.0, map[model.ServiceName]bool{}
+	for _, p := range r.Split {
+		v.require(isName(string(p.Service)), "split.service", p.Service, nameSyntax)
+		v.require(!seen[p.Service], "split.service", p.Service, "each service once")
+		v.require(p.Weight > 0 && p.Weight <= 100, "split.weight", p.Weight, "a percentage above 0")
+		seen[p.Service] = true
+		total += p.Weight
+	}
+	v.require(math.Abs(total-100) <= splitTolerance, "split", total, "weights that add up to 100")
+}
+
 func (v *validator) workspace(w Workspace) {
 	const maxWeight = 1e6
 	v.require(w.Weight > 0 && w.Weight <= maxWeight, "weight", w.Weight, "over 0, at most 1000000")
--- a/core/snapshot/validate_test.go
+++ b/core/snapshot/validate_test.go
@@ -3,12 +3,15 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
 	"math"
 	"reflect"
 	"strings"
 	"testing"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/agateusher/agateusher/core/model"
 )
 
 func validObjects() Objects {
@@ -24,6 +27,32 @@
 	}.Normalized()
 }
 
+// splitRoute splits the route "space" over as many services as there are weights.
+func splitRoute(o *Objects, weights ...float64) {
+	r := &o.Routes[1]
+	r.Service, r.IssueKeysFor = "", ""
+	for i, w := range weights {
+		name := model.ServiceName("booking")
+		if i > 0 {
+			name = model.ServiceName(fmt.Sprint("booking-", i))
+			next := o.Services[0]
+			next.Name = name
+			o.Services = append(o.Services, next)
+		}
+		r.Split = append(r.Split, RoutePart{Service: name, Weight: w})
+	}
+}
+
+// Guards against a valid split that is refused.
+func TestValidSplit(t *testing.T) {
+	g := NewWithT(t)
+	for _, weights := range [][]float64{{60, 40}, {33.3, 33.3, 33.4}, {99.9, 0.1}} {
+		o := validObjects()
+		splitRoute(&o, weights...)
+		g.Expect(o.Validate()).To(Succeed(), "%v", weights)
+	}
+}
+
 // Guards against an invalid field that validation accepts or reports under the
 // wrong name.
 func TestValidateReportsInvalidFields(t *testing.T) {
@@ -64,6 +93,17 @@
 		{"methods", func(o *Objects) { o.Routes[0].Methods = []string{"post"} }},
 		{"methods", func(o *Objects) { o.Routes[0].Methods = []string{"POST", "POST"} }},
 		{"service", func(o *Objects) { o.Routes[0].Service = "other" }},
+		{"split", func(o *Objects) { splitRoute(o, 60, 30) }},
+		{"split", func(o *Objects) { splitRoute(o, 60, 50) }},
+		{"split", func(o *Objects) { splitRoute(o, 100) }},
+		{"split.weight", func(o *Objects) { splitRoute(o, 0, 100) }},
+		{"split.weight", func(o *Objects) { splitRoute(o, math.NaN(), 100) }},
+		{"split.weight", func(o *Objects) { splitRoute(o, -20, 120) }},
+		{"split.service", func(o *Objects) { splitRoute(o, 60, 40); o.Routes[1].Split[1].Service = "booking" }},
+		{"service", func(o *Objects) { splitRoute(o, 60, 40); o.Routes[1].Split[1].Service = "other" }},
+		{"service", func(o *Objects) { splitRoute(o, 60, 40); o.Routes[1].Service = "booking" }},
+		{"repeatable", func(o *Objects) { splitRoute(o, 60, 40); o.Routes[1].Repeatable = false }},
+		{"issueKeysFor", func(o *Objects) { splitRoute(o, 60, 40); o.Routes[1].IssueKeysFor = "pay" }},
 		{"ratePerSecond", func(o *Objects) { o.Routes[0].RatePerSecond = math.Inf(1) }},
 		{"issueKeysFor", func(o *Objects) { o.Routes[1].IssueKeysFor = "none" }},
 		{"issueKeysFor", func(o *Objects) { o.Routes[1].IssueKeysFor = "space" }},
--- a/core/split/split.go
+++ b/core/split/split.go
@@ -9,7 +9,10 @@
 import (
 	"math"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
+
+	"github.com/agateusher/agateusher/core/model"
 )
 
 // step is the fractional part of the golden ratio, scaled to 64 bits. Its multiples
@@ -27,6 +30,19 @@
 	return s
 }
 
+// Sequences holds the Sequence of each route. The zero value is empty. It is safe for
+// concurrent use.
+type Sequences struct{ byRoute sync.Map }
+
+// For returns the Sequence of a route.
+func (s *Sequences) For(route model.RouteName) *Sequence {
+	if found, ok := s.byRoute.Load(route); ok {
+		return found.(*Sequence)
+	}
+	found, _ := s.byRoute.LoadOrStore(route, NewSequence())
+	return found.(*Sequence)
+}
+
 // Next returns the index of the part for the next request. Weights are positive
 // and relative to each other; there is at least one.
 func (s *Sequence) Next(weights []float64) int {
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -12,7 +12,6 @@
 	"github.com/agateusher/agateusher/core/balance"
 	"github.com/agateusher/agateusher/core/invariant"
 	"github.com/agateusher/agateusher/core/model"
-	"github.com/agateusher/agateusher/core/split"
 	"github.com/agateusher/agateusher/telemetry"
 )
 
@@ -155,15 +154,11 @@
 	if len(route.Services) == 1 {
 		return route.Services[0].Service
 	}
-	sequence, ok := n.splits.Load(route.Name)
-	if !ok {
-		sequence, _ = n.splits.LoadOrStore(route.Name, split.NewSequence())
-	}
 	weights := make([]float64, len(route.Services))
 	for i, s := range route.Services {
 		weights[i] = s.Weight
 	}
-	return route.Services[sequence.(*split.Sequence).Next(weights)].Service
+	return route.Services[n.splits.For(route.Name).Next(weights)].Service
 }
 
 // run makes attempts until there is a response.
--- a/edge/node.go
+++ b/edge/node.go
@@ -15,6 +15,7 @@
 	"github.com/agateusher/agateusher/catalog"
 	"github.com/agateusher/agateusher/core/invariant"
 	"github.com/agateusher/agateusher/core/model"
+	"github.com/agateusher/agateusher/core/split"
 	gen "github.com/agateusher/agateusher/gen/agateusher/v1"
 	"github.com/agateusher/agateusher/gossip"
 	"github.com/agateusher/agateusher/kernel"
@@ -68,8 +69,8 @@
 	bodyMemory     *bodyMemory
 	// seeds are the seeds in force.
 	seeds atomic.Pointer[[]string]
-	// splits holds a *split.Sequence for each route with several services, by name.
-	splits   sync.Map
+	// splits distribute the requests of routes with several services.
+	splits   split.Sequences
 	cache    *catalog.Cache
 	follower *catalog.Follower
 	gossiper *gossip.Gossiper
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -18,6 +18,7 @@
 	"github.com/agateusher/agateusher/core/idempotency"
 	"github.com/agateusher/agateusher/core/model"
 	"github.com/agateusher/agateusher/core/snapshot"
+	"github.com/agateusher/agateusher/core/split"
 	"github.com/agateusher/agateusher/fleet"
 	"github.com/agateusher/agateusher/telemetry"
 )
@@ -62,6 +63,7 @@
 	peers      *peers
 	placements *placements
 	keys       *keyCache
+	splits     split.Sequences
 
 	requests *telemetry.CounterVec
 	duration tally.Histogram
@@ -164,7 +166,7 @@
 	if !ok {
 		return nil, "", fleet.NotRun(model.ReasonNoRoute, 0)
 	}
-	service, ok := catalog.Service(route.Service)
+	service, ok := catalog.Service(e.serviceOf(route))
 	if !ok {
 		return nil, "", fleet.NotRun(model.ReasonNoRoute, 0)
 	}
@@ -183,6 +185,19 @@
 	return q, route.IssueKeysFor, fleet.Response{}
 }
 
+// serviceOf returns the service for the next request of a route. A request that its
+// part of a split cannot serve is refused rather than moved to another part.
+func (e *Entry) serviceOf(route *snapshot.Route) model.ServiceName {
+	if len(route.Split) == 0 {
+		return route.Service
+	}
+	weights := make([]float64, len(route.Split))
+	for i, p := range route.Split {
+		weights[i] = p.Weight
+	}
+	return route.Split[e.splits.For(route.Name).Next(weights)].Service
+}
+
 func deadlineOf(s *snapshot.Service) time.Duration {
 	if s.DeadlineMs <= 0 {
 		return defaultDeadline
--- a/operator/convert.go
+++ b/operator/convert.go
@@ -145,9 +145,24 @@
 		Repeatable:    r.GetRepeatable(),
 		IssueKeysFor:  model.RouteName(r.GetIssueKeysFor()),
 		RatePerSecond: r.GetRatePerSecond(),
+		Split:         splitFromProto(r.GetSplit()),
 	}
 }
 
+func splitFromProto(parts []*pb.RoutePart) (split []snapshot.RoutePart) {
+	for _, p := range parts {
+		split = append(split, snapshot.RoutePart{Service: model.ServiceName(p.GetService()), Weight: p.GetWeight()})
+	}
+	return split
+}
+
+func splitToProto(split []snapshot.RoutePart) (parts []*pb.RoutePart) {
+	for _, p := range split {
+		parts = append(parts, &pb.RoutePart{Service: string(p.Service), Weight: p.Weight})
+	}
+	return parts
+}
+
 func routeToProto(r snapshot.Route) *pb.Route {
 	return &pb.Route{
 		Name:          string(r.Name),
@@ -158,6 +173,7 @@
 		Repeatable:    r.Repeatable,
 		IssueKeysFor:  string(r.IssueKeysFor),
 		RatePerSecond: r.RatePerSecond,
+		Split:         splitToProto(r.Split),
 	}
 }
 
