owner: a late second copy of an answer cannot reach the next caller

Cause: connections to backend servers were reused also if a server does not name the request in its answers. A copy that arrives after the next request was sent was taken for that request's answer. Connections are reused only with servers that echo the request's ID; an answer without it on a reused connection counts as a failure after sending.

--- a/owner/backend_client.go
+++ b/owner/backend_client.go
@@ -5,8 +5,10 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -69,6 +71,10 @@
 	tracing          *telemetry.Tracing
 	maxResponseBytes int64
 	config           atomic.Pointer[backendConfig]
+	// echoing has the addresses whose last response carried the ID of its request.
+	// Only their connections are reused: without the ID, a late second copy of an
+	// answer would be taken for the answer to the next request on the connection.
+	echoing sync.Map
 }
 
 func (x *httpBackendClient) attempt(ctx context.Context, server model.ServerID, c *call, d pool.Dispatch) attemptOutcome {
@@ -89,16 +95,28 @@
 
 func (x *httpBackendClient) send(ctx context.Context, address string, b *backendConfig, q *fleet.Request, deadline time.Time) attemptOutcome {
 	ctx, watch := fleet.WatchSend(ctx)
+	var reused atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { reused.Store(i.Reused) }})
 	r, err := newServerRequest(ctx, address, q, deadline)
 	if err != nil {
 		return failedAttempt(pool.FailedBeforeSend)
 	}
 	x.tracing.Propagator.Inject(ctx, propagation.HeaderCarrier(r.Header))
+	_, echoes := x.echoing.Load(address)
+	r.Close = !echoes
 	resp, err := x.transport.RoundTrip(r)
 	if err != nil {
 		return failedAttempt(classifySendError(ctx, err, watch.Sent()))
 	}
 	defer resp.Body.Close()
+	if resp.Header.Get(fleet.HeaderRequestID) != "" {
+		x.echoing.Store(address, struct{}{})
+	} else {
+		x.echoing.Delete(address)
+		if reused.Load() { // it may be the answer to an earlier request
+			return failedAttempt(pool.FailedAfterSend)
+		}
+	}
 	return x.receive(ctx, resp, b, q)
 }
 
--- a/owner/backend_client_test.go
+++ b/owner/backend_client_test.go
@@ -1,17 +1,25 @@
 package owner
 
 import (
+	"bufio"
 	"bytes"
+	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace/noop"
 
 	"github.com/agateusher/agateusher/core/model"
 	"github.com/agateusher/agateusher/core/pool"
 	"github.com/agateusher/agateusher/fleet"
+	"github.com/agateusher/agateusher/telemetry"
 )
 
 // Guards against a request reported as "not run" because of the response to another
@@ -29,6 +37,74 @@
 	}
 }
 
+// Guards against an answer that its server sends a second time, late, on a connection
+// in use again: the next caller must not get it, whether the server names the request
+// in its answers, never does, or only in the first one.
+func TestSecondCopyOfAnAnswer(t *testing.T) {
+	for name, named := range map[string]func(answer int) bool{
+		"named":      func(int) bool { return true },
+		"not named":  func(int) bool { return false },
+		"first only": func(answer int) bool { return answer == 1 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			listener, err := net.Listen("tcp4", "127.0.0.1:0")
+			g.Expect(err).NotTo(HaveOccurred())
+			t.Cleanup(func() { _ = listener.Close() })
+			go repeatAnswers(listener, named)
+			transport := &http.Transport{}
+			t.Cleanup(transport.CloseIdleConnections)
+			x := &httpBackendClient{
+				transport: transport, maxResponseBytes: 100,
+				tracing: &telemetry.Tracing{Propagator: propagation.TraceContext{}, Tracer: noop.NewTracerProvider().Tracer("test")},
+			}
+			own := 0
+			for i := range 10 {
+				id := fmt.Sprint("r", i)
+				q := &fleet.Request{ID: model.RequestID(id), Method: http.MethodGet, Target: "/"}
+				end := x.send(t.Context(), listener.Addr().String(), &backendConfig{}, q, time.Now().Add(time.Second))
+				if end.result.Kind != pool.Answered {
+					continue
+				}
+				g.Expect(string(end.response.Body)).To(Equal(id))
+				own++
+			}
+			g.Expect(own).To(BeNumerically(">", 0))
+		})
+	}
+}
+
+// repeatAnswers serves connections. The answer to each request is the request's ID;
+// the answer to the previous request on the connection is sent once more before it.
+func repeatAnswers(listener net.Listener, named func(answer int) bool) {
+	answers := 0
+	for {
+		c, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		r, previous := bufio.NewReader(c), ""
+		for {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				break
+			}
+			answers++
+			id, header := req.Header.Get(fleet.HeaderRequestID), ""
+			if named(answers) {
+				header = fleet.HeaderRequestID + ": " + id + "\r\n"
+			}
+			answer := fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", header, len(id), id)
+			_, _ = io.WriteString(c, previous+answer)
+			previous = answer
+			if req.Close {
+				break
+			}
+		}
+		_ = c.Close()
+	}
+}
+
 // Guards against "not run" for a request with a body over the limit and a key: an
 // earlier request with the key may have run.
 func TestTooLargeForwardWithKey(t *testing.T) {
