edge: a restarted daemon does not start from old content of a seed

Content that the store confirmed more than 1.5 s ago is not used before the store was asked; only if that fails for 1.2 s.

--- a/edge/lifecycle_test.go
+++ b/edge/lifecycle_test.go
@@ -241,6 +241,34 @@
 	s.g.Expect(r.took).To(BeNumerically("<", 250*time.Millisecond))
 }
 
+// Guards against a server that has left being used again after a restart: the content
+// of a seed that the store does not serve is old.
+func TestRestartDoesNotUseOldContent(t *testing.T) {
+	s := newSite(t)
+	s.configure(2*time.Second, "")
+	left := s.server("i-1", service)
+	door, err := s.store.NewEndpoint()
+	s.g.Expect(err).NotTo(HaveOccurred())
+	seed := s.settings("h0")
+	seed.Store, seed.Seeds = door.Address(), []string{seed.Listeners.Admin}
+	s.ready(s.daemon(seed))
+	door.SetFault(consortium.Silent)
+	s.store.Delete("servers", left.ID)
+	s.server("i-2", service)
+	time.Sleep(2 * time.Second)
+
+	set := s.settings("h1")
+	set.Seeds = seed.Seeds
+	set.Host.DataCentre = "zone-b" // no heartbeats from the seed
+	set.Regions["zone-b"] = "region"
+	d := s.daemon(set)
+	for i := range 20 {
+		s.g.Expect(s.read(d, fmt.Sprint("id-", i)).status).To(Equal(http.StatusOK))
+		time.Sleep(10 * time.Millisecond)
+	}
+	s.g.Expect(left.Requests()).To(BeEmpty())
+}
+
 // Guards against stale reads of configuration and servers, which have to be current
 // within a time limit. Only the list of hosts may be read from a stale copy.
 func TestStaleReadsAreForHostsOnly(t *testing.T) {
--- a/edge/pull.go
+++ b/edge/pull.go
@@ -51,6 +51,23 @@
 	}
 }
 
+const (
+	// maxFirstContentAge is the age of the last confirmation by the store up to which
+	// a daemon without content uses that of another daemon. Older content may name
+	// servers that have left and routes that were withdrawn.
+	maxFirstContentAge = 1500 * time.Millisecond
+	// firstContentWait is how long after the start older content is not used, so that
+	// the store is asked first. After that the store counts as away.
+	firstContentWait = 1200 * time.Millisecond
+)
+
+// mustConfirm reports whether a snapshot is too old to be the first content of this
+// daemon while the store has not been asked.
+func (n *Node) mustConfirm(s catalog.Snapshot) bool {
+	v := n.view.Load()
+	return (v == nil || !v.Complete()) && max(s.ConfigAge, s.ServerAge) > maxFirstContentAge && time.Since(n.started) < firstContentWait
+}
+
 // bootstrapInterval is the interval between requests for the first content.
 const bootstrapInterval = 80 * time.Millisecond
 
@@ -101,6 +118,10 @@
 			p.node.log.WithFields(telemetry.Fields{"event": "pull_failed", "peer": address}).WithError(err).Info("cannot fetch newer content from another daemon")
 			return
 		}
+		if p.node.mustConfirm(snapshot) {
+			p.node.follower.Demand()
+			return
+		}
 		before := p.node.cache.Versions()
 		merged := p.node.cache.Merge(startedAt, snapshot)
 		after := p.node.cache.Versions()
