edge: content has to be confirmed again after a suspension of the host

Cause: ages are counted by the monotonic clock, which does not run while a host is suspended. A daemon that woke after seconds took its content for confirmed and went on sending work by it until a peer's heartbeat told it otherwise. TestSuspensionAgesContent.

--- a/catalog/cache.go
+++ b/catalog/cache.go
@@ -251,6 +251,19 @@
 	return c.configCursor
 }
 
+// AddAge adds to the time since the store last confirmed the content. It is called
+// with a time that this daemon's clock has not counted.
+func (c *Cache) AddAge(age time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.configConfirmedAt.IsZero() {
+		c.configConfirmedAt = c.configConfirmedAt.Add(-age)
+	}
+	if !c.serversConfirmedAt.IsZero() {
+		c.serversConfirmedAt = c.serversConfirmedAt.Add(-age)
+	}
+}
+
 // ExpireLapsed removes the servers whose entries did not come back within the
 // grace period, and returns their IDs.
 func (c *Cache) ExpireLapsed(now time.Time) (expired []model.ServerID) {
--- a/core/balance/observe.go
+++ b/core/balance/observe.go
@@ -187,6 +187,15 @@
 	}
 }
 
+// RetainHost removes the outstanding attempts of all daemons but one.
+func (t *Table) RetainHost(h model.HostID) {
+	for a := range t.attempts {
+		if a.Host != h {
+			t.removeAttempt(a)
+		}
+	}
+}
+
 // Tick updates the beliefs about servers with stalled attempts, once per attempt,
 // and removes attempts older than attemptLifetime. It returns the changes of
 // belief.
--- a/edge/internal_test.go
+++ b/edge/internal_test.go
@@ -5,10 +5,12 @@
 	"io"
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 	"github.com/sirupsen/logrus"
 
+	"github.com/agateusher/agateusher/catalog"
 	"github.com/agateusher/agateusher/core/balance"
 	gen "github.com/agateusher/agateusher/gen/agateusher/v1"
 	"github.com/agateusher/agateusher/telemetry"
@@ -112,3 +114,26 @@
 	}
 	g.Expect(m.inUse()).To(BeZero())
 }
+
+// Guards against a daemon that acts on content whose confirmation has run out while its
+// host was suspended: the monotonic clock does not count that time.
+func TestSuspensionAgesContent(t *testing.T) {
+	g := NewWithT(t)
+	boot, monotonic := 100*time.Second, 90*time.Second
+	clock := &suspensionClock{boot: func() time.Duration { return boot }, monotonic: func() time.Duration { return monotonic }, offset: 10 * time.Second}
+	boot, monotonic = boot+50*time.Millisecond, monotonic+50*time.Millisecond
+	g.Expect(clock.suspended()).To(BeZero())
+	boot, monotonic = boot+8*time.Second, monotonic+50*time.Millisecond
+	gap := clock.suspended()
+	g.Expect(gap).To(Equal(7950 * time.Millisecond))
+	g.Expect(clock.suspended()).To(BeZero())
+
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	n := &Node{log: log, cache: catalog.NewCache(nil), serverState: newServerState(DefaultSettings(), log)}
+	n.cache.Merge(time.Now(), catalog.Snapshot{Config: &catalog.Config{Epoch: 1}, Servers: map[string]*catalog.Server{}, Revision: 5})
+	n.afterSuspension(gap)
+	config, servers := n.cache.Ages(time.Now())
+	g.Expect(min(config, servers)).To(BeNumerically(">=", gap))
+	g.Expect(newSuspensionClock().suspended()).To(BeZero())
+}
--- a/edge/node.go
+++ b/edge/node.go
@@ -229,11 +229,18 @@
 func (n *Node) tick(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	clock, lastCheck := newSuspensionClock(), time.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case now := <-ticker.C:
+			if now.Sub(lastCheck) >= suspensionCheckInterval {
+				lastCheck = now
+				if gap := clock.suspended(); gap > 0 {
+					n.contain("suspension", func() { n.afterSuspension(gap) })
+				}
+			}
 			n.contain("tick", func() { n.runTick(now) })
 		}
 	}
--- a/edge/state.go
+++ b/edge/state.go
@@ -213,6 +213,11 @@
 	s.table.RemoveHost(h)
 }
 
+// forgetPeerAttempts removes the attempts of all other daemons.
+func (s *serverState) forgetPeerAttempts() {
+	s.update(func(time.Time) { s.table.RetainHost(s.localHost) })
+}
+
 func (s *serverState) meanServiceTime(name model.ServiceName) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
