catalog: a daemon that the store refused does not keep servers that have left

Cause (logs): the relay of a region had been refused by the store for some seconds. It took the removal of an entry, 0.9 s after the server had left, for a lapse during an outage and kept the server for the grace of 2.2 s, and passed that on. Other daemons had confirmed the content all the while, so there was no outage. Entries are kept only if the store has confirmed the content to no daemon for 2 s. TestRefusedDaemonSeesRemovals failed before.

--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -499,6 +499,24 @@
 	})
 }
 
+// Guards against a server that has left and gets work for the grace period of lapsed
+// entries, because the store had refused this daemon, but no other, for a while.
+func TestRefusedDaemonSeesRemovals(t *testing.T) {
+	follow(t, 0, func(g *WithT, f *fakeSource, cache *Cache) {
+		f.set(func() { f.err = errDown })
+		for range 30 {
+			time.Sleep(100 * time.Millisecond)
+			cache.Confirm(cache.Versions(), time.Now()) // by the heartbeat of another daemon
+		}
+		f.set(func() {
+			f.err, f.revision = nil, 30
+			f.events = []ServerEvent{{Name: "i-1", Removed: true}}
+		})
+		time.Sleep(400 * time.Millisecond)
+		g.Expect(serverNames(cache)).To(ConsistOf("i-2"))
+	})
+}
+
 // Guards against a view that is passed on after a newer one: the configuration
 // and the servers are updated by separate goroutines.
 func TestViewsMoveForward(t *testing.T) {
--- a/catalog/follower.go
+++ b/catalog/follower.go
@@ -54,8 +54,9 @@
 	staleStagger = 40 * time.Millisecond
 	// staleStaggerMax bounds the delay of any one daemon.
 	staleStaggerMax = 400 * time.Millisecond
-	// outageMin is the length of an outage above which entries may have lapsed.
-	outageMin = 1200 * time.Millisecond
+	// outageMin is how long the store must have confirmed the content to no daemon for
+	// entries to have lapsed. The store removes an entry after three missed heartbeats.
+	outageMin = 2 * time.Second
 	// lapseGrace is how long servers are kept after an outage if their entries
 	// have lapsed. According to the platform's documentation such entries are
 	// back after about two seconds.
@@ -228,7 +229,9 @@
 	// failures is the number of consecutive failed calls, counted while backing
 	// off.
 	failures int
-	// outageEnd is when the last outage longer than outageMin ended.
+	// unconfirmedFor is the age of the content before the present call.
+	unconfirmedFor time.Duration
+	// outageEnd is when the last outage ended in which entries may have lapsed.
 	outageEnd time.Time
 
 	mu sync.Mutex
@@ -331,6 +334,7 @@
 
 // syncOnce calls the store once and returns the pause before the next call.
 func (l *syncLoop) syncOnce(ctx context.Context) (pause time.Duration) {
+	l.unconfirmedFor = l.age(time.Now())
 	err := l.sync(ctx, l)
 	now := time.Now()
 	if ctx.Err() == nil {
@@ -340,7 +344,7 @@
 	case err == nil:
 		if !l.failingSince.IsZero() {
 			l.follower.log.WithFields(telemetry.Fields{"event": "store_regained", "kind": l.kind, "away": now.Sub(l.failingSince).Round(time.Millisecond)}).Info("the store responds again")
-			if now.Sub(l.failingSince) > outageMin {
+			if l.afterOutage() {
 				l.outageEnd = now
 			}
 			l.failingSince = time.Time{}
@@ -502,10 +506,17 @@
 	}
 }
 
+// afterOutage reports whether the present call is the first one after an outage of the
+// store. If the store only refused this daemon, others have confirmed the content
+// meanwhile, and entries that are missing have not lapsed but left.
+func (l *syncLoop) afterOutage() bool {
+	return !l.failingSince.IsZero() && l.unconfirmedFor > outageMin
+}
+
 // inLapseGrace reports whether a missing entry may still come back: in the first
 // response after an outage, and for lapseGrace after its end.
 func (l *syncLoop) inLapseGrace(now time.Time) bool {
-	if !l.failingSince.IsZero() && now.Sub(l.failingSince) > outageMin {
+	if l.afterOutage() {
 		return true
 	}
 	return !l.outageEnd.IsZero() && now.Sub(l.outageEnd) < lapseGrace
