--- a/Makefile
+++ b/Makefile
@@ -35,6 +35,10 @@
 	$(GO) test -run '^$$' -fuzz '^FuzzParseFile$$' -fuzztime $(FUZZTIME) ./cli
 	$(GO) test -run '^$$' -fuzz '^FuzzObjects$$' -fuzztime $(FUZZTIME) ./core/snapshot
 	$(GO) test -run '^$$' -fuzz '^FuzzDecode$$' -fuzztime $(FUZZTIME) ./core/idempotency
+	$(GO) test -run '^$$' -fuzz '^FuzzDecodeConfig$$' -fuzztime $(FUZZTIME) ./platform
+	$(GO) test -run '^$$' -fuzz '^FuzzDecodeServer$$' -fuzztime $(FUZZTIME) ./platform
+	$(GO) test -run '^$$' -fuzz '^FuzzDatagram$$' -fuzztime $(FUZZTIME) ./gossip
+	$(GO) test -run '^$$' -fuzz '^FuzzMerge$$' -fuzztime $(FUZZTIME) ./catalog
 
 ## bench: print the measured tables
 bench:
