gossip: above 32 daemons a data centre, messages go through one of them

Each daemon sends each observation and each heartbeat to every other one of its data centre: with 55 of them some 24,000 datagrams a second a data centre. Above 32 live daemons they go to the hub, the first daemon in the order of relays, which passes them on together every 25 ms: 616 to it and at most 2,200 from it. A hub that is silent for 0.35 s is replaced by the next in order. TestHub: all members stay live, observations reach all, also after the loss of the hub.

--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -86,6 +86,15 @@
 	return &node{Gossiper: l, recorder: r, stop: stop}
 }
 
+// mu returns the lock of the Gossiper, as the recorder has one of the same name.
+func (n *node) mu() *sync.Mutex { return &n.Gossiper.mu }
+
+// observedHas reports whether an observation was received.
+func (n *node) observedHas(text string) (found bool) {
+	n.with(func() { found = slices.Contains(n.observed, text) })
+	return found
+}
+
 // Guards against daemons that do not find each other when only one of them knows
 // the other, and against observations that are not passed on.
 func TestObservationsReachTheDataCentre(t *testing.T) {
@@ -212,6 +221,61 @@
 	}).WithTimeout(3 * time.Second).Should(ContainElement(model.HostID("b")))
 }
 
+// Guards against datagrams that grow with the square of the daemons of a data centre,
+// and against a hub whose loss cuts daemons off from each other's observations.
+func TestHub(t *testing.T) {
+	g := NewWithT(t)
+	var nodes []*node
+	var hosts []Host
+	for i := range 8 {
+		n := start(t, fmt.Sprint("h", i), "x")
+		n.mu().Lock()
+		n.starThreshold = 4
+		n.mu().Unlock()
+		nodes, hosts = append(nodes, n), append(hosts, n.self)
+	}
+	for _, n := range nodes {
+		n.AddHosts(hosts)
+	}
+	all := func() bool {
+		for _, n := range nodes {
+			if n.LiveCount() != len(nodes) {
+				return false
+			}
+		}
+		return true
+	}
+	g.Eventually(all).WithTimeout(3 * time.Second).Should(BeTrue())
+	g.Consistently(all).WithTimeout(2 * time.Second).Should(BeTrue())
+	attempt := uint64(0)
+	reachesAll := func(from *node) func() bool {
+		return func() bool {
+			attempt++
+			from.Publish(&gen.Observation{Kind: gen.Observation_KIND_FAILED, Attempt: attempt})
+			text := fmt.Sprint(from.self.ID, "/", attempt)
+			deadline := time.Now().Add(100 * time.Millisecond)
+			for _, n := range nodes {
+				for n != from && !n.observedHas(text) {
+					if time.Now().After(deadline) {
+						return false
+					}
+					time.Sleep(time.Millisecond)
+				}
+			}
+			return true
+		}
+	}
+	for _, n := range nodes {
+		g.Expect(reachesAll(n)()).To(BeTrue(), "from %s", n.self.ID)
+	}
+	hub := nodes[slices.IndexFunc(nodes, func(n *node) bool { return n.Role().Rank == 0 })]
+	hub.stop()
+	nodes = slices.DeleteFunc(nodes, func(n *node) bool { return n == hub })
+	for _, n := range nodes {
+		g.Eventually(reachesAll(n)).WithTimeout(1500*time.Millisecond).Should(BeTrue(), "from %s", n.self.ID)
+	}
+}
+
 // Guards against a small host that becomes the relay, and so sends its content to
 // the whole data centre, while a larger one is live.
 func TestLargeHostsAreRelays(t *testing.T) {
--- a/gossip/gossiper.go
+++ b/gossip/gossiper.go
@@ -34,6 +34,21 @@
 	// claimLifetime is how long a daemon counts as the region's relay after it last
 	// said so. It covers the loss of two messages in a row.
 	claimLifetime = 950 * time.Millisecond
+	// starThreshold is the number of live daemons of a data centre above which their
+	// messages go through one of them, the hub. Sent to each other, they would grow
+	// with the square of the number of daemons.
+	starThreshold = 32
+	// bundleInterval is how long the hub gathers messages before it passes them on.
+	bundleInterval = 25 * time.Millisecond
+	// maxBundle is the maximum number of messages in one datagram of the hub.
+	maxBundle = 48
+	// bundleQueueSize is the number of messages that can wait at the hub. When the
+	// queue is full, new ones are dropped; later heartbeats make up for them.
+	bundleQueueSize = 2048
+	// hubTimeout is how long after its last datagram the next daemon in order is used
+	// as the hub, for hubAvoidance.
+	hubTimeout   = 350 * time.Millisecond
+	hubAvoidance = 2 * time.Second
 	// digestRelays is how many daemons of each other data centre a digest is
 	// sent to.
 	digestRelays = 2
@@ -86,12 +101,17 @@
 	socket      *net.UDPConn
 	log         telemetry.Logger
 	pending     *kernel.Ring[*gen.Observation]
+	// bundle holds the messages that this daemon passes on as the hub.
+	bundle *kernel.Ring[*gen.Gossip]
+	// starThreshold is the constant, or a lower number in tests.
+	starThreshold int
 
 	mu      sync.Mutex
 	members memberTable
 	// claims has, by data centre, when its relay last said that it follows the
 	// store for the whole region.
 	claims map[model.DataCentre]time.Time
+	hub    hubChoice
 	// reportedGone holds the members that were reported as gone and have not been
 	// heard from since.
 	reportedGone map[model.HostID]bool
@@ -123,6 +143,7 @@
 	return &Gossiper{
 		self: self, incarnation: string(incarnation), handler: h, socket: socket, log: log,
 		pending: kernel.NewRing[*gen.Observation]("observations", observationQueueSize, kernel.DropNewest),
+		bundle:  kernel.NewRing[*gen.Gossip]("bundle", bundleQueueSize, kernel.DropNewest), starThreshold: starThreshold,
 		members: memberTable{}, claims: map[model.DataCentre]time.Time{}, reportedGone: map[model.HostID]bool{},
 	}, nil
 }
@@ -132,6 +153,7 @@
 	return []kernel.Task{
 		{Name: "gossip-receive", Run: g.receive},
 		{Name: "gossip-send", Run: g.send},
+		{Name: "gossip-fan-out", Run: g.fanOut},
 	}
 }
 
@@ -285,9 +307,10 @@
 func (g *Gossiper) broadcast(m *gen.Gossip, urgent bool) {
 	now := time.Now()
 	g.mu.Lock()
+	hub, star := g.chooseHub(now)
 	var to []*net.UDPAddr
 	for _, x := range g.members {
-		if x.DataCentre != g.self.DataCentre {
+		if x.DataCentre != g.self.DataCentre || (star && x.live(now) && x != hub) {
 			continue
 		}
 		if x.due(now) || (urgent && x.live(now)) {
@@ -295,7 +318,16 @@
 			to = append(to, x.udpAddress)
 		}
 	}
+	selfIsHub := star && hub == nil && (urgent || now.Sub(g.hub.lastOwn) >= heartbeatInterval)
+	if selfIsHub {
+		g.hub.lastOwn = now
+	}
 	g.mu.Unlock()
+	m.FanOut = star
+	if selfIsHub {
+		m.Address = g.self.Address
+		g.bundle.Offer(m)
+	}
 	g.write(m, to)
 }
 
@@ -408,6 +440,20 @@
 		g.handleRemote(m, from)
 		return
 	}
+	g.recordDirect(model.HostID(m.Host))
+	if len(m.Bundled) > 0 {
+		g.handleBundle(m)
+		return
+	}
+	if m.FanOut {
+		m.Address = from.String()
+		g.bundle.Offer(m)
+	}
+	g.handleLocal(m, from)
+}
+
+// handleLocal handles a message of a daemon of the data centre.
+func (g *Gossiper) handleLocal(m *gen.Gossip, from *net.UDPAddr) {
 	if len(m.Loads) > 0 {
 		g.handler.RemoteLoads(model.DataCentre(m.LoadsFrom), m.Loads)
 		if len(m.Observations) == 0 && m.Incarnation == "" {
--- /dev/null
+++ b/gossip/hub.go
@@ -0,0 +1,116 @@
+package gossip
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/agateusher/agateusher/core/model"
+	gen "github.com/agateusher/agateusher/gen/agateusher/v1"
+	"github.com/agateusher/agateusher/telemetry"
+)
+
+// hubChoice is the state of the choice of the hub; guarded by Gossiper.mu.
+type hubChoice struct {
+	// current is the hub in use since the time; empty without one or if it is this
+	// daemon.
+	current model.HostID
+	since   time.Time
+	// avoided has until when hubs that fell silent are not used.
+	avoided map[model.HostID]time.Time
+	// lastOwn is when this daemon, as the hub, last passed its own state on.
+	lastOwn time.Time
+}
+
+// chooseHub returns the member to send messages to if the data centre has more than
+// starThreshold live daemons; nil if it is this daemon. star is false if messages go to
+// each member. The hub is the first daemon in the order of relays that is not silent.
+// Daemons may disagree: whoever gets a message to fan out does so. g.mu must be held.
+func (g *Gossiper) chooseHub(now time.Time) (hub *member, star bool) {
+	state := g.handler.State()
+	hosts := []Host{}
+	if !state.Leaving {
+		hosts = append(hosts, g.self)
+	}
+	for _, m := range g.members {
+		if m.DataCentre == g.self.DataCentre && m.live(now) {
+			hosts = append(hosts, m.Host)
+		}
+	}
+	if len(hosts) <= g.starThreshold {
+		g.hub.current = ""
+		return nil, false
+	}
+	for _, id := range relayOrder(hosts) {
+		if id == g.self.ID {
+			g.hub.current = ""
+			return nil, true
+		}
+		m := g.members[id]
+		if now.Before(g.hub.avoided[id]) {
+			continue
+		}
+		if id != g.hub.current {
+			g.hub.current, g.hub.since = id, now
+		} else if now.Sub(g.hub.since) > hubTimeout && now.Sub(m.lastDirect) > hubTimeout {
+			if g.hub.avoided == nil {
+				g.hub.avoided = map[model.HostID]time.Time{}
+			}
+			g.hub.avoided[id] = now.Add(hubAvoidance)
+			continue
+		}
+		return m, true
+	}
+	return nil, false
+}
+
+// recordDirect records a datagram that came from a member itself.
+func (g *Gossiper) recordDirect(h model.HostID) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if m, ok := g.members[h]; ok {
+		m.lastDirect = time.Now()
+	}
+}
+
+// fanOut passes messages on to the live daemons of the data centre, together for each
+// bundleInterval.
+func (g *Gossiper) fanOut(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case first := <-g.bundle.Items():
+			time.Sleep(bundleInterval)
+			telemetry.Contain(g.log, nil, "fan-out", func() { g.sendBundle(first) })
+		}
+	}
+}
+
+func (g *Gossiper) sendBundle(first *gen.Gossip) {
+	bundled := []*gen.Gossip{first}
+	for waiting := true; waiting && len(bundled) < maxBundle; {
+		select {
+		case m := <-g.bundle.Items():
+			bundled = append(bundled, m)
+		default:
+			waiting = false
+		}
+	}
+	g.broadcastLive(&gen.Gossip{Host: string(g.self.ID), DataCentre: string(g.self.DataCentre), Bundled: bundled})
+}
+
+// handleBundle handles the messages that the hub passes on.
+func (g *Gossiper) handleBundle(bundle *gen.Gossip) {
+	for _, m := range bundle.Bundled {
+		if model.HostID(m.Host) == g.self.ID || model.DataCentre(m.DataCentre) != g.self.DataCentre || m.Incarnation == "" {
+			continue
+		}
+		from, err := net.ResolveUDPAddr("udp4", m.Address)
+		if err != nil {
+			g.log.WithFields(telemetry.Fields{"event": "gossip_undecodable", "peer": m.Host}).WithError(err).Warn("a bundled message has no usable address")
+			continue
+		}
+		g.handleLocal(m, from)
+	}
+}
--- a/gossip/member.go
+++ b/gossip/member.go
@@ -43,8 +43,11 @@
 	leaving      bool
 	storeFailing bool
 	lastReceived time.Time
-	lastAdded    time.Time
-	lastSent     time.Time
+	// lastDirect is when a datagram last came from the member itself rather than from
+	// the hub.
+	lastDirect time.Time
+	lastAdded  time.Time
+	lastSent   time.Time
 }
 
 func (m *member) live(now time.Time) bool {
