--- a/edge/internal_test.go
+++ b/edge/internal_test.go
@@ -137,3 +137,26 @@
 	g.Expect(min(config, servers)).To(BeNumerically(">=", gap))
 	g.Expect(newSuspensionClock().suspended()).To(BeZero())
 }
+
+// Guards against a start of the whole fleet in which each daemon takes the answer of a
+// seed that has no content yet for old content, and calls the store itself.
+func TestFirstContent(t *testing.T) {
+	g := NewWithT(t)
+	config, old := &catalog.Config{Epoch: 1}, 2*maxFirstContentAge
+	n := &Node{started: time.Now()}
+	for _, x := range []struct {
+		name     string
+		snapshot catalog.Snapshot
+		confirm  bool
+	}{
+		{"empty", catalog.NewCache(nil).Snapshot(time.Now(), catalog.Versions{}), false},
+		{"fresh", catalog.Snapshot{Config: config, Revision: 5}, false},
+		{"only a fresh configuration", catalog.Snapshot{Config: config, ServerAge: time.Hour}, false},
+		{"old configuration", catalog.Snapshot{Config: config, ConfigAge: old, Revision: 5}, true},
+		{"old servers", catalog.Snapshot{Config: config, Revision: 5, ServerAge: old}, true},
+	} {
+		g.Expect(n.mustConfirm(x.snapshot)).To(Equal(x.confirm), x.name)
+	}
+	n.started = time.Now().Add(-2 * firstContentWait)
+	g.Expect(n.mustConfirm(catalog.Snapshot{Revision: 5, ServerAge: old})).To(BeFalse(), "the store is away")
+}
--- a/edge/pull.go
+++ b/edge/pull.go
@@ -64,8 +64,11 @@
 // mustConfirm reports whether a snapshot is too old to be the first content of this
 // daemon while the store has not been asked.
 func (n *Node) mustConfirm(s catalog.Snapshot) bool {
-	v := n.view.Load()
-	return (v == nil || !v.Complete()) && max(s.ConfigAge, s.ServerAge) > maxFirstContentAge && time.Since(n.started) < firstContentWait
+	if v := n.view.Load(); v != nil && v.Complete() {
+		return false
+	}
+	old := (s.Config != nil && s.ConfigAge > maxFirstContentAge) || (s.Revision != 0 && s.ServerAge > maxFirstContentAge)
+	return old && time.Since(n.started) < firstContentWait
 }
 
 // bootstrapInterval is the interval between requests for the first content.
