soak: no cut without a reset while answers have no length

Trace: the answer came from i-0 (usable, 31 ms), whose behaviour (fault 3, 47.357) and link (fault 5, 47.770) were both harmed; an answer with a length is checked against it, so that only one without a length can be taken for whole. Such an answer ends with its connection, and a cut that is no reset looks the same; the platform's page calls only a reset one incomplete.

--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -48,6 +48,12 @@
 type backend struct {
 	*consortium.Server
 	link *relay.Relay
+	// unframedUntil is until when answers may have no length. The end of the
+	// connection ends such an answer, so that a cut which is no reset cannot be told
+	// from its end by anybody.
+	unframedUntil time.Time
+	// plainCutsUntil is until when the link may be cut without a reset.
+	plainCutsUntil time.Time
 }
 
 // process is a daemon, which may be restarted.
