--- /dev/null
+++ b/catalog/source_test.go
@@ -0,0 +1,163 @@
+package catalog
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/agateusher/agateusher/core/model"
+	"github.com/agateusher/agateusher/kernel"
+)
+
+// fakeSource is a fake store in virtual time.
+type fakeSource struct {
+	mu       sync.Mutex
+	epoch    model.Epoch
+	servers  map[string]*Server
+	events   []ServerEvent
+	revision Revision
+	err      error
+	hang     bool
+	calls    int
+	pings    int
+}
+
+var errDown = errors.New("down")
+
+func (f *fakeSource) call(ctx context.Context) error {
+	f.mu.Lock()
+	f.calls++
+	hang, err := f.hang, f.err
+	f.mu.Unlock()
+	if hang {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return err
+}
+
+func (f *fakeSource) Config(ctx context.Context) (*Config, Revision, error) {
+	if err := f.call(ctx); err != nil {
+		return nil, 0, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return &Config{Epoch: f.epoch}, f.revision, nil
+}
+
+func (f *fakeSource) WatchConfig(ctx context.Context, after Revision, wait time.Duration) (*Config, Revision, error) {
+	if err := f.call(ctx); err != nil {
+		return nil, 0, err
+	}
+	if err := f.await(ctx, wait, func() bool { return f.revision > after }); err != nil {
+		return nil, 0, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return &Config{Epoch: f.epoch}, f.revision, nil
+}
+
+// await waits until a condition holds, as a watch does. A silent store holds up the
+// response, a failing one ends the watch.
+func (f *fakeSource) await(ctx context.Context, wait time.Duration, condition func() bool) error {
+	for end := time.Now().Add(wait); ; time.Sleep(5 * time.Millisecond) {
+		f.mu.Lock()
+		hang, err, met := f.hang, f.err, condition()
+		f.mu.Unlock()
+		switch {
+		case hang:
+			<-ctx.Done()
+			return ctx.Err()
+		case err != nil:
+			return err
+		case met || !time.Now().Before(end):
+			return nil
+		case ctx.Err() != nil:
+			return ctx.Err()
+		}
+	}
+}
+
+func (f *fakeSource) Servers(ctx context.Context) (map[string]*Server, Revision, error) {
+	if err := f.call(ctx); err != nil {
+		return nil, 0, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return maps.Clone(f.servers), f.revision, nil
+}
+
+func (f *fakeSource) WatchServers(ctx context.Context, after Revision, wait time.Duration) ([]ServerEvent, Revision, error) {
+	if err := f.call(ctx); err != nil {
+		return nil, 0, err
+	}
+	if err := f.await(ctx, wait, func() bool { return len(f.events) > 0 }); err != nil {
+		return nil, 0, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	events := f.events
+	f.events = nil
+	return events, f.revision, nil
+}
+
+func (f *fakeSource) Ping(ctx context.Context) error {
+	f.mu.Lock()
+	f.pings++
+	hang, err := f.hang, f.err
+	f.mu.Unlock()
+	if hang {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	if errors.Is(err, ErrHistoryGone) {
+		return nil
+	}
+	return err
+}
+
+func (f *fakeSource) callCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.calls
+}
+
+// set runs change under the fake's lock.
+func (f *fakeSource) set(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+}
+
+// follow runs a follower of the given rank in virtual time.
+func follow(t *testing.T, rank int, test func(g *WithT, f *fakeSource, cache *Cache)) {
+	synctest.Test(t, func(t *testing.T) {
+		source := &fakeSource{epoch: 1, revision: 10, servers: map[string]*Server{"i-1": {ID: "i-1"}, "i-2": {ID: "i-2"}}}
+		cache := NewCache(nil)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() {
+			done <- kernel.RunTasks(ctx, NewFollower(cache, source, func() Role { return Role{Rank: rank, Relay: rank == 0} }, 0, discardLogger()).Tasks()...)
+		}()
+		defer func() {
+			cancel()
+			<-done
+		}()
+		time.Sleep(100 * time.Millisecond)
+		test(NewWithT(t), source, cache)
+	})
+}
+
+func serverNames(cache *Cache) []string {
+	var out []string
+	for _, s := range cache.View().Servers {
+		out = append(out, string(s.ID))
+	}
+	return out
+}
--- a/gossip/gossiper.go
+++ b/gossip/gossiper.go
@@ -11,7 +11,6 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/agateusher/agateusher/core/model"
-	"github.com/agateusher/agateusher/core/ranking"
 	gen "github.com/agateusher/agateusher/gen/agateusher/v1"
 	"github.com/agateusher/agateusher/kernel"
 	"github.com/agateusher/agateusher/telemetry"
@@ -31,27 +30,6 @@
 	flushDelay = 2 * time.Millisecond
 	// digestInterval is the time between digests to other data centres.
 	digestInterval = 300 * time.Millisecond
-	// claimLifetime is how long a daemon counts as the region's relay after it last
-	// said so. It covers the loss of two messages in a row.
-	claimLifetime = 950 * time.Millisecond
-	// starThreshold is the number of live daemons of a data centre above which their
-	// messages go through one of them, the hub. Sent to each other, they would grow
-	// with the square of the number of daemons.
-	starThreshold = 32
-	// bundleInterval is how long the hub gathers messages before it passes them on.
-	bundleInterval = 25 * time.Millisecond
-	// maxBundle is the maximum number of messages in one datagram of the hub.
-	maxBundle = 48
-	// bundleQueueSize is the number of messages that can wait at the hub. When the
-	// queue is full, new ones are dropped; later heartbeats make up for them.
-	bundleQueueSize = 2048
-	// hubTimeout is how long after its last datagram the next daemon in order is used
-	// as the hub, for hubAvoidance.
-	hubTimeout   = 350 * time.Millisecond
-	hubAvoidance = 2 * time.Second
-	// digestRelays is how many daemons of each other data centre a digest is
-	// sent to.
-	digestRelays = 2
 )
 
 // State is the sender's state in a heartbeat.
@@ -180,50 +158,6 @@
 // was full.
 func (g *Gossiper) Dropped() uint64 { return g.pending.Dropped() }
 
-// Role is this daemon's part in following the store.
-type Role struct {
-	// Rank is this daemon's position among the live daemons of its data centre;
-	// zero is the data centre's relay.
-	Rank int
-	// Order is the number of known data centres of the region whose relays are
-	// preferred to that of this daemon's own.
-	Order int
-	// RegionRelay is set if this daemon follows the store for the whole region. No
-	// more than one daemon does so while all hear each other and the store serves
-	// them; several cost calls, but do no harm. While the store fails, the relay of
-	// each data centre tries.
-	RegionRelay bool
-}
-
-// Role returns this daemon's role.
-func (g *Gossiper) Role() Role {
-	state, now := g.handler.State(), time.Now()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	r := Role{Rank: g.members.rank(g.self, state, now)}
-	claimed := false
-	for _, dc := range g.members.dataCentres(g.self.Region) {
-		preferred := precedes(dc, g.self.DataCentre)
-		if preferred {
-			r.Order++
-		}
-		if preferred || (state.StoreFailing && dc != g.self.DataCentre) {
-			claimed = claimed || now.Sub(g.claims[dc]) < claimLifetime
-		}
-	}
-	r.RegionRelay = r.Rank == 0 && !claimed
-	return r
-}
-
-// regionRelayKey is the ranking key of the data centre whose relay follows the store
-// for its region.
-const regionRelayKey = "region-relay"
-
-// precedes reports whether the relay of a is preferred to that of b as the region's.
-func precedes(a, b model.DataCentre) bool {
-	return ranking.Rank(regionRelayKey, []model.HostID{model.HostID(a), model.HostID(b)})[0] == model.HostID(a) && a != b
-}
-
 // LiveCount returns the number of live daemons of the data centre, including this
 // one.
 func (g *Gossiper) LiveCount() int {
@@ -347,51 +281,6 @@
 	}
 }
 
-// sendDigest sends this data centre's loads to the other data centres of the
-// region, if this daemon is the relay.
-func (g *Gossiper) sendDigest() {
-	if g.Role().Rank != 0 {
-		return
-	}
-	loads := g.handler.LocalLoads()
-	if len(loads) == 0 {
-		return
-	}
-	m := g.message()
-	m.Loads = loads
-	g.write(m, g.relaysElsewhere())
-}
-
-// sendClaim sends this daemon's versions to the relays of the region's other data
-// centres, if this daemon is the region's relay. Other regions have relays of their
-// own, because bytes between regions cost more than calls of the store.
-func (g *Gossiper) sendClaim() {
-	m := g.message()
-	if m.StoreFailing || !g.Role().RegionRelay {
-		return
-	}
-	m.Outstanding, m.RegionRelay = nil, true
-	g.write(m, g.relaysElsewhere())
-}
-
-// relaysElsewhere returns the addresses of the likely relays of each other data
-// centre of the region.
-func (g *Gossiper) relaysElsewhere() (to []*net.UDPAddr) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	seen := map[model.DataCentre]bool{g.self.DataCentre: true}
-	for _, x := range g.members {
-		if seen[x.DataCentre] || x.Region != g.self.Region {
-			continue
-		}
-		seen[x.DataCentre] = true
-		for _, r := range g.members.relays(x.DataCentre, digestRelays) {
-			to = append(to, r.udpAddress)
-		}
-	}
-	return to
-}
-
 // expire reports members that have been silent for twice the livenessTimeout.
 func (g *Gossiper) expire(now time.Time) {
 	g.mu.Lock()
@@ -478,29 +367,6 @@
 	}
 }
 
-// handleRemote handles a message from another data centre.
-func (g *Gossiper) handleRemote(m *gen.Gossip, from *net.UDPAddr) {
-	dc := model.DataCentre(m.DataCentre)
-	if len(m.Loads) > 0 {
-		g.handler.RemoteLoads(dc, m.Loads)
-		// A digest is sent to only some daemons of a data centre.
-		g.forward(m)
-	}
-	if !m.RegionRelay {
-		return
-	}
-	g.mu.Lock()
-	g.claims[dc] = time.Now()
-	g.mu.Unlock()
-	g.handler.PeerState(Host{ID: model.HostID(m.Host), DataCentre: dc, Region: model.Region(m.Region), Address: from.String()}, stateOf(m))
-}
-
-// forward sends a digest of another data centre to the live daemons of this one.
-// The message has no incarnation, so that it does not count as a heartbeat.
-func (g *Gossiper) forward(m *gen.Gossip) {
-	g.broadcastLive(&gen.Gossip{Host: string(g.self.ID), DataCentre: string(g.self.DataCentre), Loads: m.Loads, LoadsFrom: m.DataCentre})
-}
-
 func (g *Gossiper) broadcastLive(m *gen.Gossip) {
 	now := time.Now()
 	g.mu.Lock()
--- a/gossip/hub.go
+++ b/gossip/hub.go
@@ -10,6 +10,24 @@
 	"github.com/agateusher/agateusher/telemetry"
 )
 
+const (
+	// starThreshold is the number of live daemons of a data centre above which their
+	// messages go through one of them, the hub. Sent to each other, they would grow
+	// with the square of the number of daemons.
+	starThreshold = 32
+	// bundleInterval is how long the hub gathers messages before it passes them on.
+	bundleInterval = 25 * time.Millisecond
+	// maxBundle is the maximum number of messages in one datagram of the hub.
+	maxBundle = 48
+	// bundleQueueSize is the number of messages that can wait at the hub. When the
+	// queue is full, new ones are dropped; later heartbeats make up for them.
+	bundleQueueSize = 2048
+	// hubTimeout is how long after its last datagram the next daemon in order is used
+	// as the hub, for hubAvoidance.
+	hubTimeout   = 350 * time.Millisecond
+	hubAvoidance = 2 * time.Second
+)
+
 // hubChoice is the state of the choice of the hub; guarded by Gossiper.mu.
 type hubChoice struct {
 	// current is the hub in use since the time; empty without one or if it is this
