edge: read, share and log the rate limits that servers name

The logs of the incident could not tell whether hosts knew of a server's limit. A limit is now read from each answer (Server-Limit), passed to the data centre with the observation of the answer, logged when it changes (server_limited, server_unlimited), shown at each attempt (server-limit=) and counted (limited_servers); usherctl explain shows it. Nothing acts on it yet.

--- a/cli/explain.go
+++ b/cli/explain.go
@@ -153,7 +153,7 @@
 
 // eventSubject returns the subject of a line's event if it affects a request that
 // was sent to servers of the service, and otherwise an empty text. The subjects are
-// the belief about a server, a server's entry, the service's retry budget, the
+// the belief about a server, its rate limit, its entry, the service's retry budget, the
 // store, the configuration and the process.
 func eventSubject(l logLine, servers map[string]bool, service string) string {
 	switch event := l.fields["event"]; event {
@@ -161,6 +161,10 @@
 		if servers[l.fields["server"]] {
 			return "belief " + l.fields["server"]
 		}
+	case "server_limited", "server_unlimited":
+		if servers[l.fields["server"]] {
+			return "limit " + l.fields["server"]
+		}
 	case "server_entry", "server_lapsed", "server_entry_unreadable":
 		if servers[l.fields["server"]] {
 			return "entry " + l.fields["server"]
--- a/core/balance/choose.go
+++ b/core/balance/choose.go
@@ -75,6 +75,8 @@
 	QueueFull bool
 	// ServerCount is the number of servers of the service, excluded ones included.
 	ServerCount int
+	// Limit is the server's rate limit.
+	Limit RateLimit
 	// NextCost is the cost of the second-best server; zero if there is none or
 	// for a probe.
 	NextCost float64
@@ -186,7 +188,7 @@
 
 // evaluate returns the choice of server s with its cost.
 func (t *Table) evaluate(now time.Time, svc *service, s *server, q Query) Choice {
-	c := Choice{Server: s.Server, FailingProbability: t.opts.Model.FailingProbability(s.belief, now), Outstanding: s.totalOutstanding(now), EvidenceAge: -1, ServerCount: len(svc.servers)}
+	c := Choice{Server: s.Server, FailingProbability: t.opts.Model.FailingProbability(s.belief, now), Outstanding: s.totalOutstanding(now), EvidenceAge: -1, ServerCount: len(svc.servers), Limit: s.limit.RateLimit}
 	if !s.lastEvidence.IsZero() {
 		c.EvidenceAge = now.Sub(s.lastEvidence)
 	}
--- /dev/null
+++ b/core/balance/limit.go
@@ -0,0 +1,56 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/agateusher/agateusher/core/model"
+)
+
+// RateLimit is the rate that a server asks for in an answer, in requests per second
+// from the whole fleet. The zero value means no limit.
+type RateLimit struct {
+	InForce   bool
+	PerSecond float64
+}
+
+// knownLimit is the newest evidence about the limit of a server.
+type knownLimit struct {
+	RateLimit
+	// observedAt is when the answer that the limit is known from was received; zero if
+	// no answer has named one.
+	observedAt time.Time
+}
+
+// LimitChange is a change of a server's limit. It is zero if nothing changed.
+type LimitChange struct {
+	Server        model.ServerID
+	Before, After RateLimit
+}
+
+// Changed reports whether the limit changed.
+func (c LimitChange) Changed() bool { return c.Before != c.After }
+
+// ObserveLimit records the limit that an answer named, or that an answer to an attempt
+// started at the given time named none. An answer without a limit ends the limit only
+// if its attempt was started after the limit was last named: answers may be received
+// in another order than they were made.
+func (t *Table) ObserveLimit(now time.Time, k ServerKey, started time.Time, l RateLimit) LimitChange {
+	s, ok := t.servers[k]
+	if !ok || (!l.InForce && (!s.limit.InForce || started.Before(s.limit.observedAt))) {
+		return LimitChange{}
+	}
+	change := LimitChange{Server: s.ID, Before: s.limit.RateLimit, After: l}
+	s.limit = knownLimit{RateLimit: l, observedAt: now}
+	return change
+}
+
+// LimitedServers returns the number of servers whose limit is in force.
+func (t *Table) LimitedServers() int {
+	n := 0
+	for _, s := range t.servers {
+		if s.limit.InForce {
+			n++
+		}
+	}
+	return n
+}
--- a/core/balance/table.go
+++ b/core/balance/table.go
@@ -88,6 +88,7 @@
 	// unreachable: this daemon could not connect to it, or an attempt of any
 	// daemon was misdirected.
 	unreachableUntil time.Time
+	limit            knownLimit
 }
 
 // totalOutstanding returns the number of known outstanding attempts at the server
--- a/edge/exchange.go
+++ b/edge/exchange.go
@@ -38,6 +38,8 @@
 	// length is the length of the whole body, or -1 if it is not known. A response
 	// to HEAD has a length but no body.
 	length int64
+	// limit is the rate limit that the backend server named in the response.
+	limit balance.RateLimit
 }
 
 // close ends the attempt that a streamed response comes from.
@@ -94,9 +96,10 @@
 	}
 	progress()
 	verdict := x.headers.Classify(resp, q.id)
+	limit := x.serverLimit(resp, verdict)
 	if !verdict.mayHaveRun() {
 		_ = resp.Body.Close()
-		return verdict, &response{status: resp.StatusCode, header: http.Header{}}, nil
+		return verdict, &response{status: resp.StatusCode, header: http.Header{}, limit: limit}, nil
 	}
 	r, err := x.readResponse(ctx, resp, verdict, q.reserved, progress)
 	if err != nil {
@@ -106,11 +109,20 @@
 	if r.rest == nil {
 		_ = resp.Body.Close()
 	}
-	r.header = fleet.EndToEnd(resp.Header)
+	r.header, r.limit = fleet.EndToEnd(resp.Header), limit
 	x.headers.CopyResponse(r.header, resp.Header)
 	return verdict, r, nil
 }
 
+// serverLimit returns the limit that a response names.
+func (x *exchanger) serverLimit(resp *http.Response, v Verdict) balance.RateLimit {
+	if !v.madeByServer() {
+		return balance.RateLimit{}
+	}
+	rate, inForce := x.headers.ServerLimit(resp.Header)
+	return balance.RateLimit{InForce: inForce, PerSecond: rate}
+}
+
 // readResponse reads the body of a response, or its first part if it is long and
 // the response is usable.
 func (x *exchanger) readResponse(ctx context.Context, resp *http.Response, verdict Verdict, reserved *reservation, progress func()) (*response, error) {
--- a/edge/gauges.go
+++ b/edge/gauges.go
@@ -36,6 +36,7 @@
 		"body_bytes":             float64(n.bodyMemory.inUse()),
 		"log_lines_dropped":      float64(n.logWriter.ring.Dropped()),
 		"request_lines_left_out": float64(n.requestLog.skippedTotal.Load()),
+		"limited_servers":        float64(n.serverState.limitedServers()),
 		"observations_dropped":   float64(n.gossiper.Dropped()),
 	} {
 		n.metrics.Scope.Gauge(name).Update(value)
--- a/edge/headers.go
+++ b/edge/headers.go
@@ -44,6 +44,10 @@
 // String returns the form used in logs and metrics.
 func (v Verdict) String() string { return verdictNames[v] }
 
+// madeByServer reports whether the response was certainly made by the server that the
+// request was sent to.
+func (v Verdict) madeByServer() bool { return v == Usable || v == ServerFailure || v == Refused }
+
 // mayHaveRun reports whether the server may have run the request.
 func (v Verdict) mayHaveRun() bool {
 	return v != Refused && v != Misdirected && v != ConnectFailed
@@ -58,6 +62,9 @@
 	SetAttempt(h http.Header, id model.RequestID, to model.ServerID, left time.Duration)
 	// Classify returns the verdict on a response whose body has not been read.
 	Classify(resp *http.Response, id model.RequestID) Verdict
+	// ServerLimit returns the rate, in requests per second, that the response says the
+	// server takes from all hosts together; false if it names none.
+	ServerLimit(h http.Header) (float64, bool)
 	// CopyResponse copies the platform's headers of a response that the caller
 	// receives.
 	CopyResponse(to, from http.Header)
--- a/edge/state.go
+++ b/edge/state.go
@@ -112,16 +112,36 @@
 func (s *serverState) finishAttempt(r attemptResult) {
 	o := verdictObservations[r.verdict]
 	key := r.choice.Server.Key
+	observation := &gen.Observation{Kind: o.kind, Server: uint64(key), Attempt: r.number, LatencyMs: uint32(r.latency.Milliseconds())}
+	var limit balance.RateLimit
+	if r.resp != nil {
+		limit = r.resp.limit
+	}
+	if limit.InForce {
+		observation.Limit = &limit.PerSecond
+	}
 	var change balance.BeliefChange
+	var limitChange balance.LimitChange
 	s.update(func(now time.Time) {
 		delete(s.localAttempts, r.number)
+		limitChange = s.observeLimit(now, key, o.result, r.latency, limit)
 		change = s.table.AttemptFinished(now, key, balance.AttemptKey{Host: s.localHost, Number: r.number}, o.result, r.latency)
 		if r.verdict == ConnectFailed {
 			s.table.MarkUnreachable(now, key, unreachableDuration)
 		}
 	})
 	s.logBeliefChange(change, r.verdict.String(), s.localHost)
-	s.publish(&gen.Observation{Kind: o.kind, Server: uint64(key), Attempt: r.number, LatencyMs: uint32(r.latency.Milliseconds())})
+	s.logLimitChange(limitChange, s.localHost)
+	s.publish(observation)
+}
+
+// observeLimit records the limit that an answer named, or that a successful answer
+// named none.
+func (s *serverState) observeLimit(now time.Time, key balance.ServerKey, r balance.Result, latency time.Duration, l balance.RateLimit) balance.LimitChange {
+	if !l.InForce && r != balance.Succeeded {
+		return balance.LimitChange{}
+	}
+	return s.table.ObserveLimit(now, key, now.Add(-latency), l)
 }
 
 // recordCutStream records that a server did not deliver the rest of a response
@@ -148,15 +168,20 @@
 // applyPeerObservation records an observation of another daemon of the data centre.
 func (s *serverState) applyPeerObservation(h model.HostID, o *gen.Observation) {
 	key, attempt := balance.ServerKey(o.Server), balance.AttemptKey{Host: h, Number: o.Attempt}
+	result, latency := observationResults[o.Kind], time.Duration(o.LatencyMs)*time.Millisecond
+	limit := balance.RateLimit{InForce: o.Limit != nil, PerSecond: o.GetLimit()}
 	var change balance.BeliefChange
+	var limitChange balance.LimitChange
 	s.update(func(now time.Time) {
 		if o.Kind == gen.Observation_KIND_STARTED {
 			s.table.AttemptStarted(now, key, attempt, o.Repeat)
 			return
 		}
-		change = s.table.AttemptFinished(now, key, attempt, observationResults[o.Kind], time.Duration(o.LatencyMs)*time.Millisecond)
+		limitChange = s.observeLimit(now, key, result, latency, limit)
+		change = s.table.AttemptFinished(now, key, attempt, result, latency)
 	})
 	s.logBeliefChange(change, "peer", h)
+	s.logLimitChange(limitChange, h)
 }
 
 // suspectThreshold is the probability of failing from which a server is logged as
@@ -179,6 +204,29 @@
 	}).Info("a backend server became suspect or stopped being suspect")
 }
 
+// logLimitChange logs that a server named another limit, or none any more, in an
+// answer to the host from.
+func (s *serverState) logLimitChange(c balance.LimitChange, from model.HostID) {
+	if !c.Changed() {
+		return
+	}
+	fields := telemetry.Fields{"event": "server_limited", "server": c.Server, "per_second": round3(c.After.PerSecond), "from": from}
+	if c.Before.InForce {
+		fields["before"] = round3(c.Before.PerSecond)
+	}
+	if !c.After.InForce {
+		fields["event"] = "server_unlimited"
+		delete(fields, "per_second")
+	}
+	s.log.WithFields(fields).Info("a backend server set, changed or ended its rate limit")
+}
+
+func (s *serverState) limitedServers() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.LimitedServers()
+}
+
 // tick counts long unanswered attempts as evidence against their servers.
 func (s *serverState) tick() {
 	var changes []balance.BeliefChange
