Failing test: hosts together exceed the rate limit that a server names

Six daemons, three servers, 83 requests a second; one server names a limit of 2 a second and gets 156 requests within 4 s, where 17 are allowed.

--- a/standin/consortium/server.go
+++ b/standin/consortium/server.go
@@ -104,6 +104,7 @@
 	mu          sync.Mutex
 	behaviour   func(*ReceivedRequest) Behaviour
 	serviceTime time.Duration
+	limit       string
 	requests    []*ReceivedRequest
 	conns       map[net.Conn]struct{}
 	cancelled   int
@@ -150,6 +151,19 @@
 	s.serviceTime = d
 }
 
+// SetLimit sets the value of the Server-Limit header of the answers; empty: no header.
+func (s *Server) SetLimit(perSecond string) { s.update(func() { s.limit = perSecond }) }
+
+// limitHeader returns the header line with the server's limit, or an empty text.
+func (s *Server) limitHeader() (line string) {
+	s.update(func() {
+		if s.limit != "" {
+			line = "Server-Limit: " + s.limit + "\r\n"
+		}
+	})
+	return line
+}
+
 // Requests returns copies of the requests that arrived, in order of arrival.
 func (s *Server) Requests() []ReceivedRequest {
 	s.mu.Lock()
@@ -351,7 +365,7 @@
 // respond writes the answer. It returns false if the connection must be closed.
 func (s *Server) respond(c net.Conn, received *ReceivedRequest, b Behaviour) bool {
 	body := Body(received.ID)
-	idHeader := "Agateusher-Request-Id: " + received.ID + "\r\n"
+	idHeader := "Agateusher-Request-Id: " + received.ID + "\r\n" + s.limitHeader()
 	signatureHeader := "Agateusher-Response-Signature: " + s.ID + "." + received.ID + "\r\n"
 	lengthHeader := fmt.Sprintf("Content-Length: %d\r\n", len(body))
 	if b >= Large && b <= NoContent {
