usherd: keep the rate limits that backend servers name

The owner of a pool is the only process that sends to its servers, so it counts their limits in token buckets of its own. Admission takes limited servers as the slots that their rate keeps busy, and refuses at once what they cannot take.

The type of a limit moved to core/model, as both programs use it.

--- a/core/balance/choose.go
+++ b/core/balance/choose.go
@@ -79,7 +79,7 @@
 	// ServerCount is the number of servers of the service, excluded ones included.
 	ServerCount int
 	// Limit is the server's rate limit. If it is in force, the attempt needs a permit.
-	Limit RateLimit
+	Limit model.RateLimit
 	// PermitWait is the time until a permit for one of the servers that were left out
 	// for want of permits may be available; zero if there are none.
 	PermitWait time.Duration
--- a/core/balance/limit.go
+++ b/core/balance/limit.go
@@ -6,16 +6,9 @@
 	"github.com/agateusher/agateusher/core/model"
 )
 
-// RateLimit is the rate that a server asks for in an answer, in requests per second
-// from the whole fleet. The zero value means no limit.
-type RateLimit struct {
-	InForce   bool
-	PerSecond float64
-}
-
 // knownLimit is the newest evidence about the limit of a server.
 type knownLimit struct {
-	RateLimit
+	model.RateLimit
 	// observedAt is when the answer that the limit is known from was received; zero if
 	// no answer has named one.
 	observedAt time.Time
@@ -26,7 +19,7 @@
 // LimitChange is a change of a server's limit. It is zero if nothing changed.
 type LimitChange struct {
 	Server        model.ServerID
-	Before, After RateLimit
+	Before, After model.RateLimit
 }
 
 // Changed reports whether the limit changed.
@@ -36,7 +29,7 @@
 // started at the given time named none. An answer without a limit ends the limit only
 // if its attempt was started after the limit was last named: answers may be received
 // in another order than they were made.
-func (t *Table) ObserveLimit(now time.Time, k ServerKey, started time.Time, l RateLimit) LimitChange {
+func (t *Table) ObserveLimit(now time.Time, k ServerKey, started time.Time, l model.RateLimit) LimitChange {
 	s, ok := t.servers[k]
 	if !ok || (!l.InForce && (!s.limit.InForce || started.Before(s.limit.observedAt))) {
 		return LimitChange{}
@@ -48,10 +41,10 @@
 
 // Limit returns the limit of a server, and the age of the answer that it is known from.
 // The age is negative if no answer has named a limit, or the server is not in the table.
-func (t *Table) Limit(now time.Time, k ServerKey) (RateLimit, time.Duration) {
+func (t *Table) Limit(now time.Time, k ServerKey) (model.RateLimit, time.Duration) {
 	s, ok := t.servers[k]
 	if !ok || s.limit.observedAt.IsZero() {
-		return RateLimit{}, -1
+		return model.RateLimit{}, -1
 	}
 	return s.limit.RateLimit, now.Sub(s.limit.observedAt)
 }
--- a/core/balance/limit_test.go
+++ b/core/balance/limit_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/agateusher/agateusher/core/balance"
+	"github.com/agateusher/agateusher/core/model"
 )
 
 // Guards against a limit that ends because an answer made before it was named arrives
@@ -16,12 +17,12 @@
 	b := newTableDriver(local(1)...)
 	sent := b.now
 	b.now = b.now.Add(time.Second)
-	named := balance.RateLimit{InForce: true, PerSecond: 2}
+	named := model.RateLimit{InForce: true, PerSecond: 2}
 	g.Expect(b.table.ObserveLimit(b.now, 1, sent, named).After).To(Equal(named))
 	g.Expect(b.table.LimitedServers()).To(Equal(1))
-	g.Expect(b.table.ObserveLimit(b.now, 1, sent, balance.RateLimit{}).Changed()).To(BeFalse())
+	g.Expect(b.table.ObserveLimit(b.now, 1, sent, model.RateLimit{}).Changed()).To(BeFalse())
 	g.Expect(b.choose(nonIdempotentQuery()).Limit).To(Equal(named))
-	g.Expect(b.table.ObserveLimit(b.now.Add(time.Second), 1, b.now, balance.RateLimit{}).Before).To(Equal(named))
+	g.Expect(b.table.ObserveLimit(b.now.Add(time.Second), 1, b.now, model.RateLimit{}).Before).To(Equal(named))
 	g.Expect(b.table.LimitedServers()).To(BeZero())
 	g.Expect(b.choose(nonIdempotentQuery()).Limit.InForce).To(BeFalse())
 }
@@ -32,7 +33,7 @@
 func TestNoPermitLeavesServerOut(t *testing.T) {
 	g := NewWithT(t)
 	b := newTableDriver(local(2)...)
-	b.table.ObserveLimit(b.now, 1, b.now, balance.RateLimit{InForce: true, PerSecond: 2})
+	b.table.ObserveLimit(b.now, 1, b.now, model.RateLimit{InForce: true, PerSecond: 2})
 	for range 2 {
 		b.begin(2)
 	}
@@ -65,7 +66,7 @@
 	g := NewWithT(t)
 	b := newTableDriver(local(2)...)
 	b.run(2, balance.Succeeded, 100*time.Millisecond)
-	b.table.ObserveLimit(b.now, 1, b.now, balance.RateLimit{InForce: true, PerSecond: 0.1})
+	b.table.ObserveLimit(b.now, 1, b.now, model.RateLimit{InForce: true, PerSecond: 0.1})
 	b.table.DenyPermits(b.now, 1, 10*time.Second)
 	for range 40 {
 		b.now = b.now.Add(200 * time.Millisecond)
@@ -77,11 +78,11 @@
 func TestEndOfLimitEndsDenial(t *testing.T) {
 	g := NewWithT(t)
 	b := newTableDriver(local(1)...)
-	b.table.ObserveLimit(b.now, 1, b.now, balance.RateLimit{InForce: true, PerSecond: 0.1})
+	b.table.ObserveLimit(b.now, 1, b.now, model.RateLimit{InForce: true, PerSecond: 0.1})
 	b.table.DenyPermits(b.now, 1, 10*time.Second)
 	_, ok := b.table.Choose(b.now, balance.Query{Service: registry})
 	g.Expect(ok).To(BeFalse())
-	b.table.ObserveLimit(b.now, 1, b.now, balance.RateLimit{})
+	b.table.ObserveLimit(b.now, 1, b.now, model.RateLimit{})
 	_, ok = b.table.Choose(b.now, balance.Query{Service: registry})
 	g.Expect(ok).To(BeTrue())
 }
--- a/core/pool/attempts.go
+++ b/core/pool/attempts.go
@@ -49,6 +49,7 @@
 	}
 	p.attempts[a.id] = a
 	s.inUse++
+	s.limit.take(now)
 	s.live = append(s.live, a)
 	p.usedSlots[r.class()]++
 	r.dispatched++
--- a/core/pool/dispatch.go
+++ b/core/pool/dispatch.go
@@ -31,7 +31,7 @@
 	if capacity == 0 {
 		return model.ReasonNoServer, p.cfg.Readmission.EjectionTime, false
 	}
-	wait := p.estimateQueueWait(r.Workspace, r.Weight, capacity)
+	wait := max(p.estimateQueueWait(r.Workspace, r.Weight, capacity), p.limitWait(now, r.Repeatable))
 	if !now.Before(r.Deadline) || (wait > 0 && r.Deadline.Sub(now)-wait < p.neededTime(r)) {
 		return model.ReasonDeadline, wait, false
 	}
@@ -40,12 +40,12 @@
 
 // estimateQueueWait estimates how long a new request of the workspace waits in
 // the queue; zero if nothing is queued.
-func (p *Pool) estimateQueueWait(w model.WorkspaceID, weight float64, capacity int) time.Duration {
+func (p *Pool) estimateQueueWait(w model.WorkspaceID, weight float64, capacity float64) time.Duration {
 	if p.queue.Len() == 0 {
 		return 0
 	}
 	ahead := p.queue.Ahead(w, weight, p.meanServiceTime) + 1
-	return time.Duration(int64(p.meanServiceTime) * int64(ahead) / int64(capacity))
+	return time.Duration(float64(p.meanServiceTime) * float64(ahead) / capacity)
 }
 
 // updateQueueLimits sets the limits of the queue. Its credit depends on the
@@ -67,17 +67,22 @@
 	evictedRequest := evicted.Value
 	assertOutcome(evictedRequest, model.NotRun)
 	p.forget(evictedRequest)
-	wait := p.estimateQueueWait(evictedRequest.Workspace, evictedRequest.Weight, max(1, p.capacity(now, evictedRequest.Repeatable)))
+	capacity := p.capacity(now, evictedRequest.Repeatable)
+	if capacity == 0 {
+		capacity = 1
+	}
+	wait := p.estimateQueueWait(evictedRequest.Workspace, evictedRequest.Weight, capacity)
 	p.emit(Refuse{Request: evictedRequest.ID, Reason: model.ReasonQueueFull, RetryAfter: wait})
 }
 
 // capacity returns the number of slots that repeatable or other requests may use
-// now, occupied or not.
-func (p *Pool) capacity(now time.Time, repeatable bool) int {
-	slots := 0
+// now, occupied or not. A slot that a rate limit leaves idle for a part of the time
+// counts for the rest.
+func (p *Pool) capacity(now time.Time, repeatable bool) float64 {
+	slots := 0.0
 	for _, s := range p.servers {
-		if s.status == Serving || (repeatable && (s.status == Suspect || s.status == Probation)) {
-			slots += s.allowed(now, p.cfg.Readmission.RampTime)
+		if s.usableFor(repeatable) {
+			slots += p.usableSlots(now, s)
 		}
 	}
 	return slots
@@ -133,20 +138,19 @@
 }
 
 func (p *Pool) freeSlots(now time.Time) freeSlots {
-	allowed, free, lastResort := 0, 0, false
+	usable, free, lastResort := 0.0, 0, false
 	for _, s := range p.servers {
-		slots := s.allowed(now, p.cfg.Readmission.RampTime)
 		switch {
 		case s.status == Serving:
-			allowed += slots
+			usable += p.usableSlots(now, s)
 			free += s.free(now, p.cfg.Readmission.RampTime)
 		case s.status == Suspect:
 			lastResort = lastResort || s.free(now, p.cfg.Readmission.RampTime) > 0
 		case s.status == Probation:
-			lastResort = lastResort || (s.inUse == 0 && p.retryBudget.Available())
+			lastResort = lastResort || (s.idle(now) && p.retryBudget.Available())
 		}
 	}
-	reservedSlots := p.reservedSlots(allowed)
+	reservedSlots := p.reservedSlots(int(usable))
 	return freeSlots{lastResort: lastResort, servingClasses: fairqueue.ClassSet{
 		repeatable:    free > p.unusedReserve(now, notRepeatable, reservedSlots),
 		notRepeatable: free > p.unusedReserve(now, repeatable, reservedSlots),
@@ -199,7 +203,7 @@
 // Serving servers are left out if serving is false.
 func (p *Pool) chooseServer(now time.Time, r *request, serving bool) *server {
 	if r.Repeatable && r.dispatched == 0 && p.retryBudget.Available() {
-		if s := p.idleOnProbation(); s != nil {
+		if s := p.idleOnProbation(now); s != nil {
 			return s
 		}
 	}
@@ -259,10 +263,10 @@
 	return false
 }
 
-// idleOnProbation returns a server on probation without occupied slots, or nil.
-func (p *Pool) idleOnProbation() *server {
+// idleOnProbation returns an idle server on probation, or nil.
+func (p *Pool) idleOnProbation(now time.Time) *server {
 	for _, s := range p.servers {
-		if s.status == Probation && s.inUse == 0 {
+		if s.status == Probation && s.idle(now) {
 			return s
 		}
 	}
--- a/core/pool/health.go
+++ b/core/pool/health.go
@@ -49,24 +49,33 @@
 	}
 }
 
-// serverWake returns when the server's status, ramp or shed backoff next changes
-// by time alone; zero: never. The backoff matters only while requests wait.
+// serverWake returns when the server's status, ramp, shed backoff or rate limit next
+// lets it take another request, by time alone; zero: never. The backoff and the limit
+// matter only while requests wait.
 func (p *Pool) serverWake(now time.Time, s *server) time.Time {
+	var wake time.Time
 	switch {
 	case s.status == Ejected:
 		return s.ejectedUntil
 	case s.status == Probation:
-		return s.probationStart.Add(p.cfg.Readmission.MaxProbation)
+		wake = s.probationStart.Add(p.cfg.Readmission.MaxProbation)
 	case !s.inService():
-		return time.Time{}
+		return wake
+	default:
+		wake = s.nextRampStep(now, p.cfg.Readmission.RampTime)
+		if s.unproven {
+			wake = earlier(wake, s.probationStart.Add(p.cfg.Readmission.MaxProbation))
+		}
 	}
-	wake := s.nextRampStep(now, p.cfg.Readmission.RampTime)
-	if s.unproven {
-		wake = earlier(wake, s.probationStart.Add(p.cfg.Readmission.MaxProbation))
+	if p.queue.Len() == 0 && len(p.urgent) == 0 {
+		return wake
 	}
-	if now.Before(s.shedBackoffUntil) && (p.queue.Len() > 0 || len(p.urgent) > 0) {
+	if s.inService() && now.Before(s.shedBackoffUntil) {
 		wake = earlier(wake, s.shedBackoffUntil)
 	}
+	if wait := s.limit.wait(now); wait > 0 {
+		wake = earlier(wake, now.Add(wait))
+	}
 	return wake
 }
 
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -115,6 +115,7 @@
 	if res.Latency <= 0 {
 		res.Latency = now.Sub(a.started)
 	}
+	p.observeLimit(now, a, res)
 	if a.abandoned {
 		p.finishAbandoned(now, a, res.Kind)
 	} else {
--- a/core/pool/state.go
+++ b/core/pool/state.go
@@ -48,6 +48,7 @@
 	// shedBackoffUntil.
 	consecutiveSheds int
 	shedBackoffUntil time.Time
+	limit            serverLimit
 }
 
 // leaving reports whether operators drain the server or removed it.
@@ -71,15 +72,23 @@
 	return min(s.slots, 1+int(int64(s.slots)*int64(elapsed)/int64(ramp)))
 }
 
-// free returns the number of slots that can take a request now; zero during a
-// shed backoff.
+// free returns the number of requests that the server can take now, by its slots and
+// its rate limit; zero during a shed backoff.
 func (s *server) free(now time.Time, ramp time.Duration) int {
 	if now.Before(s.shedBackoffUntil) {
 		return 0
 	}
-	return max(0, s.allowed(now, ramp)-s.inUse)
+	return max(0, s.limit.allows(now, s.allowed(now, ramp)-s.inUse))
 }
 
+// usableFor reports whether the server may get repeatable or other requests.
+func (s *server) usableFor(repeatable bool) bool {
+	return s.status == Serving || (repeatable && (s.status == Suspect || s.status == Probation))
+}
+
+// idle reports whether no slot is occupied and the rate limit allows a request.
+func (s *server) idle(now time.Time) bool { return s.inUse == 0 && s.limit.wait(now) == 0 }
+
 // nextRampStep returns when the allowed slots grow next; zero: no ramp.
 func (s *server) nextRampStep(now time.Time, ramp time.Duration) time.Time {
 	if s.allowed(now, ramp) >= s.slots {
--- a/core/pool/types.go
+++ b/core/pool/types.go
@@ -64,6 +64,8 @@
 	// ServerError marks an Answered result with a 5xx status. It is evidence
 	// against the server, and a repeatable request is retried if possible.
 	ServerError bool
+	// Limit is the rate limit that the server's answer named.
+	Limit model.RateLimit
 	// Latency is the time from dispatch to the end of the attempt; if it is zero,
 	// the pool measures it.
 	Latency time.Duration
@@ -109,7 +111,7 @@
 }
 
 // Decision is an instruction to the driver: Dispatch, Refuse, Complete, Fail,
-// Abandon or ServerChanged. Each submitted request gets exactly one of Refuse,
+// Abandon, ServerChanged or ServerLimited. Each submitted request gets exactly one of Refuse,
 // Complete and Fail, its final decision.
 type Decision interface{ decision() }
 
@@ -164,6 +166,13 @@
 	Evidence detector.Evidence
 }
 
+// ServerLimited reports that a server named another rate limit, or none any more.
+type ServerLimited struct {
+	Server        model.ServerID
+	Before, After model.RateLimit
+}
+
+func (ServerLimited) decision() {}
 func (Dispatch) decision()      {}
 func (Refuse) decision()        {}
 func (Complete) decision()      {}
--- a/core/pool/view.go
+++ b/core/pool/view.go
@@ -21,7 +21,7 @@
 		}
 	}
 	if capacity := p.capacity(now, true); capacity > 0 && v.FreeSlots == 0 {
-		v.QueueDelay = time.Duration(int64(p.meanServiceTime) * int64(v.Queued+1) / int64(capacity))
+		v.QueueDelay = time.Duration(float64(p.meanServiceTime) * float64(v.Queued+1) / capacity)
 	}
 	return v
 }
--- a/core/ratelimit/bucket.go
+++ b/core/ratelimit/bucket.go
@@ -22,6 +22,15 @@
 	b.rate, b.burst, b.tokens = rate, burst, min(b.tokens, burst)
 }
 
+// Rate returns the number of tokens added per second.
+func (b *Bucket) Rate() float64 { return b.rate }
+
+// Tokens returns the number of whole tokens in the bucket.
+func (b *Bucket) Tokens(now time.Time) int {
+	b.refill(now)
+	return int(max(0, b.tokens))
+}
+
 // Wait returns the time until the bucket has one token; zero if it has one.
 func (b *Bucket) Wait(now time.Time) time.Duration {
 	b.refill(now)
--- a/edge/exchange.go
+++ b/edge/exchange.go
@@ -39,7 +39,7 @@
 	// to HEAD has a length but no body.
 	length int64
 	// limit is the rate limit that the backend server named in the response.
-	limit balance.RateLimit
+	limit model.RateLimit
 }
 
 // close ends the attempt that a streamed response comes from.
@@ -115,12 +115,11 @@
 }
 
 // serverLimit returns the limit that a response names.
-func (x *exchanger) serverLimit(resp *http.Response, v Verdict) balance.RateLimit {
+func (x *exchanger) serverLimit(resp *http.Response, v Verdict) model.RateLimit {
 	if !v.madeByServer() {
-		return balance.RateLimit{}
+		return model.RateLimit{}
 	}
-	rate, inForce := x.headers.ServerLimit(resp.Header)
-	return balance.RateLimit{InForce: inForce, PerSecond: rate}
+	return x.headers.ServerLimit(resp.Header)
 }
 
 // readResponse reads the body of a response, or its first part if it is long and
--- a/edge/headers.go
+++ b/edge/headers.go
@@ -62,9 +62,8 @@
 	SetAttempt(h http.Header, id model.RequestID, to model.ServerID, left time.Duration)
 	// Classify returns the verdict on a response whose body has not been read.
 	Classify(resp *http.Response, id model.RequestID) Verdict
-	// ServerLimit returns the rate, in requests per second, that the response says the
-	// server takes from all hosts together; false if it names none.
-	ServerLimit(h http.Header) (float64, bool)
+	// ServerLimit returns the rate limit that a response of a server names.
+	ServerLimit(h http.Header) model.RateLimit
 	// CopyResponse copies the platform's headers of a response that the caller
 	// receives.
 	CopyResponse(to, from http.Header)
--- a/edge/permit.go
+++ b/edge/permit.go
@@ -122,6 +122,6 @@
 // endLimit records that the issuer of a server's permits knows of no limit any more.
 func (s *serverState) endLimit(key balance.ServerKey, from model.HostID) {
 	var change balance.LimitChange
-	s.update(func(now time.Time) { change = s.table.ObserveLimit(now, key, now, balance.RateLimit{}) })
+	s.update(func(now time.Time) { change = s.table.ObserveLimit(now, key, now, model.RateLimit{}) })
 	s.logLimitChange(change, from)
 }
--- a/edge/state.go
+++ b/edge/state.go
@@ -142,7 +142,7 @@
 	o := verdictObservations[r.verdict]
 	key := r.choice.Server.Key
 	observation := &gen.Observation{Kind: o.kind, Server: uint64(key), Attempt: r.number, LatencyMs: uint32(r.latency.Milliseconds())}
-	var limit balance.RateLimit
+	var limit model.RateLimit
 	if r.resp != nil {
 		limit = r.resp.limit
 	}
@@ -166,7 +166,7 @@
 
 // observeLimit records the limit that an answer named, or that a successful answer
 // named none.
-func (s *serverState) observeLimit(now time.Time, key balance.ServerKey, r balance.Result, latency time.Duration, l balance.RateLimit) balance.LimitChange {
+func (s *serverState) observeLimit(now time.Time, key balance.ServerKey, r balance.Result, latency time.Duration, l model.RateLimit) balance.LimitChange {
 	if !l.InForce && r != balance.Succeeded {
 		return balance.LimitChange{}
 	}
@@ -198,7 +198,7 @@
 func (s *serverState) applyPeerObservation(h model.HostID, o *gen.Observation) {
 	key, attempt := balance.ServerKey(o.Server), balance.AttemptKey{Host: h, Number: o.Attempt}
 	result, latency := observationResults[o.Kind], time.Duration(o.LatencyMs)*time.Millisecond
-	limit := balance.RateLimit{InForce: o.Limit != nil, PerSecond: o.GetLimit()}
+	limit := model.RateLimit{InForce: o.Limit != nil, PerSecond: o.GetLimit()}
 	var change balance.BeliefChange
 	var limitChange balance.LimitChange
 	s.update(func(now time.Time) {
--- a/owner/backend_client.go
+++ b/owner/backend_client.go
@@ -31,6 +31,9 @@
 	// configure no shedHeader.
 	defaultShedHeaderName  = "X-Request-Not-Run"
 	defaultShedHeaderValue = "true"
+	// limitHeaderName is the header with the rate that a server takes from the whole
+	// fleet, in requests per second.
+	limitHeaderName = "Server-Limit"
 )
 
 // backendConfig is the part of the configuration that requests to a pool's servers
@@ -150,8 +153,11 @@
 	if echo := resp.Header.Get(fleet.HeaderRequestID); echo != "" && echo != string(q.ID) {
 		return failedAttempt(pool.FailedAfterSend)
 	}
+	limit := model.ParseRateLimit(resp.Header.Get(limitHeaderName))
 	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(b.shedHeaderName) == b.shedHeaderValue {
-		return failedAttempt(pool.Shed)
+		end := failedAttempt(pool.Shed)
+		end.result.Limit = limit
+		return end
 	}
 	length := resp.ContentLength
 	if q.Method == http.MethodHead || resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified {
@@ -162,7 +168,7 @@
 		return failedAttempt(classifyBodyError(ctx, err))
 	}
 	return attemptOutcome{
-		result: pool.AttemptResult{Kind: pool.Answered, ServerError: resp.StatusCode >= http.StatusInternalServerError},
+		result: pool.AttemptResult{Kind: pool.Answered, ServerError: resp.StatusCode >= http.StatusInternalServerError, Limit: limit},
 		response: &fleet.Response{
 			Outcome: model.Answered, Status: resp.StatusCode, Header: fleet.EndToEnd(resp.Header), Body: body,
 		},
--- a/owner/backend_client_test.go
+++ b/owner/backend_client_test.go
@@ -37,6 +37,29 @@
 	}
 }
 
+// Guards against a server's rate limit that is not read from an answer or a refusal, and
+// against one taken from the response to another request.
+func TestLimitOfAnAnswer(t *testing.T) {
+	g := NewWithT(t)
+	x := &httpBackendClient{maxResponseBytes: 100}
+	limited := model.RateLimit{InForce: true, PerSecond: 2.5}
+	for _, c := range []struct {
+		status int
+		id     model.RequestID
+		want   model.RateLimit
+	}{
+		{http.StatusOK, "mine", limited}, {http.StatusServiceUnavailable, "mine", limited},
+		{http.StatusInternalServerError, "mine", limited}, {http.StatusOK, "other", model.RateLimit{}},
+	} {
+		resp := &http.Response{
+			StatusCode: c.status, Body: http.NoBody,
+			Header: http.Header{limitHeaderName: {"2.5"}, defaultShedHeaderName: {"true"}, fleet.HeaderRequestID: {string(c.id)}},
+		}
+		end := x.receive(t.Context(), resp, &backendConfig{shedHeaderName: defaultShedHeaderName, shedHeaderValue: defaultShedHeaderValue}, &fleet.Request{ID: "mine"})
+		g.Expect(end.result.Limit).To(Equal(c.want), "%d %s", c.status, c.id)
+	}
+}
+
 // Guards against an answer that its server sends a second time, late, on a connection
 // in use again: the next caller must not get it, whether the server names the request
 // in its answers, never does, or only in the first one.
--- a/owner/driver.go
+++ b/owner/driver.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -179,6 +180,8 @@
 			d.abandon(ctx, x)
 		case pool.ServerChanged:
 			d.serverChanged(now, x)
+		case pool.ServerLimited:
+			d.serverLimited(x)
 		}
 	}
 }
@@ -246,6 +249,19 @@
 	}()
 }
 
+func (d *driver) serverLimited(x pool.ServerLimited) {
+	fields := telemetry.Fields{"event": "server_limited", "server": x.Server, "per_second": x.After.PerSecond}
+	if x.Before.InForce {
+		fields["before"] = x.Before.PerSecond
+	}
+	if !x.After.InForce {
+		fields["event"] = "server_unlimited"
+		delete(fields, "per_second")
+	}
+	d.log.WithFields(fields).Info("a backend server set, changed or ended its rate limit")
+	d.scope.Tagged(map[string]string{"in_force": strconv.FormatBool(x.After.InForce)}).Counter("server_limit_changes").Inc(1)
+}
+
 func (d *driver) serverChanged(now time.Time, x pool.ServerChanged) {
 	d.log.WithFields(telemetry.Fields{
 		"event": "server_changed", "server": x.Server, "from": x.From.String(), "to": x.To.String(),
