--- a/soak/doc.go
+++ b/soak/doc.go
@@ -2,7 +2,8 @@
 // platform and injects a seeded random series of faults from outside. It checks
 // that no non-idempotent request runs twice, that a request answered "not run"
 // did not run, that answers are complete and belong to their request, that a
-// planned stop interrupts no request, and that service recovers.
+// planned stop interrupts no request, that a server that names a rate limit gets no
+// more requests than it allows, and that service recovers.
 //
 // By default the test runs a few seeds. SOAK_SEEDS and SOAK_FIRST select others:
 //
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -83,6 +83,7 @@
 	w := newDeployment(t, program, seed)
 	defer w.keepLogs(seed)
 	w.awaitReady()
+	limit := w.limitServer(seed)
 	c := &checker{deployment: w, statuses: map[string]int{}, unread: map[string]bool{}}
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
@@ -95,12 +96,14 @@
 		time.Sleep(time.Duration(w.random.IntN(700)) * time.Millisecond)
 	}
 	w.clearFaults()
+	limit.end()
 	time.Sleep(recoveryTime)
 	c.startCounting()
 	time.Sleep(2 * time.Second)
 	close(stop)
 	wg.Wait()
 	c.finish()
+	limit.check(t)
 }
 
 func (w *deployment) awaitReady() {
