edge: a denied permit is never used, whatever wait its reply names

A reply that neither grants a permit nor names a wait let the attempt start. No issuer of this version sends one. TestPermitResult covers each kind of reply; the decision was split from the request so that it needs no network.

--- a/edge/permit.go
+++ b/edge/permit.go
@@ -7,6 +7,7 @@
 	"github.com/agateusher/agateusher/core/balance"
 	"github.com/agateusher/agateusher/core/model"
 	gen "github.com/agateusher/agateusher/gen/agateusher/v1"
+	"github.com/agateusher/agateusher/telemetry"
 )
 
 const (
@@ -47,25 +48,34 @@
 
 // getPermit requests a permit for an attempt at a server that limits its rate.
 func (n *Node) getPermit(ctx context.Context, c balance.Choice) bool {
-	q := n.serverState.permitRequest(c.Server.Key)
-	reply, err := n.gossiper.RequestPermit(ctx, c.Server.DataCentre, q)
-	result, wait := permitGranted, time.Duration(0)
+	reply, err := n.gossiper.RequestPermit(ctx, c.Server.DataCentre, n.serverState.permitRequest(c.Server.Key))
+	result, wait := permitResult(reply, err)
+	n.permitRequests.Inc(result, "")
+	switch result {
+	case permitGranted:
+		return true
+	case permitUnlimited:
+		n.serverState.endLimit(c.Server.Key, n.settings.Host.ID)
+		return true
+	case permitNoReply:
+		n.log.WithFields(telemetry.Fields{"event": "permit_unanswered", "server": c.Server.ID}).WithError(err).Debug("no reply to a request for a permit")
+	}
+	n.serverState.denyPermits(c.Server.Key, wait)
+	return false
+}
+
+// permitResult returns the result of a request for a permit, and, if none was issued,
+// how long none is requested again. That is never zero, whatever the reply says.
+func permitResult(reply *gen.PermitReply, err error) (result string, wait time.Duration) {
 	switch {
 	case err != nil:
-		result, wait = permitNoReply, permitErrorWait
-		n.log.WithField("event", "permit_unanswered").WithField("server", c.Server.ID).WithError(err).Debug("no permit for an attempt at a server that limits its rate")
+		return permitNoReply, permitErrorWait
 	case reply.Unlimited:
-		result = permitUnlimited
-		n.serverState.endLimit(c.Server.Key, n.settings.Host.ID)
-	case !reply.Granted:
-		result, wait = permitDenied, min(time.Duration(reply.WaitMs)*time.Millisecond, maxPermitWait)
-	}
-	n.permitRequests.Inc(result, "")
-	if wait > 0 {
-		n.serverState.denyPermits(c.Server.Key, wait)
-		return false
+		return permitUnlimited, 0
+	case reply.Granted:
+		return permitGranted, 0
 	}
-	return true
+	return permitDenied, min(time.Duration(max(1, reply.WaitMs))*time.Millisecond, maxPermitWait)
 }
 
 // IssuePermit implements gossip.Handler.
