edge: a caller that leaves does not block a limited server for 100 ms

A request for a permit that ended because its caller left counted as one without a reply: the daemon then asked for no permit of that server for 100 ms, and could still send the request elsewhere. It now ends at once. TestPermitResult's new case fails on the code before.

--- a/edge/permit.go
+++ b/edge/permit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/agateusher/agateusher/core/balance"
@@ -27,6 +28,7 @@
 	permitDenied    = "denied"
 	permitUnlimited = "unlimited"
 	permitNoReply   = "no-reply"
+	permitCancelled = "cancelled"
 )
 
 // chooseServer chooses a server for q and records the attempt. For a server that limits
@@ -43,6 +45,9 @@
 				return choice, number, model.ReasonNone
 			}
 		}
+		if ctx.Err() != nil {
+			return choice, 0, model.ReasonCancelled
+		}
 	}
 }
 
@@ -60,14 +65,19 @@
 	case permitNoReply:
 		n.log.WithFields(telemetry.Fields{"event": "permit_unanswered", "server": c.Server.ID}).WithError(err).Debug("no reply to a request for a permit")
 	}
-	n.serverState.denyPermits(c.Server.Key, wait)
+	if wait > 0 {
+		n.serverState.denyPermits(c.Server.Key, wait)
+	}
 	return false
 }
 
-// permitResult returns the result of a request for a permit, and, if none was issued,
-// how long none is requested again. That is never zero, whatever the reply says.
+// permitResult returns the result of a request for a permit, and how long none is
+// requested again. After a denial that is never zero, whatever the reply says.
 func permitResult(reply *gen.PermitReply, err error) (result string, wait time.Duration) {
 	switch {
+	case errors.Is(err, context.Canceled):
+		// The caller has left, which says nothing about the issuer.
+		return permitCancelled, 0
 	case err != nil:
 		return permitNoReply, permitErrorWait
 	case reply.Unlimited:
--- a/edge/permit_test.go
+++ b/edge/permit_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"errors"
 	"math"
 	"testing"
@@ -9,10 +10,12 @@
 	. "github.com/onsi/gomega"
 
 	gen "github.com/agateusher/agateusher/gen/agateusher/v1"
+	"github.com/agateusher/agateusher/gossip"
 )
 
 // Guards against an attempt without a permit because the reply that denies one names no
-// wait, and against a wait that keeps a server out of use.
+// wait, and against a long wait, or a caller that leaves, that keeps a server out of use
+// for all other requests.
 func TestPermitResult(t *testing.T) {
 	for _, c := range []struct {
 		reply  *gen.PermitReply
@@ -26,6 +29,7 @@
 		{&gen.PermitReply{}, nil, permitDenied, time.Millisecond},
 		{&gen.PermitReply{WaitMs: math.MaxUint32}, nil, permitDenied, maxPermitWait},
 		{nil, errors.New("no reply"), permitNoReply, permitErrorWait},
+		{nil, &gossip.PermitError{Err: context.Canceled}, permitCancelled, 0},
 	} {
 		result, wait := permitResult(c.reply, c.err)
 		NewWithT(t).Expect(result).To(Equal(c.result))
