--- a/core/ratelimit/ratelimit.go
+++ b/core/ratelimit/ratelimit.go
@@ -1,6 +1,8 @@
-// Package ratelimit limits request rates by token buckets for workspaces and
-// routes. Rates apply to the whole fleet. Each process may use a given share of
-// them, so that no communication between processes is needed for a request.
+// Package ratelimit limits request rates by token buckets. A Limiter has those of
+// workspaces and routes, whose rates apply to the whole fleet: each process may use a
+// given share of them, so that no communication between processes is needed for a
+// request. NewServerBucket makes the bucket of a backend server that names its own
+// limit.
 package ratelimit
 
 import (
