gossip: one issuer of permits during a planned stop

The issuer of its permits was stopping. Daemons of its data centre used the next one, those of other data centres do not hear of stops there and kept asking it, so that two daemons issued the permits. The same would follow the return of an issuer that others avoid.

Whoever is asked now passes the request on to the issuer that its own data centre sees, which replies to the asker; only the live members of the server's data centre decide. TestOneIssuerDuringPlannedStop failed before (a and c issue permits).

--- a/gossip/permit.go
+++ b/gossip/permit.go
@@ -23,6 +23,10 @@
 	// times.
 	permitAvoidance    = 2 * time.Second
 	maxPermitDoublings = 4
+	// maxContactFailures is the number of requests without a reply after which a daemon
+	// counts as gone, so that other data centres issue the permits when all of a data
+	// centre do.
+	maxContactFailures = 2
 	// permitKeyPrefix precedes the server's key in the ranking of the daemons that may
 	// issue its permits.
 	permitKeyPrefix = "permit/"
@@ -44,9 +48,10 @@
 
 // RequestPermit asks for a permit to send one attempt to a backend server of a data
 // centre. It sets q.Id. The permits of a server are issued by the daemon that is ranked
-// first for it among those of the server's data centre that are live or, seen from
-// another data centre, that have replied; without any, among all others. While daemons
-// disagree, each issuer keeps to the server's limit by itself. Errors are *PermitError.
+// first for it among the live ones of the server's data centre; a daemon that is asked
+// although it is not the issuer passes the request on. While the daemons of a data centre
+// disagree about who is live, each issuer keeps to the server's limit by itself. Errors
+// are *PermitError.
 func (g *Gossiper) RequestPermit(ctx context.Context, dc model.DataCentre, q *gen.PermitRequest) (*gen.PermitReply, error) {
 	issuer := g.permitIssuer(dc, q.Server, time.Now())
 	if issuer == nil {
@@ -87,47 +92,100 @@
 	return nil, &PermitError{Issuer: issuer.ID, Err: ctx.Err()}
 }
 
-// permitIssuer returns the daemon that issues the permits of a server; nil if it is this
-// one.
+// permitIssuer returns the daemon to ask for a permit of a server; nil if it is this one.
+// For a server of another data centre any daemon there will do, because it passes the
+// request on to the issuer.
 func (g *Gossiper) permitIssuer(dc model.DataCentre, server uint64, now time.Time) *member {
 	leaving := g.handler.State().Leaving
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	candidates := g.permitCandidates(g.members.byDataCentre[dc], now)
-	if !leaving && dc == g.self.DataCentre {
-		candidates = append(candidates, g.self.ID)
+	if dc == g.self.DataCentre {
+		return g.localIssuer(server, leaving, now)
 	}
-	if len(candidates) == 0 {
-		for _, members := range g.members.byDataCentre {
-			candidates = append(candidates, g.permitCandidates(members, now)...)
+	for failures := range maxContactFailures {
+		candidates := g.permitContacts(dc, failures, now)
+		if len(candidates) > 0 {
+			return g.firstFor(server, candidates)
 		}
-		if !leaving {
-			candidates = append(candidates, g.self.ID)
+	}
+	// No daemon of the server's data centre replies.
+	candidates := []model.HostID{}
+	for other := range g.members.byDataCentre {
+		if other != g.self.DataCentre {
+			candidates = append(candidates, g.permitContacts(other, 0, now)...)
 		}
 	}
-	if len(candidates) == 0 {
-		return nil
+	for _, m := range g.localMembers() {
+		if m.live(now) {
+			candidates = append(candidates, m.ID)
+		}
 	}
-	// This daemon is not a member.
-	return g.members.byID[ranking.Top(permitKeyPrefix+strconv.FormatUint(server, 16), candidates, 1)[0]]
+	return g.firstFor(server, append(candidates, g.self.ID))
 }
 
-// permitCandidates returns those of the members that may issue permits. g.mu must be
-// held.
-func (g *Gossiper) permitCandidates(members []*member, now time.Time) (ids []model.HostID) {
-	for _, m := range members {
-		if !m.leaving && !now.Before(m.noPermitsUntil) && (m.DataCentre != g.self.DataCentre || m.live(now)) {
+// localIssuer returns the daemon that issues the permits of a server of this data centre;
+// nil if it is this one. Daemons of a data centre agree on it as soon as they agree on who
+// is live. g.mu must be held.
+func (g *Gossiper) localIssuer(server uint64, leaving bool, now time.Time) *member {
+	var candidates []model.HostID
+	for _, m := range g.localMembers() {
+		if m.live(now) {
+			candidates = append(candidates, m.ID)
+		}
+	}
+	if !leaving || len(candidates) == 0 {
+		candidates = append(candidates, g.self.ID)
+	}
+	return g.firstFor(server, candidates)
+}
+
+// permitContacts returns the members of another data centre that may be asked for permits:
+// without failures those that are not avoided, otherwise those whose last requests without
+// a reply are at most as many. g.mu must be held.
+func (g *Gossiper) permitContacts(dc model.DataCentre, failures int, now time.Time) (ids []model.HostID) {
+	for _, m := range g.members.byDataCentre[dc] {
+		if !m.leaving && (!now.Before(m.noPermitsUntil) || (failures > 0 && m.permitFailures <= failures)) {
 			ids = append(ids, m.ID)
 		}
 	}
 	return ids
 }
 
+// firstFor returns the host that is ranked first for the permits of a server; nil if it is
+// this one, which is not a member. g.mu must be held.
+func (g *Gossiper) firstFor(server uint64, hosts []model.HostID) *member {
+	return g.members.byID[ranking.Top(permitKeyPrefix+strconv.FormatUint(server, 16), hosts, 1)[0]]
+}
+
+// forwardPermitRequest passes a request on to the issuer, which replies to its sender. It
+// returns false if this daemon is the issuer.
+func (g *Gossiper) forwardPermitRequest(m *gen.Gossip, from *net.UDPAddr) bool {
+	leaving := g.handler.State().Leaving
+	g.mu.Lock()
+	issuer := g.localIssuer(m.PermitRequest.Server, leaving, time.Now())
+	g.mu.Unlock()
+	if issuer == nil {
+		return false
+	}
+	m.Address = from.String()
+	g.write(m, []*net.UDPAddr{issuer.udpAddress})
+	return true
+}
+
 // handlePermit handles a request for a permit, or a reply to one. It returns false for
 // other messages.
 func (g *Gossiper) handlePermit(m *gen.Gossip, from *net.UDPAddr) bool {
 	switch {
 	case m.PermitRequest != nil:
+		if m.Address != "" {
+			asker, err := net.ResolveUDPAddr("udp4", m.Address)
+			if err != nil {
+				return true
+			}
+			from = asker
+		} else if g.forwardPermitRequest(m, from) {
+			return true
+		}
 		reply := g.handler.IssuePermit(m.PermitRequest)
 		reply.Id = m.PermitRequest.Id
 		g.write(&gen.Gossip{Host: string(g.self.ID), DataCentre: string(g.self.DataCentre), PermitReply: reply}, []*net.UDPAddr{from})
