--- /dev/null
+++ b/review/stand/client.go
@@ -0,0 +1,264 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+)
+
+// client is one connection of a client.
+type client struct {
+	*world
+	net.Conn
+	reader *bufio.Reader
+}
+
+// dial opens a connection to the daemon. A receive buffer above zero is that of a client
+// on a slow link.
+func (w *world) dial(receiveBuffer int) (*client, error) {
+	d := net.Dialer{Timeout: time.Second, Control: func(_, _ string, c syscall.RawConn) error {
+		if receiveBuffer == 0 {
+			return nil
+		}
+		return c.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer) })
+	}}
+	c, err := d.Dial("tcp4", w.edge.frontend)
+	if err != nil {
+		return nil, err
+	}
+	_ = c.SetDeadline(time.Now().Add(60 * time.Second))
+	return &client{world: w, Conn: c, reader: bufio.NewReader(c)}, nil
+}
+
+// head returns the head of a request. extra are further header lines.
+func head(method, path, id, extra string) string {
+	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: ficu95.example\r\nAgateusher-Request-Id: %s\r\nAgateusher-Deadline-Ms: 4000\r\n%s\r\n", method, path, id, extra)
+}
+
+func (c *client) send(what, text string) error {
+	c.add("client sends %s", what)
+	_, err := io.WriteString(c.Conn, text)
+	return err
+}
+
+// response is an answer as a client got it.
+type response struct {
+	*http.Response
+	body []byte
+	at   time.Time
+}
+
+// receive reads the next final answer.
+func (c *client) receive(method, id string) (*response, error) {
+	for {
+		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err != nil {
+			c.add("client gets no answer to %s: %v", id, err)
+			return nil, err
+		}
+		if resp.StatusCode < 200 {
+			c.add("client gets %s", resp.Status)
+			continue
+		}
+		r := &response{Response: resp}
+		r.body, err = io.ReadAll(resp.Body)
+		r.at = time.Now()
+		c.add("client gets %s for %s, signature %q, %d bytes, Connection %q, error %v", resp.Status, id,
+			resp.Header.Get("Agateusher-Response-Signature"), len(r.body), resp.Header["Connection"], err)
+		return r, err
+	}
+}
+
+// continueWait is how long a client waits for 100 before it sends the body.
+const continueWait = time.Second
+
+// playContinue sends a second idempotent request, with a body, while the answer to the
+// first is on the way. With the trouble it expects a 100 before it sends the body.
+func playContinue(w *world) ([]string, error) {
+	const size = 8 << 20
+	c, err := w.dial(64 << 10)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = c.Close() }()
+	if err := c.send("GET 01", head("GET", fmt.Sprintf("/lohu930/w10/s%d", size), "01", "")); err != nil {
+		return nil, err
+	}
+	if _, err := c.reader.Peek(1); err != nil {
+		return nil, err
+	}
+	w.add("client has the first bytes of the answer to 01")
+	body := string(bytes.Repeat([]byte("b"), 2000))
+	expect := ""
+	if w.trouble {
+		expect = "Expect: 100-continue\r\n"
+	}
+	if err := c.send("the head of PUT 02 ("+expect+")", head("PUT", "/lohu930/w10/s100", "02", expect+"Content-Length: 2000\r\n")); err != nil {
+		return nil, err
+	}
+	sent := make(chan error, 1)
+	go func() {
+		if w.trouble {
+			time.Sleep(continueWait)
+		}
+		sent <- c.send("the body of PUT 02", body)
+	}()
+	time.Sleep(500 * time.Millisecond) // a slow link
+	first, err := c.receive("GET", "01")
+	if err != nil {
+		return nil, err
+	}
+	var broken []string
+	want := bodyOf("01", size)
+	if first.StatusCode == http.StatusOK && !bytes.Equal(first.body, want) {
+		at := 0
+		for at < len(first.body) && at < len(want) && first.body[at] == want[at] {
+			at++
+		}
+		broken = append(broken, fmt.Sprintf("MIXED: the answer to 01 is a success with a body that is not the endpoint's; at byte %d it has %q", at, first.body[at:min(at+40, len(first.body))]))
+	}
+	if err := <-sent; err != nil {
+		return broken, nil
+	}
+	second, err := c.receive("PUT", "02")
+	if err != nil || second.StatusCode != http.StatusOK || !bytes.Equal(second.body, bodyOf("02", 100)) {
+		w.add("no whole answer to 02")
+	}
+	return broken, nil
+}
+
+// idle is how long the kept connections are idle: less than four fifths of
+// idle_timeout_ms.
+const idle = 11 * time.Second
+
+// playContinueStop sends one request on each of several kept connections, leaves them idle
+// and sends another one with a body, for which the client expects a 100. With the trouble, the
+// daemon gets SIGTERM shortly before that.
+func playContinueStop(w *world) ([]string, error) {
+	type kept struct {
+		*client
+		method, prefix, id string
+	}
+	var conns []kept
+	for i := range 6 {
+		c, err := w.dial(0)
+		if err != nil {
+			return nil, err
+		}
+		defer func() { _ = c.Close() }()
+		k := kept{client: c, method: "POST", prefix: "/pufi791", id: fmt.Sprintf("1%d", i)}
+		if i%2 == 1 {
+			k.method, k.prefix = "PUT", "/lohu930"
+		}
+		first := fmt.Sprintf("0%d", i)
+		if err := c.send("GET "+first, head("GET", "/lohu930/w10/s100", first, "")); err != nil {
+			return nil, err
+		}
+		if _, err := c.receive("GET", first); err != nil {
+			return nil, err
+		}
+		conns = append(conns, k)
+	}
+	time.Sleep(idle - 300*time.Millisecond)
+	if w.trouble {
+		w.add("SIGTERM to the daemon")
+		if err := w.edge.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+			return nil, err
+		}
+	}
+	time.Sleep(300 * time.Millisecond)
+	results := make(chan string, len(conns))
+	for _, k := range conns {
+		go func() { results <- k.sendAfterIdle(k.method, k.prefix+"/w600/s100", k.id) }()
+	}
+	var broken []string
+	for range conns {
+		if b := <-results; b != "" && w.trouble { // the rule is about the time after a SIGTERM
+			broken = append(broken, b)
+		}
+	}
+	time.Sleep(time.Second)
+	for _, k := range conns {
+		x, ok := w.endpoint.ran(k.id)
+		w.add("%s ran to its end: %v, from %v", k.id, ok, x.arrived.Format("05.000"))
+	}
+	return broken, nil
+}
+
+// sendAfterIdle sends a request with a body and returns how its answer broke the rule.
+func (c *client) sendAfterIdle(method, path, id string) string {
+	if err := c.send(fmt.Sprintf("the head of %s %s (Expect: 100-continue)", method, id), head(method, path, id, "Expect: 100-continue\r\nContent-Length: 2000\r\n")); err != nil {
+		return ""
+	}
+	_ = c.SetReadDeadline(time.Now().Add(continueWait))
+	if _, err := c.reader.Peek(1); err == nil {
+		c.add("client has an answer before the body of %s", id)
+	}
+	_ = c.SetReadDeadline(time.Now().Add(20 * time.Second))
+	if err := c.send("the body of "+id, string(bytes.Repeat([]byte("b"), 2000))); err != nil {
+		return ""
+	}
+	r, err := c.receive(method, id)
+	if err != nil {
+		return fmt.Sprintf("LOST: the connection of %s ended without an answer", id)
+	}
+	if r.Header.Get("Agateusher-Response-Signature") != "" || r.StatusCode == http.StatusServiceUnavailable {
+		return ""
+	}
+	if !c.endpoint.atWork(id, r.at) {
+		return ""
+	}
+	return fmt.Sprintf("LOST: %s got %d, an answer of the daemon's own, while its endpoint was at work on it", id, r.StatusCode)
+}
+
+// playHead sends HEAD and further idempotent requests before the first one is answered.
+// With the trouble, the endpoint's answer to HEAD has no length.
+func playHead(w *world) ([]string, error) {
+	w.endpoint.withoutLength = w.trouble
+	var broken []string
+	for i := range 5 {
+		c, err := w.dial(0)
+		if err != nil {
+			return nil, err
+		}
+		b, err := c.pipelineHead(i)
+		_ = c.Close()
+		if err != nil {
+			return nil, err
+		}
+		broken = append(broken, b...)
+	}
+	return broken, nil
+}
+
+func (c *client) pipelineHead(i int) (broken []string, err error) {
+	ids := []string{fmt.Sprintf("%d1", i), fmt.Sprintf("%d2", i), fmt.Sprintf("%d3", i)}
+	methods := []string{"HEAD", "GET", "GET"}
+	text := ""
+	for j, id := range ids {
+		text += head(methods[j], "/lohu930/w100/s100", id, "")
+	}
+	if err := c.send(fmt.Sprintf("HEAD %s, GET %s and GET %s, one behind the other", ids[0], ids[1], ids[2]), text); err != nil {
+		return nil, err
+	}
+	waiting := true
+	for j, id := range ids {
+		_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+		r, err := c.receive(methods[j], id)
+		if err != nil {
+			return broken, nil
+		}
+		if !waiting && r.StatusCode == http.StatusOK {
+			broken = append(broken, fmt.Sprintf("MIXED: a success (request %s) on a connection with no request waiting: the answer before it closed the connection", id))
+		}
+		// Requests behind a response that closes the connection count as not read; the
+		// client sends them again elsewhere.
+		waiting = waiting && !r.Close
+	}
+	return broken, nil
+}
--- /dev/null
+++ b/review/stand/edge.go
@@ -0,0 +1,130 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// edge is a process of the program that the deploy file names.
+type edge struct {
+	frontend, ready string
+	cmd             *exec.Cmd
+	ended           chan struct{}
+}
+
+var (
+	runLine     = regexp.MustCompile(`(?m)^run = "([^"]+)"`)
+	placeholder = regexp.MustCompile(`\{\{([a-z0-9_.]+)(\|json)?\}\}`)
+)
+
+func freePort(network string) int {
+	if network == "udp" {
+		c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		if err != nil {
+			return 0
+		}
+		defer func() { _ = c.Close() }()
+		return c.LocalAddr().(*net.UDPAddr).Port
+	}
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().(*net.TCPAddr).Port
+}
+
+// startEdge starts the role of the deploy file, with its template filled in as the
+// platform fills it in.
+func startEdge(root, dir string, s *store) (*edge, error) {
+	deploy, err := os.ReadFile(filepath.Join(root, "deploy/system.toml"))
+	if err != nil {
+		return nil, err
+	}
+	template, err := os.ReadFile(filepath.Join(root, "deploy/usher-edge.jsonc.tmpl"))
+	if err != nil {
+		return nil, err
+	}
+	local := func(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
+	e := &edge{frontend: local(freePort("tcp")), ready: local(freePort("tcp")), ended: make(chan struct{})}
+	control := local(freePort("tcp"))
+	fields := map[string]any{
+		"node_name": "edge-lekki-1", "zone": "lekki", "region": "lagos", "limits.cpu_share": 0.32, "limits.link_mbps": 1000.0,
+		"listen_addrs.frontend": e.frontend, "listen_addrs.ready": e.ready, "listen_addrs.control": control,
+		"ip": "127.0.0.1", "internal_port_range.0": freePort("udp"), "platform.address": s.address,
+		"seed_addrs": []string{control}, "zones": map[string]string{"lekki": "lagos"},
+		"bounds.retry_budget_ratio": 0.2, "bounds.retry_budget_slack": 58, "bounds.budget_window_s": 10, "bounds.grace_s": 6,
+		"limits.memory_mb": 284,
+	}
+	var missing error
+	text := placeholder.ReplaceAllStringFunc(string(template), func(p string) string {
+		m := placeholder.FindStringSubmatch(p)
+		v, ok := fields[m[1]]
+		if !ok {
+			missing = fmt.Errorf("the template has an unknown placeholder %s", p)
+		}
+		if text, isText := v.(string); isText && m[2] == "" {
+			return text
+		}
+		data, _ := json.Marshal(v)
+		return string(data)
+	})
+	if missing != nil {
+		return nil, missing
+	}
+	path := filepath.Join(dir, "settings.jsonc")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		return nil, err
+	}
+	m := runLine.FindStringSubmatch(string(deploy))
+	if m == nil {
+		return nil, fmt.Errorf("deploy/system.toml has no run line")
+	}
+	words := strings.Fields(m[1])
+	log, err := os.Create(filepath.Join(dir, "edge.log"))
+	if err != nil {
+		return nil, err
+	}
+	e.cmd = exec.Command(filepath.Join(root, words[0]), words[1:]...)
+	e.cmd.Dir, e.cmd.Stdout, e.cmd.Stderr = root, log, log
+	e.cmd.Env = append(os.Environ(), "AGATEUSHER_SETTINGS="+path)
+	if err := e.cmd.Start(); err != nil {
+		return nil, err
+	}
+	go func() { _ = e.cmd.Wait(); close(e.ended) }()
+	return e, e.awaitReady()
+}
+
+func (e *edge) awaitReady() error {
+	for deadline := time.Now().Add(10 * time.Second); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
+		resp, err := http.Get("http://" + e.ready + "/agateusher/readiness")
+		if err != nil {
+			continue
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode == http.StatusOK {
+			return nil
+		}
+	}
+	return fmt.Errorf("the daemon was not ready within 10 s")
+}
+
+// stop sends SIGTERM, and SIGKILL after grace_s.
+func (e *edge) stop(grace time.Duration) {
+	_ = e.cmd.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-e.ended:
+	case <-time.After(grace):
+		_ = e.cmd.Process.Kill()
+		<-e.ended
+	}
+}
--- /dev/null
+++ b/review/stand/main.go
@@ -0,0 +1,115 @@
+// Command stand plays one case of the review: it starts a stand-in of the platform's
+// store, an endpoint and one usher-edge process, and sends requests.
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+)
+
+// Exit codes of a case.
+const (
+	exitHeld = iota
+	exitBroken
+	exitNotRun
+)
+
+// record writes what was sent, answered and run.
+type record struct {
+	began time.Time
+
+	mu   sync.Mutex
+	file *os.File
+}
+
+func (r *record) add(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	line := fmt.Sprintf("%8.3f s  %s\n", time.Since(r.began).Seconds(), fmt.Sprintf(format, args...))
+	_, _ = r.file.WriteString(line)
+	fmt.Print(line)
+}
+
+// world is what a case works with.
+type world struct {
+	*record
+	store    *store
+	endpoint *endpoint
+	edge     *edge
+	trouble  bool
+}
+
+// cases return what broke the rule; nothing if it held.
+var cases = map[string]func(*world) ([]string, error){
+	"continue":      playContinue,
+	"continue-stop": playContinueStop,
+	"head":          playHead,
+}
+
+func main() {
+	if len(os.Args) != 4 {
+		fmt.Fprintln(os.Stderr, "usage: stand CASE REPOSITORY FOLDER")
+		os.Exit(exitNotRun)
+	}
+	os.Exit(play(os.Args[1], os.Args[2], os.Args[3]))
+}
+
+func play(name, root, folder string) int {
+	f, err := os.Create(filepath.Join(folder, "record.txt"))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitNotRun
+	}
+	w := &world{record: &record{began: time.Now(), file: f}, trouble: os.Getenv("TROUBLE") != "0"}
+	dir, err := os.MkdirTemp("", "review")
+	if err != nil {
+		w.add("cannot run: %v", err)
+		return exitNotRun
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	broken, err := w.play(cases[name], root, dir)
+	if err != nil {
+		w.add("cannot run: %v", err)
+		return exitNotRun
+	}
+	for _, b := range broken {
+		w.add("BROKEN: %s", b)
+	}
+	if len(broken) > 0 {
+		return exitBroken
+	}
+	w.add("the rule held")
+	return exitHeld
+}
+
+const config = `{"version":7,"routes":{
+"r-pay":{"host":"ficu95.example","path_prefix":"/pufi791/","route_type":"non_idempotent","timeout_ms":4000,"target_latency_ms":600,"priority":1,"service":"huvo11a","max_attempts":2},
+"r-read":{"host":"ficu95.example","path_prefix":"/lohu930/","route_type":"idempotent","timeout_ms":4000,"target_latency_ms":600,"priority":2,"service":"huvo11a","max_attempts":2}},
+"services":{"huvo11a":{"health_check_path":"/health","max_connections":330,"protocol":"h1","tls":false}},
+"limits":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`
+
+func (w *world) play(run func(*world) ([]string, error), root, dir string) (broken []string, err error) {
+	if run == nil {
+		return nil, fmt.Errorf("no such case")
+	}
+	if w.store, err = newStore(); err != nil {
+		return nil, err
+	}
+	if w.endpoint, err = newEndpoint("i-7f3a91c2", w.record); err != nil {
+		return nil, err
+	}
+	w.store.put("config", "main", config, "")
+	w.store.put("servers", w.endpoint.id, w.endpoint.entry("huvo11a", "lekki", time.Now().UnixMilli()), `{"state":"in_service","sequence":1,"warmup_left_ms":0}`)
+	w.edge, err = startEdge(root, dir, w.store)
+	if w.edge != nil && w.edge.cmd != nil && w.edge.cmd.Process != nil {
+		defer w.edge.stop(6 * time.Second)
+	}
+	if err != nil {
+		return nil, err
+	}
+	w.add("the daemon is ready")
+	return run(w)
+}
