--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -25,7 +25,9 @@
 		if receiveBuffer == 0 {
 			return nil
 		}
-		return c.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer) })
+		return c.Control(func(fd uintptr) {
+			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
+		})
 	}}
 	c, err := d.Dial("tcp4", w.edge.frontend)
 	if err != nil {
@@ -137,44 +139,37 @@
 const idle = 11 * time.Second
 
 // playContinueStop sends one request on each of several kept connections, leaves them idle
-// and sends another one with a body, for which the client expects a 100. With the trouble, the
-// daemon gets SIGTERM shortly before that.
+// and then sends two more, one behind the other; the second one has a body, for which the
+// client expects a 100. With the trouble, the daemon gets SIGTERM shortly before that.
 func playContinueStop(w *world) ([]string, error) {
-	type kept struct {
-		*client
-		method, prefix, id string
-	}
-	var conns []kept
+	var conns []*client
 	for i := range 6 {
 		c, err := w.dial(0)
 		if err != nil {
 			return nil, err
 		}
 		defer func() { _ = c.Close() }()
-		k := kept{client: c, method: "POST", prefix: "/pufi791", id: fmt.Sprintf("1%d", i)}
-		if i%2 == 1 {
-			k.method, k.prefix = "PUT", "/lohu930"
-		}
-		first := fmt.Sprintf("0%d", i)
-		if err := c.send("GET "+first, head("GET", "/lohu930/w10/s100", first, "")); err != nil {
+		id := fmt.Sprintf("%d0", i)
+		if err := c.send("GET "+id, head("GET", "/lohu930/w10/s100", id, "")); err != nil {
 			return nil, err
 		}
-		if _, err := c.receive("GET", first); err != nil {
+		if _, err := c.receive("GET", id); err != nil {
 			return nil, err
 		}
-		conns = append(conns, k)
+		conns = append(conns, c)
 	}
-	time.Sleep(idle - 300*time.Millisecond)
+	const lead = 300 * time.Millisecond
+	time.Sleep(idle - lead)
 	if w.trouble {
 		w.add("SIGTERM to the daemon")
 		if err := w.edge.cmd.Process.Signal(syscall.SIGTERM); err != nil {
 			return nil, err
 		}
 	}
-	time.Sleep(300 * time.Millisecond)
+	time.Sleep(lead)
 	results := make(chan string, len(conns))
-	for _, k := range conns {
-		go func() { results <- k.sendAfterIdle(k.method, k.prefix+"/w600/s100", k.id) }()
+	for i, c := range conns {
+		go func() { results <- c.sendAfterIdle(fmt.Sprintf("%d1", i), fmt.Sprintf("%d2", i)) }()
 	}
 	var broken []string
 	for range conns {
@@ -182,38 +177,34 @@
 			broken = append(broken, b)
 		}
 	}
-	time.Sleep(time.Second)
-	for _, k := range conns {
-		x, ok := w.endpoint.ran(k.id)
-		w.add("%s ran to its end: %v, from %v", k.id, ok, x.arrived.Format("05.000"))
-	}
 	return broken, nil
 }
 
-// sendAfterIdle sends a request with a body and returns how its answer broke the rule.
-func (c *client) sendAfterIdle(method, path, id string) string {
-	if err := c.send(fmt.Sprintf("the head of %s %s (Expect: 100-continue)", method, id), head(method, path, id, "Expect: 100-continue\r\nContent-Length: 2000\r\n")); err != nil {
+// sendAfterIdle sends GET and, behind it, PUT with a body that waits for a 100. It returns how
+// the answer to the GET broke the rule.
+func (c *client) sendAfterIdle(get, put string) string {
+	if err := c.send("GET "+get, head("GET", "/lohu930/w800/s100", get, "")); err != nil {
 		return ""
 	}
-	_ = c.SetReadDeadline(time.Now().Add(continueWait))
-	if _, err := c.reader.Peek(1); err == nil {
-		c.add("client has an answer before the body of %s", id)
-	}
-	_ = c.SetReadDeadline(time.Now().Add(20 * time.Second))
-	if err := c.send("the body of "+id, string(bytes.Repeat([]byte("b"), 2000))); err != nil {
+	time.Sleep(200 * time.Millisecond)
+	if err := c.send(fmt.Sprintf("the head of PUT %s (Expect: 100-continue)", put), head("PUT", "/lohu930/w100/s100", put, "Expect: 100-continue\r\nContent-Length: 2000\r\n")); err != nil {
 		return ""
 	}
-	r, err := c.receive(method, id)
-	if err != nil {
-		return fmt.Sprintf("LOST: the connection of %s ended without an answer", id)
-	}
-	if r.Header.Get("Agateusher-Response-Signature") != "" || r.StatusCode == http.StatusServiceUnavailable {
+	go func() {
+		time.Sleep(continueWait)
+		_ = c.send("the body of PUT "+put, string(bytes.Repeat([]byte("b"), 2000)))
+	}()
+	r, err := c.receive("GET", get)
+	switch {
+	case err != nil:
+		return fmt.Sprintf("LOST: the connection of %s ended without an answer", get)
+	case r.Header.Get("Agateusher-Response-Signature") != "":
+		_, _ = c.receive("PUT", put)
 		return ""
-	}
-	if !c.endpoint.atWork(id, r.at) {
+	case !c.endpoint.atWork(get, r.at):
 		return ""
 	}
-	return fmt.Sprintf("LOST: %s got %d, an answer of the daemon's own, while its endpoint was at work on it", id, r.StatusCode)
+	return fmt.Sprintf("LOST: %s got %d, an answer of the daemon's own, while its endpoint was at work on it", get, r.StatusCode)
 }
 
 // playHead sends HEAD and further idempotent requests before the first one is answered.
@@ -262,3 +253,77 @@
 	}
 	return broken, nil
 }
+
+// playCut sends long and short idempotent requests on one kept connection, several before the
+// first is answered. With the trouble, the endpoint of the long ones breaks off a few of its
+// answers; the endpoint of the short ones is sound.
+func playCut(w *world) ([]string, error) {
+	const batches, short = 80, 4
+	if w.trouble {
+		w.archive.breakEvery = 40
+	}
+	var lost []string
+	var c *client
+	for i := range batches {
+		if c == nil {
+			var err error
+			if c, err = w.dial(0); err != nil {
+				return nil, err
+			}
+			id := fmt.Sprintf("%d-first", i)
+			if err := c.send("GET "+id, head("GET", "/lohu930/w5/s100", id, "")); err != nil {
+				return nil, err
+			}
+			if _, err := c.receive("GET", id); err != nil {
+				return nil, err
+			}
+		}
+		answered, ids, err := c.batch(i, short)
+		if err != nil {
+			return nil, err
+		}
+		if answered == 1+short {
+			continue
+		}
+		_ = c.Close()
+		c = nil
+		time.Sleep(500 * time.Millisecond)
+		for _, id := range ids[max(1, answered):] {
+			if w.endpoint.arrived(id) {
+				lost = append(lost, id)
+			}
+		}
+	}
+	if c != nil {
+		_ = c.Close()
+	}
+	if len(lost) <= 3 {
+		return nil, nil
+	}
+	return []string{fmt.Sprintf("LOST: %d requests from kept connections were passed on to a sound endpoint, and the connection closed without an answer: %v", len(lost), lost)}, nil
+}
+
+// batch sends a long request and short ones behind it, and returns how many were answered whole.
+func (c *client) batch(i, short int) (answered int, ids []string, err error) {
+	const size = 400 << 10
+	text := ""
+	for j := range 1 + short {
+		id := fmt.Sprintf("%d-%d", i, j)
+		path := "/lohu930/w50/s100"
+		if j == 0 {
+			path = fmt.Sprintf("/zafe212/w20/s%d", size)
+		}
+		text += head("GET", path, id, "")
+		ids = append(ids, id)
+	}
+	if err := c.send(fmt.Sprintf("GET %s (long) and, behind it, %v", ids[0], ids[1:]), text); err != nil {
+		return 0, ids, err
+	}
+	for _, id := range ids {
+		if _, err := c.receive("GET", id); err != nil {
+			return answered, ids, nil
+		}
+		answered++
+	}
+	return answered, ids, nil
+}
--- a/review/stand/endpoint.go
+++ b/review/stand/endpoint.go
@@ -26,9 +26,13 @@
 	record      *record
 	// withoutLength makes it answer HEAD without Content-Length.
 	withoutLength bool
+	// breakEvery makes it break off each so many-th answer; zero: none.
+	breakEvery int
 
 	mu   sync.Mutex
 	runs map[string]run
+	// answers counts its answers.
+	answers int
 }
 
 func newEndpoint(id string, r *record) (*endpoint, error) {
@@ -117,6 +121,16 @@
 		}
 	}
 	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nAgateusher-Request-Id: %s\r\nAgateusher-Response-Signature: %s.%s\r\n%s\r\n", id, e.id, id, length)
+	e.mu.Lock()
+	e.answers++
+	breakOff := e.breakEvery > 0 && e.answers%e.breakEvery == 0
+	e.mu.Unlock()
+	if breakOff {
+		_, _ = c.Write(body[:len(body)*3/4])
+		_ = c.Close()
+		e.record.add("endpoint %s breaks off its answer to %s", e.id, id)
+		return
+	}
 	_, err := c.Write(body)
 	x.done = time.Now()
 	e.record.add("endpoint %s has answered %s: 200, error of the connection: %v", e.id, id, err)
@@ -133,10 +147,10 @@
 	return ok && !x.arrived.After(at) && (x.done.IsZero() || x.done.After(at))
 }
 
-// ran returns the run of a request; false if it did not end.
-func (e *endpoint) ran(id string) (run, bool) {
+// arrived reports whether a request reached the endpoint.
+func (e *endpoint) arrived(id string) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	x, ok := e.runs[id]
-	return x, ok && !x.done.IsZero()
+	_, ok := e.runs[id]
+	return ok
 }
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -38,8 +38,10 @@
 	*record
 	store    *store
 	endpoint *endpoint
-	edge     *edge
-	trouble  bool
+	// archive is the endpoint of a second service.
+	archive *endpoint
+	edge    *edge
+	trouble bool
 }
 
 // cases return what broke the rule; nothing if it held.
@@ -47,6 +49,7 @@
 	"continue":      playContinue,
 	"continue-stop": playContinueStop,
 	"head":          playHead,
+	"cut":           playCut,
 }
 
 func main() {
@@ -87,8 +90,9 @@
 
 const config = `{"version":7,"routes":{
 "r-pay":{"host":"ficu95.example","path_prefix":"/pufi791/","route_type":"non_idempotent","timeout_ms":4000,"target_latency_ms":600,"priority":1,"service":"huvo11a","max_attempts":2},
-"r-read":{"host":"ficu95.example","path_prefix":"/lohu930/","route_type":"idempotent","timeout_ms":4000,"target_latency_ms":600,"priority":2,"service":"huvo11a","max_attempts":2}},
-"services":{"huvo11a":{"health_check_path":"/health","max_connections":330,"protocol":"h1","tls":false}},
+"r-read":{"host":"ficu95.example","path_prefix":"/lohu930/","route_type":"idempotent","timeout_ms":4000,"target_latency_ms":600,"priority":2,"service":"huvo11a","max_attempts":2},
+"r-long":{"host":"ficu95.example","path_prefix":"/zafe212/","route_type":"idempotent","timeout_ms":4000,"target_latency_ms":600,"priority":2,"service":"wuno96b","max_attempts":2}},
+"services":{"huvo11a":{"health_check_path":"/health","max_connections":330,"protocol":"h1","tls":false},"wuno96b":{"health_check_path":"/health","max_connections":330,"protocol":"h1","tls":false}},
 "limits":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`
 
 func (w *world) play(run func(*world) ([]string, error), root, dir string) (broken []string, err error) {
@@ -101,8 +105,12 @@
 	if w.endpoint, err = newEndpoint("i-7f3a91c2", w.record); err != nil {
 		return nil, err
 	}
+	if w.archive, err = newEndpoint("i-02d9e6b4", w.record); err != nil {
+		return nil, err
+	}
 	w.store.put("config", "main", config, "")
 	w.store.put("servers", w.endpoint.id, w.endpoint.entry("huvo11a", "lekki", time.Now().UnixMilli()), `{"state":"in_service","sequence":1,"warmup_left_ms":0}`)
+	w.store.put("servers", w.archive.id, w.archive.entry("wuno96b", "lekki", time.Now().UnixMilli()), `{"state":"in_service","sequence":1,"warmup_left_ms":0}`)
 	w.edge, err = startEdge(root, dir, w.store)
 	if w.edge != nil && w.edge.cmd != nil && w.edge.cmd.Process != nil {
 		defer w.edge.stop(6 * time.Second)
