--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -207,53 +207,6 @@
 	return fmt.Sprintf("LOST: %s got %d, an answer of the daemon's own, while its endpoint was at work on it", get, r.StatusCode)
 }
 
-// playHead sends HEAD and further idempotent requests before the first one is answered.
-// With the trouble, the endpoint's answer to HEAD has no length.
-func playHead(w *world) ([]string, error) {
-	w.endpoint.withoutLength = w.trouble
-	var broken []string
-	for i := range 5 {
-		c, err := w.dial(0)
-		if err != nil {
-			return nil, err
-		}
-		b, err := c.pipelineHead(i)
-		_ = c.Close()
-		if err != nil {
-			return nil, err
-		}
-		broken = append(broken, b...)
-	}
-	return broken, nil
-}
-
-func (c *client) pipelineHead(i int) (broken []string, err error) {
-	ids := []string{fmt.Sprintf("%d1", i), fmt.Sprintf("%d2", i), fmt.Sprintf("%d3", i)}
-	methods := []string{"HEAD", "GET", "GET"}
-	text := ""
-	for j, id := range ids {
-		text += head(methods[j], "/lohu930/w100/s100", id, "")
-	}
-	if err := c.send(fmt.Sprintf("HEAD %s, GET %s and GET %s, one behind the other", ids[0], ids[1], ids[2]), text); err != nil {
-		return nil, err
-	}
-	waiting := true
-	for j, id := range ids {
-		_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
-		r, err := c.receive(methods[j], id)
-		if err != nil {
-			return broken, nil
-		}
-		if !waiting && r.StatusCode == http.StatusOK {
-			broken = append(broken, fmt.Sprintf("MIXED: a success (request %s) on a connection with no request waiting: the answer before it closed the connection", id))
-		}
-		// Requests behind a response that closes the connection count as not read; the
-		// client sends them again elsewhere.
-		waiting = waiting && !r.Close
-	}
-	return broken, nil
-}
-
 // playCut sends long and short idempotent requests on one kept connection, several before the
 // first is answered. With the trouble, the endpoint of the long ones breaks off a few of its
 // answers; the endpoint of the short ones is sound.
--- a/review/stand/edge.go
+++ b/review/stand/edge.go
@@ -26,21 +26,24 @@
 	placeholder = regexp.MustCompile(`\{\{([a-z0-9_.]+)(\|json)?\}\}`)
 )
 
-func freePort(network string) int {
-	if network == "udp" {
-		c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+// freePorts returns ports of 127.0.0.1 that are free for TCP and UDP.
+func freePorts(n int) ([]int, error) {
+	var ports []int
+	for range n {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
 		if err != nil {
-			return 0
+			return nil, err
 		}
-		defer func() { _ = c.Close() }()
-		return c.LocalAddr().(*net.UDPAddr).Port
-	}
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		return 0
+		defer func() { _ = l.Close() }()
+		port := l.Addr().(*net.TCPAddr).Port
+		u, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: port})
+		if err != nil {
+			return nil, err
+		}
+		defer func() { _ = u.Close() }()
+		ports = append(ports, port)
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().(*net.TCPAddr).Port
+	return ports, nil
 }
 
 // startEdge starts the role of the deploy file, with its template filled in as the
@@ -55,12 +58,16 @@
 		return nil, err
 	}
 	local := func(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
-	e := &edge{frontend: local(freePort("tcp")), ready: local(freePort("tcp")), ended: make(chan struct{})}
-	control := local(freePort("tcp"))
+	ports, err := freePorts(4)
+	if err != nil {
+		return nil, err
+	}
+	e := &edge{frontend: local(ports[0]), ready: local(ports[1]), ended: make(chan struct{})}
+	control := local(ports[2])
 	fields := map[string]any{
 		"node_name": "edge-lekki-1", "zone": "lekki", "region": "lagos", "limits.cpu_share": 0.32, "limits.link_mbps": 1000.0,
 		"listen_addrs.frontend": e.frontend, "listen_addrs.ready": e.ready, "listen_addrs.control": control,
-		"ip": "127.0.0.1", "internal_port_range.0": freePort("udp"), "platform.address": s.address,
+		"ip": "127.0.0.1", "internal_port_range.0": ports[3], "platform.address": s.address,
 		"seed_addrs": []string{control}, "zones": map[string]string{"lekki": "lagos"},
 		"bounds.retry_budget_ratio": 0.2, "bounds.retry_budget_slack": 58, "bounds.budget_window_s": 10, "bounds.grace_s": 6,
 		"limits.memory_mb": 284,
--- a/review/stand/endpoint.go
+++ b/review/stand/endpoint.go
@@ -24,8 +24,6 @@
 type endpoint struct {
 	id, address string
 	record      *record
-	// withoutLength makes it answer HEAD without Content-Length.
-	withoutLength bool
 	// breakEvery makes it break off each so many-th answer; zero: none.
 	breakEvery int
 
@@ -116,9 +114,6 @@
 	length := fmt.Sprintf("Content-Length: %d\r\n", len(body))
 	if q.Method == http.MethodHead {
 		body = nil
-		if e.withoutLength {
-			length = ""
-		}
 	}
 	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nAgateusher-Request-Id: %s\r\nAgateusher-Response-Signature: %s.%s\r\n%s\r\n", id, e.id, id, length)
 	e.mu.Lock()
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -48,7 +48,6 @@
 var cases = map[string]func(*world) ([]string, error){
 	"continue":      playContinue,
 	"continue-stop": playContinueStop,
-	"head":          playHead,
 	"cut":           playCut,
 }
 
