--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -39,7 +39,7 @@
 
 // head returns the head of a request. extra are further header lines.
 func head(method, path, id, extra string) string {
-	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: ficu95.example\r\nAgateusher-Request-Id: %s\r\nAgateusher-Deadline-Ms: 4000\r\n%s\r\n", method, path, id, extra)
+	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: ficu95.example\r\nAgateusher-Request-Id: %s\r\n%s: 4000\r\n%s\r\n", method, path, id, platform.Deadline, extra)
 }
 
 func (c *client) send(what, text string) error {
@@ -71,7 +71,7 @@
 		r.body, err = io.ReadAll(resp.Body)
 		r.at = time.Now()
 		c.add("client gets %s for %s, signature %q, %d bytes, Connection %q, error %v", resp.Status, id,
-			resp.Header.Get("Agateusher-Response-Signature"), len(r.body), resp.Header["Connection"], err)
+			resp.Header.Get(platform.Signature), len(r.body), resp.Header["Connection"], err)
 		return r, err
 	}
 }
--- a/review/stand/edge.go
+++ b/review/stand/edge.go
@@ -103,7 +103,7 @@
 	}
 	e.cmd = exec.Command(filepath.Join(root, words[0]), words[1:]...)
 	e.cmd.Dir, e.cmd.Stdout, e.cmd.Stderr = root, log, log
-	e.cmd.Env = append(os.Environ(), "AGATEUSHER_SETTINGS="+path)
+	e.cmd.Env = append(os.Environ(), platform.Settings+"="+path)
 	if err := e.cmd.Start(); err != nil {
 		return nil, err
 	}
@@ -113,7 +113,7 @@
 
 func (e *edge) awaitReady() error {
 	for deadline := time.Now().Add(10 * time.Second); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
-		resp, err := http.Get("http://" + e.ready + "/agateusher/readiness")
+		resp, err := http.Get("http://" + e.ready + platform.Readiness)
 		if err != nil {
 			continue
 		}
--- a/review/stand/endpoint.go
+++ b/review/stand/endpoint.go
@@ -90,9 +90,9 @@
 		if _, err := io.Copy(io.Discard, q.Body); err != nil {
 			return
 		}
-		id, target := q.Header.Get("Agateusher-Request-Id"), q.Header.Get("Agateusher-Target-Instance")
+		id, target := q.Header.Get("Agateusher-Request-Id"), q.Header.Get(platform.Target)
 		if target != "" && target != e.id {
-			fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nAgateusher-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", e.id)
+			fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", platform.Instance, e.id)
 			continue
 		}
 		e.answer(c, q, id)
@@ -115,7 +115,7 @@
 	if q.Method == http.MethodHead {
 		body = nil
 	}
-	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nAgateusher-Request-Id: %s\r\nAgateusher-Response-Signature: %s.%s\r\n%s\r\n", id, e.id, id, length)
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nAgateusher-Request-Id: %s\r\n%s: %s.%s\r\n%s\r\n", id, platform.Signature, e.id, id, length)
 	e.mu.Lock()
 	e.answers++
 	breakOff := e.breakEvery > 0 && e.answers%e.breakEvery == 0
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -86,13 +86,6 @@
 	return exitHeld
 }
 
-const config = `{"version":7,"routes":{
-"r-pay":{"host":"ficu95.example","path_prefix":"/pufi791/","route_type":"non_idempotent","timeout_ms":4000,"target_latency_ms":600,"priority":1,"service":"huvo11a","max_attempts":2},
-"r-read":{"host":"ficu95.example","path_prefix":"/lohu930/","route_type":"idempotent","timeout_ms":4000,"target_latency_ms":600,"priority":2,"service":"huvo11a","max_attempts":2},
-"r-long":{"host":"ficu95.example","path_prefix":"/zafe212/","route_type":"idempotent","timeout_ms":4000,"target_latency_ms":600,"priority":2,"service":"wuno96b","max_attempts":2}},
-"services":{"huvo11a":{"health_check_path":"/health","max_connections":330,"protocol":"h1","tls":false},"wuno96b":{"health_check_path":"/health","max_connections":330,"protocol":"h1","tls":false}},
-"limits":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`
-
 func (w *world) play(run func(*world) ([]string, error), root, dir string) (broken []string, err error) {
 	if run == nil {
 		return nil, fmt.Errorf("no such case")
@@ -106,9 +99,9 @@
 	if w.archive, err = newEndpoint("i-02d9e6b4", w.record); err != nil {
 		return nil, err
 	}
-	w.store.put("config", "main", config, "")
-	w.store.put("servers", w.endpoint.id, w.endpoint.entry("huvo11a", "lekki", time.Now().UnixMilli()), `{"state":"in_service","sequence":1,"warmup_left_ms":0}`)
-	w.store.put("servers", w.archive.id, w.archive.entry("wuno96b", "lekki", time.Now().UnixMilli()), `{"state":"in_service","sequence":1,"warmup_left_ms":0}`)
+	w.store.put("config", "main", string(platform.Config), "")
+	w.store.put("servers", w.endpoint.id, w.endpoint.entry("huvo11a", "lekki", time.Now().UnixMilli()), string(platform.Status))
+	w.store.put("servers", w.archive.id, w.archive.entry("wuno96b", "lekki", time.Now().UnixMilli()), string(platform.Status))
 	w.edge, err = startEdge(root, dir, w.store)
 	if w.edge != nil && w.edge.cmd != nil && w.edge.cmd.Process != nil {
 		defer w.edge.stop(6 * time.Second)
--- a/review/stand/store.go
+++ b/review/stand/store.go
@@ -87,7 +87,7 @@
 
 // ServeHTTP implements http.Handler.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/agateusher/objects/"), "/")
+	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, platform.Objects), "/")
 	q := r.URL.Query()
 	switch {
 	case r.Method == http.MethodGet && q.Has("watch"):
