--- a/review/stand/edge.go
+++ b/review/stand/edge.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"regexp"
 	"strings"
@@ -108,6 +109,14 @@
 		return nil, err
 	}
 	go func() { _ = e.cmd.Wait(); close(e.ended) }()
+	// The time limit of run.sh ends the daemon as well.
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-stopped
+		_ = e.cmd.Process.Kill()
+		os.Exit(exitNotRun)
+	}()
 	return e, e.awaitReady()
 }
 
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -5,7 +5,6 @@
 import (
 	"fmt"
 	"os"
-	"path/filepath"
 	"sync"
 	"time"
 )
@@ -17,20 +16,18 @@
 	exitNotRun
 )
 
-// record writes what was sent, answered and run.
+// record writes what was sent, answered and run to the standard output, which run.sh
+// directs to record.txt.
 type record struct {
 	began time.Time
 
-	mu   sync.Mutex
-	file *os.File
+	mu sync.Mutex
 }
 
 func (r *record) add(format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	line := fmt.Sprintf("%8.3f s  %s\n", time.Since(r.began).Seconds(), fmt.Sprintf(format, args...))
-	_, _ = r.file.WriteString(line)
-	fmt.Print(line)
+	fmt.Printf("%8.3f s  %s\n", time.Since(r.began).Seconds(), fmt.Sprintf(format, args...))
 }
 
 // world is what a case works with.
@@ -51,20 +48,15 @@
 }
 
 func main() {
-	if len(os.Args) != 4 {
-		fmt.Fprintln(os.Stderr, "usage: stand CASE REPOSITORY FOLDER")
+	if len(os.Args) != 3 {
+		fmt.Fprintln(os.Stderr, "usage: stand CASE REPOSITORY")
 		os.Exit(exitNotRun)
 	}
-	os.Exit(play(os.Args[1], os.Args[2], os.Args[3]))
+	os.Exit(play(os.Args[1], os.Args[2]))
 }
 
-func play(name, root, folder string) int {
-	f, err := os.Create(filepath.Join(folder, "record.txt"))
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return exitNotRun
-	}
-	w := &world{record: &record{began: time.Now(), file: f}, trouble: os.Getenv("TROUBLE") != "0"}
+func play(name, root string) int {
+	w := &world{record: &record{began: time.Now()}, trouble: os.Getenv("TROUBLE") != "0"}
 	dir, err := os.MkdirTemp("", "review")
 	if err != nil {
 		w.add("cannot run: %v", err)
