catalog, edge: read the configuration once a region and pass it on

Change: - The time limit of a transfer follows its progress (package transfer). - A check neither ends a transfer that is arriving nor counts as an outage behind it. Heartbeats say who receives content from the store (reading); the others wait for it. A daemon sends 2 to 16 whole contents at a time, depending on its link, and refuses others.

--- a/catalog/cache.go
+++ b/catalog/cache.go
@@ -43,7 +43,14 @@
 // moment of the snapshot. The cursors are the revisions to watch from.
 type Snapshot struct {
 	// Config is nil if there is none, or if Epoch is that of the receiver.
-	Config       *Config       `json:"config"`
+	Config *Config `json:"config"`
+	// ConfigSince is the epoch that Config and RemovedRoutes are the changes to; zero:
+	// Config is the whole. Config.Routes has only the routes that were added or changed;
+	// all else in Config is whole.
+	ConfigSince   model.Epoch       `json:"configSince,omitempty"`
+	RemovedRoutes []model.RouteName `json:"removedRoutes,omitempty"`
+	// ConfigFollows is set in the encoded form if Config is encoded behind the snapshot.
+	ConfigFollows bool `json:"configFollows,omitempty"`
 	Epoch        model.Epoch   `json:"epoch,omitempty"`
 	ConfigCursor Revision      `json:"configCursor"`
 	ConfigAge    time.Duration `json:"configAge"`
@@ -91,9 +98,10 @@
 	// They are used by this daemon only.
 	retained map[string]*Server
 	outages  outage.Tracker
-	// history has the latest changes of servers, the oldest first; each one begins
-	// where the one before it ends.
-	history []revisionChange
+	// history and configHistory have the latest changes of the servers and of the
+	// routes, the oldest first; each one begins where the one before it ends.
+	history       []revisionChange
+	configHistory []epochChange
 }
 
 // NewCache returns an empty Cache. onChange receives the new view after each
@@ -165,6 +173,7 @@
 	defer c.mu.Unlock()
 	if config != nil && (c.config == nil || config.Epoch > c.config.Epoch) {
 		invariant.Check(c.config == nil || config.Epoch > c.config.Epoch, invariant.EpochUpward, "epoch %s", config.Epoch)
+		c.recordConfigChange(config)
 		c.config, c.routes, applied = config, NewRouteTable(config), true
 	}
 	c.configCursor = max(c.configCursor, cursor)
@@ -282,6 +291,8 @@
 	}
 	if has.Epoch == v.Epoch {
 		e.Config = nil
+	} else if changed, removed, ok := c.configSince(has.Epoch); ok {
+		e.Config, e.ConfigSince, e.RemovedRoutes = changed, has.Epoch, removed
 	}
 	names, ok := c.changedSince(has.Revision)
 	if !ok || has.Revision == 0 {
@@ -317,11 +328,15 @@
 }
 
 // Merge applies the parts of another daemon's content that are newer. It returns
-// false if the snapshot holds changes to a revision that this daemon does not have.
+// false if the snapshot holds changes to versions that this daemon does not have.
 func (c *Cache) Merge(now time.Time, e Snapshot) bool {
 	switch {
 	case e.Config != nil:
-		c.putConfig(e.Config, e.ConfigCursor, now.Add(-e.ConfigAge))
+		config, ok := c.patchedConfig(e)
+		if !ok {
+			return false
+		}
+		c.putConfig(config, e.ConfigCursor, now.Add(-e.ConfigAge))
 	case e.Epoch != 0:
 		c.Confirm(Versions{Epoch: e.Epoch}, now.Add(-e.ConfigAge))
 	}
--- a/catalog/check.go
+++ b/catalog/check.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 )
 
@@ -13,12 +12,11 @@
 	pingInterval = 400 * time.Millisecond
 	// pingTimeout bounds one check.
 	pingTimeout = 400 * time.Millisecond
-	// minWatchTimeout bounds the response to a watch that does not wait.
-	minWatchTimeout = 400 * time.Millisecond
 )
 
 // checkStore checks at intervals that the store still serves this daemon while a
-// watch waits. A success confirms what is watched; a failure ends the watches.
+// watch waits. A success confirms what is watched; a failure ends the watches, unless
+// content is arriving: the check may be late behind this daemon's own transfer.
 func (f *Follower) checkStore(ctx context.Context) error {
 	ticker := time.NewTicker(pingInterval)
 	defer ticker.Stop()
@@ -45,6 +43,9 @@
 		if err == nil {
 			f.recordPing(began)
 		}
+		if err != nil && f.receivedSince(began) {
+			continue
+		}
 		for _, l := range waiting {
 			if err != nil {
 				l.interrupt()
@@ -73,52 +74,3 @@
 	defer cancel()
 	return f.source.Ping(ctx)
 }
-
-var (
-	// errStoreSilent ends a watch while the store does not answer other calls.
-	errStoreSilent = errors.New("the store does not answer while a watch waits")
-	// errWatchLost is returned for a watch without a response although the store
-	// answers other calls: its connection is dead.
-	errWatchLost = errors.New("a watch was not answered although the store answers other calls")
-)
-
-// watchContext returns the context of a watch that waits for the given time, and a
-// function to be called with the watch's error at its end, which returns the error
-// to report.
-func (l *syncLoop) watchContext(ctx context.Context, wait time.Duration) (context.Context, func(error) error) {
-	ctx, cancel := context.WithTimeout(ctx, max(minWatchTimeout, wait+watchTimeoutMargin))
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	interrupted := false
-	l.waitingSince, l.endWatch = time.Now(), func() { interrupted = true; cancel() }
-	return ctx, func(err error) error {
-		cancel()
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		began := l.waitingSince
-		l.waitingSince, l.endWatch = time.Time{}, nil
-		switch {
-		case err != nil && interrupted:
-			return errStoreSilent
-		case errors.Is(err, context.DeadlineExceeded) && l.follower.pingedSince(began):
-			return errWatchLost
-		}
-		return err
-	}
-}
-
-// waitsSince reports whether a watch is waiting that began before a time.
-func (l *syncLoop) waitsSince(at time.Time) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return !l.waitingSince.IsZero() && l.waitingSince.Before(at)
-}
-
-// interrupt ends the watch that is waiting.
-func (l *syncLoop) interrupt() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.endWatch != nil {
-		l.endWatch()
-	}
-}
--- a/catalog/follower.go
+++ b/catalog/follower.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/agateusher/agateusher/core/fetch"
 	"github.com/agateusher/agateusher/kernel"
 	"github.com/agateusher/agateusher/telemetry"
 )
@@ -17,11 +18,6 @@
 	// failingHold is how long after a failed call another daemon is preferred as
 	// the relay.
 	failingHold = 3 * time.Second
-	// watchTimeoutMargin is the time beyond the wait of a watch after which the
-	// connection is considered lost.
-	watchTimeoutMargin = 400 * time.Millisecond
-	// readTimeout bounds a read of the whole content.
-	readTimeout = 700 * time.Millisecond
 	// batchDelay is the pause after a change of the servers, so that changes in
 	// quick succession cost only one call.
 	batchDelay = 200 * time.Millisecond
@@ -38,14 +34,6 @@
 	// pollDelay is the interval at which a daemon checks whether to call the
 	// store.
 	pollDelay = 50 * time.Millisecond
-	// staleAfter is the age of the last confirmation after which daemons other
-	// than the relay call the store, in the order of their rank.
-	staleAfter = 1500 * time.Millisecond
-	// staleStagger is the delay per rank. It lets the first daemon pass its
-	// result on before the next one calls the store.
-	staleStagger = 40 * time.Millisecond
-	// staleStaggerMax bounds the delay of any one daemon.
-	staleStaggerMax = 400 * time.Millisecond
 )
 
 // Role is this daemon's part in following the store.
@@ -58,6 +46,17 @@
 	Order int
 	// Relay is set if this daemon follows the store for its whole region.
 	Relay bool
+	// First is set if this daemon is to become the relay by what it knows now. Unlike
+	// with Relay, it may have been started a moment ago and not know the others.
+	First bool
+	// Listed is the number of daemons of the region that are listed and preferred to
+	// this one; fetch.Unlisted if the hosts are not known.
+	Listed int
+	// Alone is set if no other daemon of the region is known.
+	Alone bool
+	// PeerReading is set while another daemon of the region receives content from the
+	// store, PeerContent while one of the data centre has content that is not old.
+	PeerReading, PeerContent bool
 }
 
 // Follower keeps a Cache up to date from the store.
@@ -68,10 +67,15 @@
 	log    telemetry.Logger
 	loops  []*syncLoop
 
+	started time.Time
+	// bootstrapDelay is this daemon's part in the spread of first reads.
+	bootstrapDelay time.Duration
+
 	mu sync.Mutex
-	// bootstrapAt is when this daemon calls the store if it has no content until
-	// then.
-	bootstrapAt time.Time
+	// demanded is set if a request waits for the first content.
+	demanded bool
+	// receivedAt is when bytes of the content last arrived from the store.
+	receivedAt time.Time
 	// failedAt is when a call of the store last failed; zero if one has succeeded
 	// since.
 	failedAt time.Time
@@ -80,10 +84,10 @@
 }
 
 // NewFollower returns a Follower, which works while its tasks run. role returns this
-// daemon's present role. For bootstrapDelay, it waits for the first content of
-// another daemon before it calls the store.
+// daemon's present role. bootstrapDelay is this daemon's part in the spread of first
+// reads; see package fetch.
 func NewFollower(cache *Cache, source Source, role func() Role, bootstrapDelay time.Duration, log telemetry.Logger) *Follower {
-	f := &Follower{cache: cache, source: source, role: role, bootstrapAt: time.Now().Add(bootstrapDelay), log: log}
+	f := &Follower{cache: cache, source: source, role: role, started: time.Now(), bootstrapDelay: bootstrapDelay, log: log}
 	f.loops = []*syncLoop{
 		{follower: f, kind: "configuration", sync: f.syncConfig, confirm: f.cache.confirmConfig, age: func(now time.Time) time.Duration {
 			a, _ := f.cache.Ages(now)
@@ -106,18 +110,23 @@
 	}
 }
 
-// Demand ends the wait for the first content of another daemon: a request needs it.
+// Demand records that a request waits for the first content.
 func (f *Follower) Demand() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.bootstrapAt = time.Time{}
+	f.demanded = true
 }
 
-// mayBootstrap reports whether a daemon without content may call the store.
-func (f *Follower) mayBootstrap(now time.Time) bool {
+// MayStart reports whether this daemon, without content, may read it over the link
+// between the regions.
+func (f *Follower) MayStart() bool {
+	r := f.role()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return !now.Before(f.bootstrapAt)
+	return fetch.MayStart(fetch.Situation{
+		Waited: time.Since(f.started), Delay: f.bootstrapDelay, Listed: r.Listed, Alone: r.Alone, Rank: r.Rank, Order: r.Order,
+		First: r.First, Demanded: f.demanded, PeerReading: r.PeerReading, PeerContent: r.PeerContent,
+	})
 }
 
 // StoreFailing reports whether calls of the store failed lately. Another daemon is
@@ -137,33 +146,6 @@
 	}
 }
 
-// syncLoop keeps one kind of content up to date: the configuration or the
-// servers.
-type syncLoop struct {
-	follower *Follower
-	kind     string
-	// sync calls the store once and applies the result.
-	sync func(ctx context.Context, l *syncLoop) error
-	// confirm records that the store confirmed the content.
-	confirm func(at time.Time)
-	// age returns the time since the store last confirmed the content.
-	age func(now time.Time) time.Duration
-	// isRelay is set while this daemon is the relay.
-	isRelay bool
-	// fullRead is set if the next call has to read the whole content.
-	fullRead bool
-	// failingSince is when the calls began to fail; zero while they succeed.
-	failingSince time.Time
-	// failures is the number of consecutive failed calls, counted while backing
-	// off.
-	failures int
-
-	mu sync.Mutex
-	// waitingSince is when the present watch began to wait; zero without one.
-	waitingSince time.Time
-	endWatch     context.CancelFunc
-}
-
 func (l *syncLoop) run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		pause := pollDelay
@@ -184,14 +166,14 @@
 func (l *syncLoop) due() bool {
 	now := time.Now()
 	if l.age(now) >= unconfirmedAge {
-		return l.follower.mayBootstrap(now)
+		return l.follower.MayStart()
 	}
 	role := l.follower.role()
 	l.logRoleChange(role.Relay)
 	if role.Relay {
 		return true
 	}
-	return l.age(now) > staleAfter+min(staleStaggerMax, time.Duration(role.Rank)*staleStagger)
+	return fetch.MayRefresh(l.age(now), role.Rank, role.PeerReading)
 }
 
 // logRoleChange logs that this daemon has become the relay, or no longer is.
@@ -243,13 +225,9 @@
 	return l.backoff()
 }
 
-// backoff returns the pause after a failed call. A daemon without content cannot
-// serve requests and does not back off.
+// backoff returns the pause after a failed call.
 func (l *syncLoop) backoff() time.Duration {
 	role := l.follower.role()
-	if l.age(time.Now()) >= unconfirmedAge {
-		return retryDelay
-	}
 	if role.Rank < relayCandidates {
 		return retryDelay * time.Duration((1+role.Rank)*(1+role.Order))
 	}
@@ -265,16 +243,15 @@
 	cursor := f.cache.cursorOfConfig()
 	began := time.Now()
 	if l.fullRead || cursor == 0 {
-		ctx, cancel := context.WithTimeout(ctx, readTimeout)
-		defer cancel()
+		ctx, end := l.startRead(ctx)
 		c, r, err := f.source.Config(ctx)
-		if err == nil {
+		if err = end(err); err == nil {
 			f.applyConfig(c, r, began)
 		}
 		return err
 	}
 	wait := f.watchDuration(l)
-	ctx, end := l.watchContext(ctx, wait)
+	ctx, end := l.startWatch(ctx, wait)
 	c, r, err := f.source.WatchConfig(ctx, cursor, wait)
 	if err = end(err); err == nil {
 		f.applyConfig(c, r, time.Now())
@@ -285,7 +262,7 @@
 // watchDuration returns how long a watch waits for a change. If the content is
 // stale, or this daemon is not the relay, the watch returns at once.
 func (f *Follower) watchDuration(l *syncLoop) time.Duration {
-	if l.age(time.Now()) > staleAfter || !f.role().Relay {
+	if fetch.Stale(l.age(time.Now())) || !f.role().Relay {
 		return time.Millisecond
 	}
 	return watchWait
@@ -301,17 +278,16 @@
 	known, cursor := f.cache.snapshotServers()
 	began := time.Now()
 	if l.fullRead || cursor == 0 {
-		ctx, cancel := context.WithTimeout(ctx, readTimeout)
-		defer cancel()
+		ctx, end := l.startRead(ctx)
 		servers, r, err := f.source.Servers(ctx)
-		if err != nil {
+		if err = end(err); err != nil {
 			return err
 		}
 		f.cache.putServers(servers, r, r, began)
 		return nil
 	}
 	wait := f.watchDuration(l)
-	ctx, end := l.watchContext(ctx, wait)
+	ctx, end := l.startWatch(ctx, wait)
 	events, r, err := f.source.WatchServers(ctx, cursor, wait)
 	if err = end(err); err != nil {
 		return err
--- a/catalog/isolation_test.go
+++ b/catalog/isolation_test.go
@@ -23,7 +23,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan error, 2)
 		for cache, source := range map[*Cache]*fakeSource{stays: connected, returns: door} {
-			f := NewFollower(cache, source, func() Role { return Role{Relay: true} }, 0, discardLogger())
+			f := NewFollower(cache, source, func() Role { return Role{Relay: true, First: true} }, 0, discardLogger())
 			go func() { done <- kernel.RunTasks(ctx, f.Tasks()...) }()
 		}
 		defer func() { cancel(); <-done; <-done }()
--- a/catalog/source_test.go
+++ b/catalog/source_test.go
@@ -11,8 +11,10 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/agateusher/agateusher/core/fetch"
 	"github.com/agateusher/agateusher/core/model"
 	"github.com/agateusher/agateusher/kernel"
+	"github.com/agateusher/agateusher/transfer"
 )
 
 // fakeSource is a fake store in virtual time.
@@ -26,6 +28,35 @@
 	hang     bool
 	calls    int
 	pings    int
+	// size is the size of the configuration in bytes and rate that of the link in
+	// bytes per second. While the configuration passes, checks wait behind it.
+	size, rate int
+	passing    int
+	// passed has the number of whole configurations that passed the link.
+	passed int
+}
+
+// transmit passes a configuration over the slow link.
+func (f *fakeSource) transmit(ctx context.Context) error {
+	f.mu.Lock()
+	size := f.size
+	f.passing++
+	f.mu.Unlock()
+	defer f.set(func() { f.passing-- })
+	const chunk = 10 * time.Millisecond
+	for sent := 0; sent < size; {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(chunk):
+		}
+		n := 0
+		f.set(func() { n = f.rate / int(time.Second/chunk) })
+		sent += n
+		transfer.Progress(ctx, n)
+	}
+	f.set(func() { f.passed++ })
+	return nil
 }
 
 var errDown = errors.New("down")
@@ -46,6 +77,9 @@
 	if err := f.call(ctx); err != nil {
 		return nil, 0, err
 	}
+	if err := f.transmit(ctx); err != nil {
+		return nil, 0, err
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return &Config{Epoch: f.epoch}, f.revision, nil
@@ -58,6 +92,13 @@
 	if err := f.await(ctx, wait, func() bool { return f.revision > after }); err != nil {
 		return nil, 0, err
 	}
+	changed := false
+	f.set(func() { changed = f.revision > after })
+	if changed {
+		if err := f.transmit(ctx); err != nil {
+			return nil, 0, err
+		}
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return &Config{Epoch: f.epoch}, f.revision, nil
@@ -110,7 +151,7 @@
 func (f *fakeSource) Ping(ctx context.Context) error {
 	f.mu.Lock()
 	f.pings++
-	hang, err := f.hang, f.err
+	hang, err := f.hang || f.passing > 0 && f.size > 0, f.err
 	f.mu.Unlock()
 	if hang {
 		<-ctx.Done()
@@ -143,7 +184,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan error, 1)
 		go func() {
-			done <- kernel.RunTasks(ctx, NewFollower(cache, source, func() Role { return Role{Rank: rank, Relay: rank == 0} }, 0, discardLogger()).Tasks()...)
+			done <- kernel.RunTasks(ctx, NewFollower(cache, source, func() Role { return Role{Rank: rank, Relay: rank == 0, First: true, Listed: fetch.Unlisted} }, 0, discardLogger()).Tasks()...)
 		}()
 		defer func() {
 			cancel()
--- a/edge/node.go
+++ b/edge/node.go
@@ -77,6 +77,7 @@
 	follower *catalog.Follower
 	gossiper *gossip.Gossiper
 	puller   *puller
+	content  *contentServer
 	view     atomic.Pointer[catalog.View]
 	// viewComplete is closed once view has a configuration and a set of servers.
 	viewComplete chan struct{}
@@ -132,6 +133,7 @@
 	n.serverState.publish = n.gossiper.Publish
 	n.follower = catalog.NewFollower(n.cache, n.platform.Source, n.role, s.bootstrapDelay(), n.log)
 	n.puller = newPuller(n)
+	n.content = newContentServer(s.Host.LinkMbps, n.metrics.Scope)
 	if n.callerListener, err = net.Listen("tcp4", s.Listeners.Caller); err != nil {
 		return nil, &StartError{Component: "caller listener", Err: err}
 	}
@@ -202,7 +204,10 @@
 func (n *Node) role() catalog.Role {
 	r := n.gossiper.Role()
 	settled := n.settings.isSeed() || time.Since(n.started) >= settleTime
-	return catalog.Role{Rank: r.Rank, Order: r.Order, Relay: r.RegionRelay && settled}
+	return catalog.Role{
+		Rank: r.Rank, Order: r.Order, Relay: r.RegionRelay && settled, First: r.RegionRelay,
+		Listed: r.Listed, Alone: r.Alone, PeerReading: r.PeerReading, PeerContent: r.PeerContent,
+	}
 }
 
 func (n *Node) limits() catalog.Limits {
@@ -283,7 +288,7 @@
 func (p gossipHandler) State() gossip.State {
 	v := p.cache.Versions()
 	r := p.cache.Report(time.Now())
-	return gossip.State{Leaving: p.draining.Load(), Epoch: v.Epoch, Revision: uint64(v.Revision), ConfirmedAge: r.Age, Served: r.Served, StoreFailing: p.follower.StoreFailing()}
+	return gossip.State{Leaving: p.draining.Load(), Epoch: v.Epoch, Revision: uint64(v.Revision), ConfirmedAge: r.Age, Served: r.Served, Reading: p.follower.Fetching() || p.puller.crossing.Load(), StoreFailing: p.follower.StoreFailing()}
 }
 
 // heartbeatTransitTime is added to the age in a heartbeat, to account for the time
--- a/edge/servers.go
+++ b/edge/servers.go
@@ -2,18 +2,14 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"net"
 	"net/http"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/go-chi/chi/v5"
 
-	"github.com/agateusher/agateusher/catalog"
-	"github.com/agateusher/agateusher/core/model"
 	"github.com/agateusher/agateusher/gossip"
 	"github.com/agateusher/agateusher/kernel"
 	"github.com/agateusher/agateusher/telemetry"
@@ -25,12 +21,6 @@
 	hostsPath   = "/hosts"
 )
 
-// Query parameters of catalogPath: the versions that the caller has.
-const (
-	epochParameter    = "epoch"
-	revisionParameter = "revision"
-)
-
 // serverHeaderTimeout bounds the reading of a request header on the listeners other
 // than the callers'.
 const serverHeaderTimeout = 2 * time.Second
@@ -81,30 +71,6 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// serveCatalog answers with what has changed since the caller's versions. Without
-// valid parameters it answers with the whole content.
-func (n *Node) serveCatalog(w http.ResponseWriter, r *http.Request) {
-	q := r.URL.Query()
-	epoch, epochErr := strconv.ParseUint(q.Get(epochParameter), 10, 64)
-	revision, revisionErr := strconv.ParseUint(q.Get(revisionParameter), 10, 64)
-	has := catalog.Versions{Epoch: model.Epoch(epoch), Revision: catalog.Revision(revision)}
-	if epochErr != nil || revisionErr != nil {
-		has = catalog.Versions{}
-	}
-	n.writeJSON(w, n.cache.Snapshot(time.Now(), has))
-}
-
-func (n *Node) serveHosts(w http.ResponseWriter, _ *http.Request) {
-	n.writeJSON(w, n.gossiper.Hosts())
-}
-
-func (n *Node) writeJSON(w http.ResponseWriter, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(v); err != nil {
-		n.log.WithField("event", "peer_answer_failed").WithError(err).Info("cannot send a response to another daemon")
-	}
-}
-
 // registryRetryInterval is the interval between retries of a failed registration. It
 // also bounds one read of the registry.
 const registryRetryInterval = time.Second
@@ -167,7 +133,7 @@
 			continue
 		}
 		var known []gossip.Host
-		if err := n.puller.get(seed, hostsPath, &known); err != nil {
+		if err := n.puller.hosts(ctx, seed, &known); err != nil {
 			n.log.WithFields(telemetry.Fields{"event": "seed_unreachable", "seed": seed}).WithError(err).Info("cannot get the hosts from a seed")
 			continue
 		}
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -138,10 +138,14 @@
 }
 
 const (
-	// A daemon without content calls the store between bootstrapDelayMin and
-	// bootstrapDelayMax after its start; at once if it is a seed.
+	// A daemon without content reads the store between bootstrapDelayMin and
+	// bootstrapDelayMax after its start, if no other daemon has the content or reads it.
 	bootstrapDelayMin = 300 * time.Millisecond
 	bootstrapDelayMax = 700 * time.Millisecond
+	// A seed waits for seedDelay, so that it hears the heartbeats of daemons that have
+	// the content, and for seedStagger for each seed before it.
+	seedDelay   = 200 * time.Millisecond
+	seedStagger = 250 * time.Millisecond
 )
 
 // isSeed reports whether this daemon is one of the seeds.
@@ -161,9 +165,12 @@
 // of another one before it calls the store. The delays of daemons differ, so that the
 // first to call can pass its content on.
 func (s Settings) bootstrapDelay() time.Duration {
-	if len(s.Seeds) == 0 || s.isSeed() {
+	if len(s.Seeds) == 0 {
 		return 0
 	}
+	if i := slices.Index(s.Seeds, s.Listeners.Admin); i >= 0 {
+		return seedDelay + time.Duration(i)*seedStagger
+	}
 	spread := uint64(bootstrapDelayMax - bootstrapDelayMin)
 	return bootstrapDelayMin + time.Duration(ranking.Score("bootstrap", s.Host.ID)%spread)
 }
--- a/gossip/gossiper.go
+++ b/gossip/gossiper.go
@@ -46,6 +46,8 @@
 	// Served is for how long the store is known to have confirmed content to some
 	// daemon without a gap; zero if it does not do so now.
 	Served time.Duration
+	// Reading is set while the sender receives content from the store.
+	Reading bool
 	// StoreFailing is set while the sender's calls of the store fail.
 	StoreFailing bool
 }
@@ -94,9 +96,11 @@
 
 	mu      sync.Mutex
 	members memberTable
-	// claims has, by data centre, when its relay last said that it follows the
-	// store for the whole region.
-	claims map[model.DataCentre]time.Time
+	// claims has, by data centre, the last claim of its relay to follow the store for
+	// the whole region.
+	claims map[model.DataCentre]claim
+	// listed is set once a list of hosts was received.
+	listed bool
 	// permitRequests are the requests for permits without a reply yet.
 	permitRequests    map[uint64]chan *gen.PermitReply
 	lastPermitRequest uint64
@@ -133,7 +137,7 @@
 		self: self, incarnation: string(incarnation), handler: h, socket: socket, log: log,
 		pending: kernel.NewRing[*gen.Observation]("observations", observationQueueSize, kernel.DropNewest),
 		bundle:  kernel.NewRing[*gen.Gossip]("bundle", bundleQueueSize, kernel.DropNewest), starThreshold: starThreshold,
-		members: newMemberTable(), claims: map[model.DataCentre]time.Time{}, reportedGone: map[model.HostID]bool{},
+		members: newMemberTable(), claims: map[model.DataCentre]claim{}, reportedGone: map[model.HostID]bool{},
 		permitRequests: map[uint64]chan *gen.PermitReply{},
 	}, nil
 }
@@ -152,6 +156,7 @@
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.listed = true
 	for _, h := range hosts {
 		if h.ID == g.self.ID {
 			continue
@@ -245,6 +250,7 @@
 		Outstanding:    g.handler.Outstanding(),
 		Weight:         g.self.Weight,
 		StoreFailing:   s.StoreFailing,
+		Reading:        s.Reading || g.remoteReading(),
 		ServedMs:       uint64(s.Served.Milliseconds()),
 	}
 }
@@ -380,7 +386,7 @@
 	return State{
 		Leaving: m.Leaving, Epoch: model.Epoch(m.Epoch), Revision: m.Revision,
 		ConfirmedAge: time.Duration(m.ConfirmedAgeMs) * time.Millisecond, StoreFailing: m.StoreFailing,
-		Served: time.Duration(min(m.ServedMs, maxServedMs)) * time.Millisecond,
+		Reading: m.Reading, Served: time.Duration(min(m.ServedMs, maxServedMs)) * time.Millisecond,
 	}
 }
 
@@ -418,6 +424,7 @@
 	}
 	delete(g.reportedGone, h.ID)
 	x.incarnation, x.leaving, x.storeFailing, x.lastReceived = m.Incarnation, m.Leaving, m.StoreFailing, now
+	x.recordContent(m)
 	return h, restarted
 }
 
--- a/gossip/member.go
+++ b/gossip/member.go
@@ -65,6 +65,10 @@
 	incarnation  string
 	leaving      bool
 	storeFailing bool
+	// reading is set while the member receives content from the store.
+	reading bool
+	// contentAge is the age of the member's content at lastReceived; negative without.
+	contentAge   time.Duration
 	lastReceived time.Time
 	// lastDirect is when a datagram last came from the member itself rather than from
 	// the hub.
--- a/gossip/region.go
+++ b/gossip/region.go
@@ -31,6 +31,7 @@
 	// them; several cost calls, but do no harm. While the store fails, the relay of
 	// each data centre tries.
 	RegionRelay bool
+	Neighbours
 }
 
 // Role returns this daemon's role.
@@ -38,7 +39,7 @@
 	state, now := g.handler.State(), time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	r := Role{Rank: g.members.rank(g.self, state, now)}
+	r := Role{Rank: g.members.rank(g.self, state, now), Neighbours: g.neighbours(now)}
 	claimed := false
 	for _, dc := range g.members.dataCentres(g.self.Region) {
 		preferred := precedes(dc, g.self.DataCentre)
@@ -46,7 +47,7 @@
 			r.Order++
 		}
 		if preferred || (state.StoreFailing && dc != g.self.DataCentre) {
-			claimed = claimed || now.Sub(g.claims[dc]) < claimLifetime
+			claimed = claimed || now.Sub(g.claims[dc].at) < claimLifetime
 		}
 	}
 	r.RegionRelay = r.Rank == 0 && !claimed
@@ -85,7 +86,7 @@
 	if m.StoreFailing || !g.Role().RegionRelay {
 		return
 	}
-	m.Outstanding, m.RegionRelay = nil, true
+	m.Outstanding, m.RegionRelay, m.Reading = nil, true, g.handler.State().Reading
 	g.write(m, g.relaysElsewhere())
 }
 
@@ -117,7 +118,7 @@
 		return
 	}
 	g.mu.Lock()
-	g.claims[dc] = time.Now()
+	g.claims[dc] = claim{at: time.Now(), reading: m.Reading}
 	g.mu.Unlock()
 	g.handler.PeerState(Host{ID: model.HostID(m.Host), DataCentre: dc, Region: model.Region(m.Region), Address: from.String()}, stateOf(m))
 }
