--- a/catalog/cache.go
+++ b/catalog/cache.go
@@ -7,6 +7,7 @@
 
 	"github.com/agateusher/agateusher/core/invariant"
 	"github.com/agateusher/agateusher/core/model"
+	"github.com/agateusher/agateusher/core/outage"
 )
 
 // View is the configuration and the servers at one moment. It is immutable.
@@ -42,7 +43,14 @@
 // moment of the snapshot. The cursors are the revisions to watch from.
 type Snapshot struct {
 	// Config is nil if there is none, or if Epoch is that of the receiver.
-	Config       *Config       `json:"config"`
+	Config *Config `json:"config"`
+	// ConfigSince is the epoch that Config and RemovedRoutes are the changes to; zero:
+	// Config is the whole. Config.Routes has only the routes that were added or changed;
+	// all else in Config is whole.
+	ConfigSince   model.Epoch       `json:"configSince,omitempty"`
+	RemovedRoutes []model.RouteName `json:"removedRoutes,omitempty"`
+	// ConfigFollows is set in the encoded form if Config is encoded behind the snapshot.
+	ConfigFollows bool `json:"configFollows,omitempty"`
 	Epoch        model.Epoch   `json:"epoch,omitempty"`
 	ConfigCursor Revision      `json:"configCursor"`
 	ConfigAge    time.Duration `json:"configAge"`
@@ -76,24 +84,30 @@
 	onChange  func(*View)
 	publishMu sync.Mutex
 
-	mu                 sync.Mutex
-	config             *Config
-	routes             *RouteTable
-	configCursor       Revision
-	configConfirmedAt  time.Time
+	mu                sync.Mutex
+	config            *Config
+	routes            *RouteTable
+	configCursor      Revision
+	configConfirmedAt time.Time
+	// servers is what the store said at revision, and all that other daemons receive.
 	servers            map[string]*Server
 	revision           Revision
 	serverCursor       Revision
 	serversConfirmedAt time.Time
-	// history has the latest changes of servers, the oldest first; each one begins
-	// where the one before it ends.
-	history []revisionChange
+	// retained has the servers whose entries are missing since an outage of the store.
+	// They are used by this daemon only.
+	retained map[string]*Server
+	outages  outage.Tracker
+	// history and configHistory have the latest changes of the servers and of the
+	// routes, the oldest first; each one begins where the one before it ends.
+	history       []revisionChange
+	configHistory []epochChange
 }
 
 // NewCache returns an empty Cache. onChange receives the new view after each
 // change; it may be nil.
 func NewCache(onChange func(*View)) *Cache {
-	return &Cache{onChange: onChange, servers: map[string]*Server{}}
+	return &Cache{onChange: onChange, servers: map[string]*Server{}, retained: map[string]*Server{}}
 }
 
 // unconfirmedAge is the age of content that the store has never confirmed.
@@ -138,8 +152,8 @@
 	if c.config != nil && c.config.Epoch == v.Epoch && confirmedAt.After(c.configConfirmedAt) {
 		c.configConfirmedAt = confirmedAt
 	}
-	if c.revision == v.Revision && v.Revision != 0 && confirmedAt.After(c.serversConfirmedAt) {
-		c.serversConfirmedAt = confirmedAt
+	if c.revision == v.Revision && v.Revision != 0 {
+		c.serversConfirmed(confirmedAt)
 	}
 }
 
@@ -159,6 +173,7 @@
 	defer c.mu.Unlock()
 	if config != nil && (c.config == nil || config.Epoch > c.config.Epoch) {
 		invariant.Check(c.config == nil || config.Epoch > c.config.Epoch, invariant.EpochUpward, "epoch %s", config.Epoch)
+		c.recordConfigChange(config)
 		c.config, c.routes, applied = config, NewRouteTable(config), true
 	}
 	c.configCursor = max(c.configCursor, cursor)
@@ -182,14 +197,13 @@
 func (c *Cache) replaceServers(servers map[string]*Server, revision, cursor Revision, confirmedAt time.Time) (applied bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.serversConfirmed(confirmedAt)
 	if revision > c.revision {
 		c.recordChange(servers)
+		c.retainMissing(servers, confirmedAt)
 		c.servers, c.revision, applied = servers, revision, true
 	}
 	c.serverCursor = max(c.serverCursor, cursor)
-	if confirmedAt.After(c.serversConfirmedAt) {
-		c.serversConfirmedAt = confirmedAt
-	}
 	return applied
 }
 
@@ -262,24 +276,7 @@
 	if !c.serversConfirmedAt.IsZero() {
 		c.serversConfirmedAt = c.serversConfirmedAt.Add(-age)
 	}
-}
-
-// ExpireLapsed removes the servers whose entries did not come back within the
-// grace period, and returns their IDs.
-func (c *Cache) ExpireLapsed(now time.Time) (expired []model.ServerID) {
-	c.mu.Lock()
-	for name, s := range c.servers {
-		if !s.GraceUntil.IsZero() && now.After(s.GraceUntil) {
-			expired = append(expired, s.ID)
-			c.servers = maps.Clone(c.servers)
-			delete(c.servers, name)
-		}
-	}
-	c.mu.Unlock()
-	if len(expired) > 0 {
-		c.publish()
-	}
-	return expired
+	c.outages.AddAge(age)
 }
 
 // Snapshot returns the content for a daemon that has the given versions: what has
@@ -294,6 +291,8 @@
 	}
 	if has.Epoch == v.Epoch {
 		e.Config = nil
+	} else if changed, removed, ok := c.configSince(has.Epoch); ok {
+		e.Config, e.ConfigSince, e.RemovedRoutes = changed, has.Epoch, removed
 	}
 	names, ok := c.changedSince(has.Revision)
 	if !ok || has.Revision == 0 {
@@ -318,28 +317,26 @@
 func exported(s *Server, now time.Time) *Server {
 	copied := *s
 	copied.WarmupRemaining = max(0, s.WarmAt.Sub(now))
-	if !s.GraceUntil.IsZero() {
-		copied.GraceRemaining = max(time.Millisecond, s.GraceUntil.Sub(now))
-	}
 	return &copied
 }
 
 // imported sets the times of a received entry by this daemon's clock.
 func imported(s *Server, now time.Time) *Server {
 	s.WarmAt = now.Add(s.WarmupRemaining)
-	if s.GraceRemaining > 0 {
-		s.GraceUntil = now.Add(s.GraceRemaining)
-	}
-	s.WarmupRemaining, s.GraceRemaining = 0, 0
+	s.WarmupRemaining = 0
 	return s
 }
 
 // Merge applies the parts of another daemon's content that are newer. It returns
-// false if the snapshot holds changes to a revision that this daemon does not have.
+// false if the snapshot holds changes to versions that this daemon does not have.
 func (c *Cache) Merge(now time.Time, e Snapshot) bool {
 	switch {
 	case e.Config != nil:
-		c.putConfig(e.Config, e.ConfigCursor, now.Add(-e.ConfigAge))
+		config, ok := c.patchedConfig(e)
+		if !ok {
+			return false
+		}
+		c.putConfig(config, e.ConfigCursor, now.Add(-e.ConfigAge))
 	case e.Epoch != 0:
 		c.Confirm(Versions{Epoch: e.Epoch}, now.Add(-e.ConfigAge))
 	}
@@ -355,7 +352,11 @@
 		servers = known
 	}
 	for name, s := range e.Servers {
-		if s != nil { // a null in a damaged message
+		switch {
+		case s == nil: // a null in a damaged message
+		case s.GraceRemaining > 0:
+			delete(servers, name)
+		default:
 			servers[name] = imported(s, now)
 		}
 	}
@@ -382,10 +383,13 @@
 func (c *Cache) View() *View {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	v := &View{Config: c.config, Routes: c.routes, Revision: c.revision, Servers: make([]Server, 0, len(c.servers))}
+	v := &View{Config: c.config, Routes: c.routes, Revision: c.revision, Servers: make([]Server, 0, len(c.servers)+len(c.retained))}
 	for _, s := range c.servers {
 		v.Servers = append(v.Servers, *s)
 	}
+	for _, s := range c.retained {
+		v.Servers = append(v.Servers, *s)
+	}
 	return v
 }
 
--- a/gossip/gossiper.go
+++ b/gossip/gossiper.go
@@ -32,6 +32,9 @@
 	digestInterval = 300 * time.Millisecond
 )
 
+// maxServedMs bounds the time in a heartbeat, so that a damaged one does not overflow.
+const maxServedMs = 1 << 40
+
 // State is the sender's state in a heartbeat.
 type State struct {
 	// Leaving is set if the sender is shutting down.
@@ -40,6 +43,11 @@
 	Revision uint64
 	// ConfirmedAge is how long ago the store last confirmed the sender's content.
 	ConfirmedAge time.Duration
+	// Served is for how long the store is known to have confirmed content to some
+	// daemon without a gap; zero if it does not do so now.
+	Served time.Duration
+	// Reading is set while the sender receives content from the store.
+	Reading bool
 	// StoreFailing is set while the sender's calls of the store fail.
 	StoreFailing bool
 }
@@ -88,9 +96,11 @@
 
 	mu      sync.Mutex
 	members memberTable
-	// claims has, by data centre, when its relay last said that it follows the
-	// store for the whole region.
-	claims map[model.DataCentre]time.Time
+	// claims has, by data centre, the last claim of its relay to follow the store for
+	// the whole region.
+	claims map[model.DataCentre]claim
+	// listed is set once a list of hosts was received.
+	listed bool
 	// permitRequests are the requests for permits without a reply yet.
 	permitRequests    map[uint64]chan *gen.PermitReply
 	lastPermitRequest uint64
@@ -127,7 +137,7 @@
 		self: self, incarnation: string(incarnation), handler: h, socket: socket, log: log,
 		pending: kernel.NewRing[*gen.Observation]("observations", observationQueueSize, kernel.DropNewest),
 		bundle:  kernel.NewRing[*gen.Gossip]("bundle", bundleQueueSize, kernel.DropNewest), starThreshold: starThreshold,
-		members: newMemberTable(), claims: map[model.DataCentre]time.Time{}, reportedGone: map[model.HostID]bool{},
+		members: newMemberTable(), claims: map[model.DataCentre]claim{}, reportedGone: map[model.HostID]bool{},
 		permitRequests: map[uint64]chan *gen.PermitReply{},
 	}, nil
 }
@@ -146,6 +156,7 @@
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.listed = true
 	for _, h := range hosts {
 		if h.ID == g.self.ID {
 			continue
@@ -239,6 +250,8 @@
 		Outstanding:    g.handler.Outstanding(),
 		Weight:         g.self.Weight,
 		StoreFailing:   s.StoreFailing,
+		Reading:        s.Reading || g.remoteReading(),
+		ServedMs:       uint64(s.Served.Milliseconds()),
 	}
 }
 
@@ -373,6 +386,7 @@
 	return State{
 		Leaving: m.Leaving, Epoch: model.Epoch(m.Epoch), Revision: m.Revision,
 		ConfirmedAge: time.Duration(m.ConfirmedAgeMs) * time.Millisecond, StoreFailing: m.StoreFailing,
+		Reading: m.Reading, Served: time.Duration(min(m.ServedMs, maxServedMs)) * time.Millisecond,
 	}
 }
 
@@ -410,6 +424,7 @@
 	}
 	delete(g.reportedGone, h.ID)
 	x.incarnation, x.leaving, x.storeFailing, x.lastReceived = m.Incarnation, m.Leaving, m.StoreFailing, now
+	x.recordContent(m)
 	return h, restarted
 }
 
