catalog, platform, edge: workspaces in the configuration and settings

The configuration may have a table of workspaces with keys, priority, rate and burst, and routes may be public. Each workspace is decoded by itself: one that cannot be read is listed with its keys, so that they can be refused without being told that they are unknown.

--- a/catalog/types.go
+++ b/catalog/types.go
@@ -9,8 +9,12 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/agateusher/agateusher/core/model"
+	"github.com/agateusher/agateusher/core/workspace"
 )
 
+// Workspace is a workspace of the configuration. It has digests of keys only.
+type Workspace = workspace.Workspace
+
 // Route assigns the requests of a host and path prefix to services.
 type Route struct {
 	Name model.RouteName `json:"name"`
@@ -28,8 +32,11 @@
 	TargetLatency time.Duration `json:"target"`
 	// MaxAttempts is the maximum number of servers that one request is sent to.
 	MaxAttempts int `json:"maxAttempts"`
-	// Priority of the route; zero is the highest.
+	// Priority of the route; zero is the highest. That of a request's workspace takes
+	// precedence.
 	Priority int `json:"priority"`
+	// Public is set if requests need no key of a workspace.
+	Public bool `json:"public,omitempty"`
 }
 
 // UnreadableRoute is the place of a route that could not be decoded. Requests there
@@ -62,6 +69,12 @@
 	Limits Limits      `json:"limits"`
 	// Unreadable lists the routes that could not be decoded.
 	Unreadable []UnreadableRoute `json:"unreadable,omitempty"`
+	// KeyPolicy says whether requests need a key of a workspace.
+	KeyPolicy workspace.KeyPolicy `json:"keyPolicy,omitempty"`
+	// Workspaces are ordered by name.
+	Workspaces []Workspace `json:"workspaces,omitempty"`
+	// UnreadableWorkspaces lists the workspaces that could not be decoded.
+	UnreadableWorkspaces []workspace.Unreadable `json:"unreadableWorkspaces,omitempty"`
 }
 
 // Server is one incarnation of a backend server, as registered by itself.
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -28,8 +28,9 @@
 	Retries RetrySettings                     `json:"retries"`
 	Stop    StopSettings                      `json:"stop"`
 	// MemoryMiB is the memory that the process may use, in MiB.
-	MemoryMiB int         `json:"memoryMiB" validate:"min=32"`
-	Log       LogSettings `json:"log"`
+	MemoryMiB  int               `json:"memoryMiB" validate:"min=32"`
+	Log        LogSettings       `json:"log"`
+	Workspaces WorkspaceSettings `json:"workspaces"`
 }
 
 // HostSettings identify this daemon and its location.
@@ -90,6 +91,31 @@
 	RequestsPerSecond float64 `json:"requestsPerSecond" validate:"gte=0"`
 }
 
+// WorkspaceSettings apply where the configuration has workspaces.
+type WorkspaceSettings struct {
+	Revocation RevocationSettings `json:"revocation"`
+	Quota      QuotaSettings      `json:"quota"`
+}
+
+// RevocationSettings bound the time for which a revoked key is accepted.
+type RevocationSettings struct {
+	// Within is the time in which a revoked key stops working on every host; zero: the
+	// deployment has no workspaces.
+	Within settings.Duration `json:"within" validate:"gte=0"`
+	// FailClosed makes a host refuse requests that need a key once the store has not
+	// confirmed its configuration for Within. Otherwise the host continues with the
+	// configuration that it has.
+	FailClosed bool `json:"failClosed"`
+}
+
+// QuotaSettings bound the requests of a workspace that run in a window, over all
+// hosts: (rate x window + burst) x (1 + overage) + slack.
+type QuotaSettings struct {
+	Window  settings.Duration `json:"window" validate:"gt=0"`
+	Overage float64           `json:"overage" validate:"gte=0"`
+	Slack   float64           `json:"slack" validate:"gte=0"`
+}
+
 // DefaultSettings returns the defaults.
 func DefaultSettings() Settings {
 	return Settings{
@@ -97,6 +123,9 @@
 		Stop:      StopSettings{Grace: settings.Duration(6 * time.Second), Notice: settings.Duration(2600 * time.Millisecond)},
 		MemoryMiB: 256,
 		Log:       LogSettings{Level: "info", RequestsPerSecond: 40},
+		Workspaces: WorkspaceSettings{
+			Quota: QuotaSettings{Window: settings.Duration(5 * time.Second), Overage: 0.1, Slack: 20},
+		},
 	}
 }
 
