edge, core/workspace: requests need the key of a workspace

Where the configuration has workspaces, a request of a route that is not public needs one key (401 otherwise, at once and without a server). Servers get the name of the workspace instead of the key. The key is checked against the configuration in force when the request is read and again before each attempt, so that a revocation reaches requests that wait.

A host whose configuration was not confirmed for the bound refuses requests that need a key if failClosed is set. A process that was frozen or suspended asks other daemons and the store before it accepts keys again, because what it finds in its sockets may be as old as the freeze; until then it tells others that its content is unconfirmed.

Fault: the log of unreadable requests quoted the line that could not be parsed, which showed a key in a malformed Authorization header (TestKeysAreNotShown failed). The text is now cut before anything quoted, and lines about requests without a route leave the query out.

--- a/catalog/cache.go
+++ b/catalog/cache.go
@@ -7,12 +7,15 @@
 
 	"github.com/agateusher/agateusher/core/invariant"
 	"github.com/agateusher/agateusher/core/model"
+	"github.com/agateusher/agateusher/core/workspace"
 )
 
 // View is the configuration and the servers at one moment. It is immutable.
 type View struct {
 	Config *Config
 	Routes *RouteTable
+	// Workspaces finds the workspaces of Config; nil if there is no configuration.
+	Workspaces *workspace.Table
 	// Servers includes those that are draining.
 	Servers []Server
 	// Revision is the store's revision of Servers.
@@ -79,6 +82,7 @@
 	mu                 sync.Mutex
 	config             *Config
 	routes             *RouteTable
+	workspaces         *workspace.Table
 	configCursor       Revision
 	configConfirmedAt  time.Time
 	servers            map[string]*Server
@@ -96,8 +100,8 @@
 	return &Cache{onChange: onChange, servers: map[string]*Server{}}
 }
 
-// unconfirmedAge is the age of content that the store has never confirmed.
-const unconfirmedAge = time.Hour
+// UnconfirmedAge is the age of content that the store has never confirmed.
+const UnconfirmedAge = time.Hour
 
 // Ages returns how long ago the store last confirmed the configuration and the
 // servers.
@@ -109,7 +113,7 @@
 
 func ageOf(now, at time.Time) time.Duration {
 	if at.IsZero() {
-		return unconfirmedAge
+		return UnconfirmedAge
 	}
 	return now.Sub(at)
 }
@@ -160,6 +164,7 @@
 	if config != nil && (c.config == nil || config.Epoch > c.config.Epoch) {
 		invariant.Check(c.config == nil || config.Epoch > c.config.Epoch, invariant.EpochUpward, "epoch %s", config.Epoch)
 		c.config, c.routes, applied = config, NewRouteTable(config), true
+		c.workspaces = workspace.NewTable(config.KeyPolicy, config.Workspaces, config.UnreadableWorkspaces)
 	}
 	c.configCursor = max(c.configCursor, cursor)
 	if confirmedAt.After(c.configConfirmedAt) {
@@ -382,7 +387,7 @@
 func (c *Cache) View() *View {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	v := &View{Config: c.config, Routes: c.routes, Revision: c.revision, Servers: make([]Server, 0, len(c.servers))}
+	v := &View{Config: c.config, Routes: c.routes, Workspaces: c.workspaces, Revision: c.revision, Servers: make([]Server, 0, len(c.servers))}
 	for _, s := range c.servers {
 		v.Servers = append(v.Servers, *s)
 	}
--- a/catalog/follower.go
+++ b/catalog/follower.go
@@ -194,7 +194,7 @@
 // due reports whether this daemon has to call the store now.
 func (l *syncLoop) due() bool {
 	now := time.Now()
-	if l.age(now) >= unconfirmedAge {
+	if l.age(now) >= UnconfirmedAge {
 		return l.follower.mayBootstrap(now)
 	}
 	role := l.follower.role()
@@ -262,7 +262,7 @@
 // serve requests and does not back off.
 func (l *syncLoop) backoff() time.Duration {
 	role := l.follower.role()
-	if l.age(time.Now()) >= unconfirmedAge {
+	if l.age(time.Now()) >= UnconfirmedAge {
 		return retryDelay
 	}
 	if role.Rank < relayCandidates {
--- a/catalog/fuzz_test.go
+++ b/catalog/fuzz_test.go
@@ -4,12 +4,15 @@
 	"encoding/json"
 	"testing"
 	"time"
+
+	"github.com/agateusher/agateusher/core/workspace"
 )
 
 // FuzzMerge guards against an answer of another daemon that makes this one panic, or
 // that replaces its content by older content.
 func FuzzMerge(f *testing.F) {
 	f.Add([]byte(`{"epoch":3,"config":{"epoch":3,"routes":[{"host":"a","prefix":"/","parts":null}]},"servers":{"i-1":null},"revision":12}`))
+	f.Add([]byte(`{"epoch":3,"config":{"epoch":3,"keyPolicy":"later","workspaces":[{"name":"w","keys":["47DEQpj8HBSa-_TImW-5JCeuQeRkm5NMpJWZG3hSuFU"]},{}],"unreadableWorkspaces":[{"keysUnknown":true}]}}`))
 	f.Add([]byte(`{"since":10,"removed":["i-1"],"revision":11,"serverAge":-9223372036854775808}`))
 	f.Add([]byte(`{"revision":18446744073709551615,"servers":{"i-2":{"id":"i-2","warmup":9223372036854775807}}}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
@@ -29,6 +32,7 @@
 		}
 		v := cache.View()
 		v.Routes.Match("a", "/x")
+		v.Workspaces.Decide(workspace.Request{Credentials: workspace.ParseCredentials([]string{"Bearer "}), Required: true}, func(workspace.Digest) bool { return false })
 		cache.Snapshot(now, before)
 		cache.ExpireLapsed(now)
 	})
--- a/core/model/outcome.go
+++ b/core/model/outcome.go
@@ -51,6 +51,14 @@
 	// ReasonRouteUnreadable: the request's route is in the configuration, but this
 	// version of the program cannot read it.
 	ReasonRouteUnreadable Reason = "route-unreadable"
+	// ReasonUnauthorized: the request has no key that the configuration accepts.
+	ReasonUnauthorized Reason = "unauthorized"
+	// ReasonWorkspaceUnreadable: the request's key belongs, or may belong, to a workspace
+	// that this version of the program cannot read.
+	ReasonWorkspaceUnreadable Reason = "workspace-unreadable"
+	// ReasonConfigUnconfirmed: the store has not confirmed the configuration for so long
+	// that no key is accepted.
+	ReasonConfigUnconfirmed Reason = "config-unconfirmed"
 	// ReasonInternal: the daemon failed unexpectedly while it handled the request.
 	ReasonInternal Reason = "internal"
 	// ReasonMemory: the memory for the bodies of requests is in use.
--- a/edge/conn.go
+++ b/edge/conn.go
@@ -267,7 +267,7 @@
 		// The caller disconnected in the middle of its request.
 		c.cancelRequests()
 	}
-	c.node.log.WithField("event", "request_unreadable").WithField("status", status).WithError(err).Info("cannot read a request of a caller")
+	c.node.log.WithField("event", "request_unreadable").WithField("status", status).WithField("error", describeReadError(err)).Info("cannot read a request of a caller")
 	p.close = true
 	p.response <- c.node.localResponse(nil, status, reasonBadRequest)
 	return p
--- a/edge/exchange.go
+++ b/edge/exchange.go
@@ -168,6 +168,7 @@
 	}
 	header := fleet.EndToEnd(q.header)
 	x.headers.SetAttempt(header, q.id, server.ID, remaining)
+	x.headers.SetWorkspace(header, q.workspace)
 	if _, ok := header["User-Agent"]; !ok {
 		header["User-Agent"] = nil // keeps net/http from adding its own
 	}
@@ -216,4 +217,13 @@
 	callerTimeout time.Duration
 	// reserved is the memory of the request's bodies.
 	reserved *reservation
+	// workspace is that of the request's key, which servers are told; empty: none. It
+	// is set in the copy of the request that an attempt sends.
+	workspace model.WorkspaceID
+}
+
+// path returns the request target without its query.
+func (q *request) path() string {
+	path, _, _ := strings.Cut(q.target, "?")
+	return path
 }
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -12,6 +11,7 @@
 	"github.com/agateusher/agateusher/core/balance"
 	"github.com/agateusher/agateusher/core/invariant"
 	"github.com/agateusher/agateusher/core/model"
+	"github.com/agateusher/agateusher/core/workspace"
 	"github.com/agateusher/agateusher/telemetry"
 )
 
@@ -55,11 +55,16 @@
 type forwarding struct {
 	node     *Node
 	request  *request
+	view     *catalog.View // the view that route is from
 	route    *catalog.Route
 	service  model.ServiceName
 	deadline time.Time
 	results  chan attemptResult
 
+	credentials workspace.Credentials
+	// workspace is that of the request's key; nil: none.
+	workspace *catalog.Workspace
+
 	active          map[uint64]activeAttempt
 	countedAttempts int                 // attempts that count towards max_attempts
 	excluded        []balance.ServerKey // servers that were tried already
@@ -108,8 +113,7 @@
 	if view == nil || view.Config == nil {
 		return n.logUnrouted(q, 0, n.refuse(q, model.ReasonNoConfiguration), model.ReasonNoConfiguration)
 	}
-	path, _, _ := strings.Cut(q.target, "?")
-	route, result := view.Routes.Match(q.host, path)
+	route, result := view.Routes.Match(q.host, q.path())
 	switch result {
 	case catalog.Unmatched:
 		return n.logUnrouted(q, view.Epoch(), n.localResponse(q, http.StatusNotFound, model.ReasonNoRoute), model.ReasonNoRoute)
@@ -124,10 +128,14 @@
 		timeout = min(timeout, q.callerTimeout)
 	}
 	f := &forwarding{
-		node: n, request: q, route: route, service: n.pickService(route), deadline: q.received.Add(timeout - responseMargin),
+		node: n, request: q, view: view, route: route, service: n.pickService(route), deadline: q.received.Add(timeout - responseMargin),
 		results: make(chan attemptResult, maxDials+1), active: map[uint64]activeAttempt{},
+		credentials: workspace.ParseCredentials(q.header[authorizationHeader]),
+	}
+	resp := f.refuseUnauthorized(ctx)
+	if resp == nil {
+		resp = f.run(ctx)
 	}
-	resp := f.run(ctx)
 	n.recordRequest(f, view, resp)
 	return resp
 }
@@ -278,6 +286,12 @@
 // f.reason if no server is available.
 func (f *forwarding) send(ctx context.Context, q balance.Query) bool {
 	choice, number, reason := f.chooseServer(ctx, q, f.reachedServer || len(f.active) > 0)
+	var outgoing *request
+	if reason == model.ReasonNone {
+		if outgoing, reason = f.authorize(ctx); reason != model.ReasonNone {
+			f.node.serverState.finishAttempt(attemptResult{number: number, choice: choice, verdict: Cancelled})
+		}
+	}
 	if reason != model.ReasonNone {
 		f.reason, f.permitWait = reason, choice.PermitWait
 		if reason == model.ReasonQueueFull {
@@ -298,7 +312,7 @@
 		result := attemptResult{number: number, choice: choice, verdict: ConnectionLost}
 		f.node.contain("attempt", func() {
 			crossRegion := choice.Server.Region != f.node.settings.Host.Region
-			result.verdict, result.resp, result.err = f.node.exchanger.exchange(attemptCtx, f.request, choice.Server, crossRegion, remaining,
+			result.verdict, result.resp, result.err = f.node.exchanger.exchange(attemptCtx, outgoing, choice.Server, crossRegion, remaining,
 				func() { progressAt.Store(int64(time.Since(startedAt))) })
 		})
 		result.latency = time.Since(startedAt)
@@ -411,6 +425,10 @@
 	case f.serverFailure != nil:
 		return f.serverFailure
 	case !f.mayHaveRun && len(f.active) == 0:
+		switch f.reason {
+		case model.ReasonUnauthorized, model.ReasonConfigUnconfirmed, model.ReasonWorkspaceUnreadable:
+			return f.node.refuseForKey(f.request, f.reason)
+		}
 		resp := f.node.refuse(f.request, f.reason)
 		if f.reason == model.ReasonServerLimit && f.permitWait > retryAfterDelay {
 			setRetryAfter(resp, f.permitWait)
--- a/edge/gauges.go
+++ b/edge/gauges.go
@@ -13,8 +13,13 @@
 func (n *Node) runGauges(ctx context.Context) error {
 	ticker := time.NewTicker(gaugeInterval)
 	defer ticker.Stop()
+	rebalancedAt := time.Now()
 	for {
 		n.updateGauges(time.Now())
+		if time.Since(rebalancedAt) >= usageInterval {
+			rebalancedAt = time.Now()
+			n.keys.rebalanceUsage()
+		}
 		select {
 		case <-ctx.Done():
 			return nil
--- a/edge/headers.go
+++ b/edge/headers.go
@@ -60,6 +60,9 @@
 	ParseRequest(h http.Header) (model.RequestID, time.Duration)
 	// SetAttempt sets the headers of a request to a backend server.
 	SetAttempt(h http.Header, id model.RequestID, to model.ServerID, left time.Duration)
+	// SetWorkspace replaces the name of the workspace in a request to a backend server;
+	// empty: it has none.
+	SetWorkspace(h http.Header, name model.WorkspaceID)
 	// Classify returns the verdict on a response whose body has not been read.
 	Classify(resp *http.Response, id model.RequestID) Verdict
 	// ServerLimit returns the rate limit that a response of a server names.
--- a/edge/internal_test.go
+++ b/edge/internal_test.go
@@ -12,7 +12,9 @@
 
 	"github.com/agateusher/agateusher/catalog"
 	"github.com/agateusher/agateusher/core/balance"
+	"github.com/agateusher/agateusher/core/workspace"
 	gen "github.com/agateusher/agateusher/gen/agateusher/v1"
+	"github.com/agateusher/agateusher/settings"
 	"github.com/agateusher/agateusher/telemetry"
 )
 
@@ -78,13 +80,16 @@
 	n := &Node{
 		settings: before, logger: log, log: log, requestLog: newRequestLog(log, 1),
 		serverState: newServerState(before, log), bodyMemory: newBodyMemory(before.memoryBytes()),
+		keys: newKeyState(before.Workspaces.Revocation),
 	}
 	after := before
 	after.MemoryMiB, after.Seeds = 2*before.MemoryMiB, []string{"127.0.0.1:9"}
+	after.Workspaces.Revocation = RevocationSettings{Within: settings.Duration(time.Second), FailClosed: true}
 	limit := n.bodyMemory.limit
 	g.Expect(n.Reload(after)).To(Succeed())
 	g.Expect(n.bodyMemory.limit).To(Equal(2 * limit))
 	g.Expect(*n.seeds.Load()).To(Equal(after.Seeds))
+	g.Expect(n.keys.limits).To(Equal(workspace.RevocationLimits{Within: time.Second, FailClosed: true}))
 }
 
 // Guards against bodies that use more memory together than the process has: without
--- a/edge/log.go
+++ b/edge/log.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"strings"
 	"sync/atomic"
 
 	"golang.org/x/time/rate"
@@ -91,3 +92,13 @@
 	}
 	r.log.WithFields(fields).Info(message)
 }
+
+// describeReadError returns the text of an error about a caller's request up to the
+// first part of the request that it quotes, which may be a key.
+func describeReadError(err error) string {
+	text := strings.TrimPrefix(err.Error(), "http: ")
+	if i := strings.IndexAny(text, "\":"); i >= 0 {
+		text = text[:i]
+	}
+	return strings.TrimSpace(text)
+}
--- a/edge/node.go
+++ b/edge/node.go
@@ -69,6 +69,7 @@
 	serverState    *serverState
 	sizeEstimator  sizeEstimator
 	bodyMemory     *bodyMemory
+	keys           *keyState
 	// seeds are the seeds in force.
 	seeds atomic.Pointer[[]string]
 	// splits distribute the requests of routes with several services.
@@ -124,6 +125,10 @@
 	n.exchanger = newExchanger(n.headers, responseBufferBytes(s.Host.LinkMbps))
 	n.bodyMemory = newBodyMemory(s.memoryBytes())
 	n.seeds.Store(&s.Seeds)
+	n.keys = newKeyState(s.Workspaces.Revocation)
+	if err := n.metrics.Register(newWorkspaceCollector(n.keys)); err != nil {
+		return nil, &StartError{Component: "metrics", Err: err}
+	}
 	n.serverState = newServerState(s, n.log)
 	n.cache = catalog.NewCache(n.apply)
 	if n.gossiper, err = gossip.Listen(s.localHost(), model.Incarnation(rand.Text()), gossipHandler{n}, n.log); err != nil {
@@ -172,6 +177,7 @@
 // apply makes a new view the current one.
 func (n *Node) apply(v *catalog.View) {
 	n.serverState.setServers(v)
+	n.keys.replaceTable(n.view.Load(), v)
 	before := n.view.Swap(v)
 	if n.gossiper.Role().Rank == 0 {
 		n.gossiper.Announce()
@@ -251,6 +257,7 @@
 }
 
 func (n *Node) runTick(now time.Time) {
+	n.tickKeys()
 	n.serverState.tick()
 	for _, id := range n.cache.ExpireLapsed(now) {
 		n.log.WithFields(telemetry.Fields{"event": "server_lapsed", "server": id}).Info("removed a backend server whose entry did not come back")
@@ -283,7 +290,7 @@
 func (p gossipHandler) State() gossip.State {
 	v := p.cache.Versions()
 	config, servers := p.cache.Ages(time.Now())
-	return gossip.State{Leaving: p.draining.Load(), Epoch: v.Epoch, Revision: uint64(v.Revision), ConfirmedAge: max(config, servers), StoreFailing: p.follower.StoreFailing()}
+	return gossip.State{Leaving: p.draining.Load(), Epoch: v.Epoch, Revision: uint64(v.Revision), ConfirmedAge: p.exportedAge(max(config, servers)), StoreFailing: p.follower.StoreFailing()}
 }
 
 // heartbeatTransitTime is added to the age in a heartbeat, to account for the time
--- a/edge/pull.go
+++ b/edge/pull.go
@@ -121,6 +121,7 @@
 			p.node.log.WithFields(telemetry.Fields{"event": "pull_failed", "peer": address}).WithError(err).Info("cannot fetch newer content from another daemon")
 			return
 		}
+		p.node.dropUndecoded(&snapshot)
 		if p.node.mustConfirm(snapshot) {
 			p.node.follower.Demand()
 			return
--- a/edge/reload.go
+++ b/edge/reload.go
@@ -9,7 +9,7 @@
 	"github.com/agateusher/agateusher/telemetry"
 )
 
-// Reload applies changed seeds, memory, retry, stop and log settings. It either applies
+// Reload applies changed seeds, memory, retry, revocation, stop and log settings. It either applies
 // all of these, or none and returns a *RestartError or a *telemetry.LogLevelError. A
 // change of host, listeners, store or regions is a *RestartError.
 func (n *Node) Reload(next Settings) error {
@@ -25,6 +25,7 @@
 	n.serverState.setBudget(next.Retries)
 	n.bodyMemory.setProcessBytes(next.memoryBytes())
 	n.seeds.Store(&next.Seeds)
+	n.keys.configure(next.Workspaces.Revocation)
 	n.settings.Retries, n.settings.Stop, n.settings.Log = next.Retries, next.Stop, next.Log
 	return nil
 }
--- a/edge/requestlog.go
+++ b/edge/requestlog.go
@@ -57,10 +57,11 @@
 // recordRequest logs a request and records its latency and, unless it failed, its
 // response size.
 func (n *Node) recordRequest(f *forwarding, v *catalog.View, resp *response) {
+	f.recordWorkspace()
 	took := time.Since(f.request.received)
 	n.metrics.Scope.Histogram("request_latency", telemetry.LatencyBuckets).RecordDuration(took)
 	failed := resp.status >= http.StatusInternalServerError
-	if !failed && resp.length >= 0 {
+	if !failed && resp.length >= 0 && f.dials > 0 {
 		n.sizeEstimator.sample(f.route.Name, int(resp.length))
 	}
 	for _, a := range f.active {
@@ -68,11 +69,14 @@
 	}
 	fields := telemetry.Fields{
 		"event": "request", "id": f.request.id, "route": f.route.Name, "service": f.service, "status": resp.status,
-		"took": took.Round(time.Millisecond), "epoch": v.Epoch(), "revision": v.Revision, "attempts": strings.Join(f.attemptNotes, " "),
+		"took": took.Round(time.Millisecond), "epoch": v.Epoch(), "revision": v.Revision, "attempts": strings.Join(f.attemptNotes, " "), "priority": f.priority(),
 	}
 	if f.reason != "" {
 		fields["reason"] = f.reason
 	}
+	if f.workspace != nil {
+		fields["workspace"] = f.workspace.Name
+	}
 	if f.budgetRefused {
 		fields["no_repeat"] = "retry-budget"
 	}
@@ -83,7 +87,7 @@
 // returns resp.
 func (n *Node) logUnrouted(q *request, epoch model.Epoch, resp *response, reason model.Reason) *response {
 	n.requestLog.write(true, "request answered", telemetry.Fields{
-		"event": "request", "id": q.id, "target_host": q.host, "path": q.target, "status": resp.status, "reason": reason, "epoch": epoch,
+		"event": "request", "id": q.id, "target_host": q.host, "path": q.path(), "status": resp.status, "reason": reason, "epoch": epoch,
 	})
 	return resp
 }
--- a/edge/servers.go
+++ b/edge/servers.go
@@ -91,7 +91,9 @@
 	if epochErr != nil || revisionErr != nil {
 		has = catalog.Versions{}
 	}
-	n.writeJSON(w, n.cache.Snapshot(time.Now(), has))
+	snapshot := n.cache.Snapshot(time.Now(), has)
+	snapshot.ConfigAge = n.exportedAge(snapshot.ConfigAge)
+	n.writeJSON(w, snapshot)
 }
 
 func (n *Node) serveHosts(w http.ResponseWriter, _ *http.Request) {
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -22,7 +22,9 @@
 type Metrics struct {
 	Scope   Scope
 	Handler http.Handler
-	closer  io.Closer
+
+	registry *promclient.Registry
+	closer   io.Closer
 }
 
 // NewMetrics returns a scope whose metric names start with prefix. Handler
@@ -35,9 +37,12 @@
 		CachedReporter: reporter,
 		Separator:      prometheus.DefaultSeparator,
 	}, reportInterval)
-	return &Metrics{Scope: scope, Handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{}), closer: closer}
+	return &Metrics{Scope: scope, Handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{}), registry: registry, closer: closer}
 }
 
+// Register adds a collector whose metrics Handler serves too.
+func (m *Metrics) Register(c promclient.Collector) error { return m.registry.Register(c) }
+
 // Close stops copying values to the Prometheus registry.
 func (m *Metrics) Close() error { return m.closer.Close() }
 
