--- a/catalog/cache.go
+++ b/catalog/cache.go
@@ -8,12 +8,15 @@
 	"github.com/agateusher/agateusher/core/invariant"
 	"github.com/agateusher/agateusher/core/model"
 	"github.com/agateusher/agateusher/core/outage"
+	"github.com/agateusher/agateusher/core/workspace"
 )
 
 // View is the configuration and the servers at one moment. It is immutable.
 type View struct {
 	Config *Config
 	Routes *RouteTable
+	// Workspaces finds the workspaces of Config; nil if there is no configuration.
+	Workspaces *workspace.Table
 	// Servers includes those that are draining.
 	Servers []Server
 	// Revision is the store's revision of Servers.
@@ -50,10 +53,10 @@
 	ConfigSince   model.Epoch       `json:"configSince,omitempty"`
 	RemovedRoutes []model.RouteName `json:"removedRoutes,omitempty"`
 	// ConfigFollows is set in the encoded form if Config is encoded behind the snapshot.
-	ConfigFollows bool `json:"configFollows,omitempty"`
-	Epoch        model.Epoch   `json:"epoch,omitempty"`
-	ConfigCursor Revision      `json:"configCursor"`
-	ConfigAge    time.Duration `json:"configAge"`
+	ConfigFollows bool          `json:"configFollows,omitempty"`
+	Epoch         model.Epoch   `json:"epoch,omitempty"`
+	ConfigCursor  Revision      `json:"configCursor"`
+	ConfigAge     time.Duration `json:"configAge"`
 	// Since is the revision that Servers and Removed are the changes to; zero:
 	// Servers is the whole set.
 	Since   Revision           `json:"since,omitempty"`
@@ -87,6 +90,7 @@
 	mu                sync.Mutex
 	config            *Config
 	routes            *RouteTable
+	workspaces        *workspace.Table
 	configCursor      Revision
 	configConfirmedAt time.Time
 	// servers is what the store said at revision, and all that other daemons receive.
@@ -110,8 +114,8 @@
 	return &Cache{onChange: onChange, servers: map[string]*Server{}, retained: map[string]*Server{}}
 }
 
-// unconfirmedAge is the age of content that the store has never confirmed.
-const unconfirmedAge = time.Hour
+// UnconfirmedAge is the age of content that the store has never confirmed.
+const UnconfirmedAge = time.Hour
 
 // Ages returns how long ago the store last confirmed the configuration and the
 // servers.
@@ -123,7 +127,7 @@
 
 func ageOf(now, at time.Time) time.Duration {
 	if at.IsZero() {
-		return unconfirmedAge
+		return UnconfirmedAge
 	}
 	return now.Sub(at)
 }
@@ -175,6 +179,7 @@
 		invariant.Check(c.config == nil || config.Epoch > c.config.Epoch, invariant.EpochUpward, "epoch %s", config.Epoch)
 		c.recordConfigChange(config)
 		c.config, c.routes, applied = config, NewRouteTable(config), true
+		c.workspaces = workspace.NewTable(config.KeyPolicy, config.Workspaces, config.UnreadableWorkspaces)
 	}
 	c.configCursor = max(c.configCursor, cursor)
 	if confirmedAt.After(c.configConfirmedAt) {
@@ -383,7 +388,7 @@
 func (c *Cache) View() *View {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	v := &View{Config: c.config, Routes: c.routes, Revision: c.revision, Servers: make([]Server, 0, len(c.servers)+len(c.retained))}
+	v := &View{Config: c.config, Routes: c.routes, Workspaces: c.workspaces, Revision: c.revision, Servers: make([]Server, 0, len(c.servers)+len(c.retained))}
 	for _, s := range c.servers {
 		v.Servers = append(v.Servers, *s)
 	}
--- a/catalog/follower.go
+++ b/catalog/follower.go
@@ -165,7 +165,7 @@
 // due reports whether this daemon has to call the store now.
 func (l *syncLoop) due() bool {
 	now := time.Now()
-	if l.age(now) >= unconfirmedAge {
+	if l.age(now) >= UnconfirmedAge {
 		return l.follower.MayStart()
 	}
 	role := l.follower.role()
--- a/catalog/loop.go
+++ b/catalog/loop.go
@@ -62,8 +62,9 @@
 type call struct {
 	*transfer.Transfer
 	startedAt time.Time
-	// waits is set for a watch that waits for a change.
-	waits bool
+	// whole is set for a read of the whole content, waits for a watch that waits for a
+	// change.
+	whole, waits bool
 	// interrupted is set if a failed check ended the watch.
 	interrupted bool
 }
@@ -71,21 +72,21 @@
 // startRead returns the context of a read of the whole content, and a function to be
 // called with its error at its end, which returns the error to report.
 func (l *syncLoop) startRead(ctx context.Context) (context.Context, func(error) error) {
-	return l.start(ctx, readFirst, false)
+	return l.start(ctx, readFirst, call{whole: true})
 }
 
 // startWatch is startRead for a watch that waits for the given time.
 func (l *syncLoop) startWatch(ctx context.Context, wait time.Duration) (context.Context, func(error) error) {
-	return l.start(ctx, max(minWatchFirst, wait+watchMargin), wait >= watchWait)
+	return l.start(ctx, max(minWatchFirst, wait+watchMargin), call{waits: wait >= watchWait})
 }
 
-func (l *syncLoop) start(ctx context.Context, first time.Duration, waits bool) (context.Context, func(error) error) {
-	c := &call{startedAt: time.Now(), waits: waits}
+func (l *syncLoop) start(ctx context.Context, first time.Duration, c call) (context.Context, func(error) error) {
+	c.startedAt = time.Now()
 	ctx, c.Transfer = transfer.Start(ctx, transfer.Limit{First: first, Stall: stall}, l.follower.recordReceived)
 	l.mu.Lock()
-	l.call = c
+	l.call = &c
 	l.mu.Unlock()
-	return ctx, func(err error) error { return l.end(c, err) }
+	return ctx, func(err error) error { return l.end(&c, err) }
 }
 
 // end ends a call and returns the error to report.
@@ -119,12 +120,13 @@
 	}
 }
 
-// fetching reports whether a call that may bring content has begun a moment ago, or is
-// receiving.
+// fetching reports whether a read of the whole content has begun a moment ago, or a call is
+// receiving. A watch that does not wait usually brings nothing, so that it is not
+// announced before its response arrives.
 func (l *syncLoop) fetching(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.call != nil && (l.call.Receiving() || (!l.call.waits && now.Sub(l.call.startedAt) < fetchNotice))
+	return l.call != nil && (l.call.Receiving() || (l.call.whole && now.Sub(l.call.startedAt) < fetchNotice))
 }
 
 // Fetching reports whether this daemon receives content from the store, so that others
--- a/edge/content.go
+++ b/edge/content.go
@@ -75,7 +75,7 @@
 		if has.Epoch != own.Epoch {
 			has.Epoch = 0
 		}
-		n.writeJSON(w, n.cache.Snapshot(time.Now(), has))
+		n.writeJSON(w, n.snapshot(has))
 		return
 	}
 	region := model.Region(q.Get(regionParameter))
@@ -89,13 +89,20 @@
 	}
 }
 
+// snapshot returns the content for a daemon that has the given versions.
+func (n *Node) snapshot(has catalog.Versions) catalog.Snapshot {
+	s := n.cache.Snapshot(time.Now(), has)
+	s.ConfigAge = n.exportedAge(s.ConfigAge)
+	return s
+}
+
 func (n *Node) refuseContent(w http.ResponseWriter, status int, reason string) {
 	n.content.sent.Inc(reason, "")
 	w.WriteHeader(status)
 }
 
 func (n *Node) sendContent(w http.ResponseWriter, has catalog.Versions) {
-	s := n.cache.Snapshot(time.Now(), has)
+	s := n.snapshot(has)
 	result := "difference"
 	if s.Config != nil && s.ConfigSince == 0 {
 		result = "whole"
--- a/edge/pull.go
+++ b/edge/pull.go
@@ -162,6 +162,9 @@
 	for range 2 {
 		startedAt := time.Now()
 		snapshot, err := p.get(ctx, address, has, anyRegion)
+		if err == nil {
+			p.node.dropUndecoded(&snapshot)
+		}
 		if err == nil && p.node.mustConfirm(snapshot) {
 			p.node.follower.Demand()
 			err = errNotConfirmed
