usher-edge: install the handler of SIGHUP first

A SIGHUP that arrived before the listeners were open ended the process: the handler was installed by the goroutine that reloads. It is now installed by the first statement of main, and a signal of the start is handled once the daemon runs. TestSIGHUPWhileStarting, which blocks the start in the reading of the settings, failed before and passes.

--- a/cmd/usher-edge/main.go
+++ b/cmd/usher-edge/main.go
@@ -29,9 +29,15 @@
 	Check    bool   `long:"check" description:"validate the settings and exit"`
 }
 
-func main() { os.Exit(run(os.Args[1:])) }
+func main() {
+	// Until there is a handler, SIGHUP ends the process. A signal that arrives during
+	// the start is handled once the daemon runs.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	os.Exit(run(os.Args[1:], hangups))
+}
 
-func run(args []string) int {
+func run(args []string, hangups <-chan os.Signal) int {
 	var o options
 	if _, err := flags.NewParser(&o, flags.Default).ParseArgs(args); err != nil {
 		var help *flags.Error
@@ -64,7 +70,7 @@
 	node.HandleViolations()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	go reload(ctx, node, o.Settings)
+	go reload(ctx, hangups, node, o.Settings)
 	if err := node.Run(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailure
@@ -72,10 +78,8 @@
 	return 0
 }
 
-// reload reloads the settings on each SIGHUP until ctx ends.
-func reload(ctx context.Context, node *edge.Node, path string) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
+// reload reloads the settings on each of the signals until ctx ends.
+func reload(ctx context.Context, hangups <-chan os.Signal, node *edge.Node, path string) {
 	for {
 		select {
 		case <-ctx.Done():
--- a/edge/reload_test.go
+++ b/edge/reload_test.go
@@ -20,9 +20,7 @@
 	s.configure(2*time.Second, "")
 	s.server("i-1", service)
 	dir := t.TempDir()
-	program, path := filepath.Join(dir, "usher-edge"), filepath.Join(dir, "settings.jsonc")
-	out, err := exec.Command("go", "build", "-o", program, "../cmd/usher-edge").CombinedOutput()
-	s.g.Expect(err).NotTo(HaveOccurred(), string(out))
+	program, path := buildDaemon(s, dir), filepath.Join(dir, "settings.jsonc")
 	set := s.settings("h1")
 	save := func() {
 		data, err := json.Marshal(set)
@@ -53,3 +51,46 @@
 	s.g.Eventually(log.String).WithTimeout(2 * time.Second).Should(ContainSubstring("invalid syntax"))
 	s.g.Expect(s.read(d, "r").status).To(Equal(200))
 }
+
+// Guards against a SIGHUP that ends the process because it arrives before the daemon
+// has read its settings.
+func TestSIGHUPWhileStarting(t *testing.T) {
+	s := newSite(t)
+	s.configure(2*time.Second, "")
+	s.server("i-1", service)
+	set := s.settings("h1")
+	dir := t.TempDir()
+	path := filepath.Join(dir, "settings.jsonc")
+	data, err := json.Marshal(set)
+	s.g.Expect(err).NotTo(HaveOccurred())
+	// The daemon blocks in the start until the pipe has a writer.
+	s.g.Expect(syscall.Mkfifo(path, 0o600)).To(Succeed())
+	log := &syncBuffer{}
+	cmd := exec.Command(buildDaemon(s, dir), "--settings", path)
+	cmd.Stdout, cmd.Stderr = log, log
+	s.g.Expect(cmd.Start()).To(Succeed())
+	t.Cleanup(func() {
+		_ = cmd.Process.Signal(syscall.SIGTERM)
+		_ = cmd.Wait()
+	})
+	pipe, err := os.OpenFile(path, os.O_WRONLY, 0) // returns once the daemon reads
+	s.g.Expect(err).NotTo(HaveOccurred())
+	s.g.Expect(cmd.Process.Signal(syscall.SIGHUP)).To(Succeed())
+	file := path + ".new"
+	s.g.Expect(os.WriteFile(file, data, 0o600)).To(Succeed())
+	s.g.Expect(os.Rename(file, path)).To(Succeed())
+	_, err = pipe.Write(data)
+	s.g.Expect(err).NotTo(HaveOccurred(), "the daemon has exited")
+	s.g.Expect(pipe.Close()).To(Succeed())
+	s.ready(&daemon{settings: set, log: log})
+	s.g.Eventually(log.String).WithTimeout(2 * time.Second).Should(ContainSubstring("event=reloaded"))
+}
+
+// buildDaemon builds the program into dir and returns its path.
+func buildDaemon(s *site, dir string) string {
+	s.t.Helper()
+	program := filepath.Join(dir, "usher-edge")
+	out, err := exec.Command("go", "build", "-o", program, "../cmd/usher-edge").CombinedOutput()
+	s.g.Expect(err).NotTo(HaveOccurred(), string(out))
+	return program
+}
