--- a/edge/body.go
+++ b/edge/body.go
@@ -71,6 +71,13 @@
 	m.limit = int64(bodyMemoryShare * float64(processBytes))
 }
 
+// scarce reports whether more than half of the memory is in use.
+func (m *bodyMemory) scarce() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.used > m.limit/2
+}
+
 // inUse returns the bytes that are reserved.
 func (m *bodyMemory) inUse() int64 {
 	m.mu.Lock()
@@ -120,7 +127,13 @@
 // is set if the body ended within the limit. errNoMemory means that a part was read
 // and the memory for more is not available.
 func readBody(body io.Reader, limit int, r *reservation, progress func()) (data []byte, whole bool, err error) {
-	reserved, reported := unreservedBytes, 0
+	return continueBody(nil, unreservedBytes, body, limit, r, progress)
+}
+
+// continueBody is like readBody for a body of which data was read already, with memory
+// for reserved bytes.
+func continueBody(data []byte, reserved int, body io.Reader, limit int, r *reservation, progress func()) (_ []byte, whole bool, err error) {
+	reported := len(data)
 	for {
 		if len(data) == limit {
 			// The body may end here.
--- a/edge/exchange.go
+++ b/edge/exchange.go
@@ -44,7 +44,7 @@
 
 // close ends the attempt that a streamed response comes from.
 func (r *response) close() {
-	if r.rest != nil {
+	if r != nil && r.rest != nil {
 		_ = r.rest.Close()
 	}
 }
@@ -101,7 +101,7 @@
 		_ = resp.Body.Close()
 		return verdict, &response{status: resp.StatusCode, header: http.Header{}, limit: limit}, nil
 	}
-	r, err := x.readResponse(ctx, resp, verdict, q.reserved, progress)
+	r, err := x.readResponse(ctx, resp, verdict, q, progress)
 	if err != nil {
 		_ = resp.Body.Close()
 		return classifyError(ctx, true), nil, err
@@ -124,13 +124,13 @@
 
 // readResponse reads the body of a response, or its first part if it is long and
 // the response is usable.
-func (x *exchanger) readResponse(ctx context.Context, resp *http.Response, verdict Verdict, reserved *reservation, progress func()) (*response, error) {
+func (x *exchanger) readResponse(ctx context.Context, resp *http.Response, verdict Verdict, q *request, progress func()) (*response, error) {
 	r := &response{status: resp.StatusCode}
 	if resp.Request.Method == http.MethodHead || resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified {
 		r.length = resp.ContentLength
 		return r, nil
 	}
-	body, whole, err := readBody(resp.Body, x.bufferBytes, reserved, progress)
+	body, whole, err := readResponseBody(resp.Body, x.bufferBytes, q, progress)
 	if err != nil && !errors.Is(err, errNoMemory) {
 		return nil, err
 	}
@@ -216,4 +216,7 @@
 	callerTimeout time.Duration
 	// reserved is the memory of the request's bodies.
 	reserved *reservation
+	// stream asks whether a response may be streamed before it has arrived whole; nil:
+	// it may. force is set if it cannot be buffered.
+	stream func(force bool) bool
 }
--- a/standin/consortium/server.go
+++ b/standin/consortium/server.go
@@ -75,6 +75,11 @@
 	// NoContent runs the request and answers 204, followed by bytes that are no
 	// answer.
 	NoContent
+	// HeadOnly runs the request and sends a header without a length and nothing more,
+	// as is usual for HEAD.
+	HeadOnly
+	// LargePaused sends LargeBody with a pause of LargePause in the middle.
+	LargePaused
 	// AnswerEarly runs the request, answers 413 before reading the body, and then
 	// reads it.
 	AnswerEarly
@@ -296,6 +301,9 @@
 	return strings.Repeat(line, LargeBodyBytes/len(line)+1)[:LargeBodyBytes]
 }
 
+// LargePause is the pause of LargePaused.
+const LargePause = 400 * time.Millisecond
+
 // dripInterval is the pause between the bytes of DripBody and DripHead.
 const dripInterval = 20 * time.Millisecond
 
@@ -336,6 +344,14 @@
 		return write(c, status+headers+length+body)
 	case LargeChunked:
 		return write(c, status+headers+chunked+chunk+"0\r\n\r\n")
+	case HeadOnly:
+		return write(c, status+headers+"\r\n")
+	case LargePaused:
+		if !write(c, status+headers+length+body[:len(body)/2]) {
+			return false
+		}
+		time.Sleep(LargePause)
+		return write(c, body[len(body)/2:])
 	case LargeTruncated:
 		write(c, status+headers+length+body[:len(body)/2])
 		return false
@@ -368,7 +384,7 @@
 	idHeader := "Agateusher-Request-Id: " + received.ID + "\r\n" + s.limitHeader()
 	signatureHeader := "Agateusher-Response-Signature: " + s.ID + "." + received.ID + "\r\n"
 	lengthHeader := fmt.Sprintf("Content-Length: %d\r\n", len(body))
-	if b >= Large && b <= NoContent {
+	if b >= Large && b <= LargePaused {
 		return s.respondLarge(c, received, b, idHeader+signatureHeader)
 	}
 	response := "HTTP/1.1 200 OK\r\n" + idHeader + signatureHeader + lengthHeader + "\r\n" + body
