--- a/cmd/usher-edge/main.go
+++ b/cmd/usher-edge/main.go
@@ -14,6 +14,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"github.com/agateusher/agateusher/edge"
+	"github.com/agateusher/agateusher/internal/hangup"
 	"github.com/agateusher/agateusher/platform"
 	"github.com/agateusher/agateusher/telemetry"
 )
@@ -29,15 +30,9 @@
 	Check    bool   `long:"check" description:"validate the settings and exit"`
 }
 
-func main() {
-	// Until there is a handler, SIGHUP ends the process. A signal that arrives during
-	// the start is handled once the daemon runs.
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	os.Exit(run(os.Args[1:], hangups))
-}
+func main() { os.Exit(run(os.Args[1:])) }
 
-func run(args []string, hangups <-chan os.Signal) int {
+func run(args []string) int {
 	var o options
 	if _, err := flags.NewParser(&o, flags.Default).ParseArgs(args); err != nil {
 		var help *flags.Error
@@ -70,7 +65,7 @@
 	node.HandleViolations()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	go reload(ctx, hangups, node, o.Settings)
+	go reload(ctx, node, o.Settings)
 	if err := node.Run(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailure
@@ -78,13 +73,14 @@
 	return 0
 }
 
-// reload reloads the settings on each of the signals until ctx ends.
-func reload(ctx context.Context, hangups <-chan os.Signal, node *edge.Node, path string) {
+// reload reloads the settings on each SIGHUP until ctx ends, also on one that arrived
+// while the daemon started.
+func reload(ctx context.Context, node *edge.Node, path string) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-hangups:
+		case <-hangup.Signals():
 			s, err := edge.LoadSettings(path)
 			if err == nil {
 				err = node.Reload(s)
