--- a/edge/reload_test.go
+++ b/edge/reload_test.go
@@ -29,13 +29,7 @@
 	}
 	save()
 	log := &syncBuffer{}
-	cmd := exec.Command(program, "--settings", path)
-	cmd.Stdout, cmd.Stderr = log, log
-	s.g.Expect(cmd.Start()).To(Succeed())
-	t.Cleanup(func() {
-		_ = cmd.Process.Signal(syscall.SIGTERM)
-		_ = cmd.Wait()
-	})
+	cmd := s.start(program, path, log)
 	d := s.ready(&daemon{settings: set, log: log})
 
 	set.Retries.Slack = 3
@@ -66,13 +60,7 @@
 	// The daemon blocks in the start until the pipe has a writer.
 	s.g.Expect(syscall.Mkfifo(path, 0o600)).To(Succeed())
 	log := &syncBuffer{}
-	cmd := exec.Command(buildDaemon(s, dir), "--settings", path)
-	cmd.Stdout, cmd.Stderr = log, log
-	s.g.Expect(cmd.Start()).To(Succeed())
-	t.Cleanup(func() {
-		_ = cmd.Process.Signal(syscall.SIGTERM)
-		_ = cmd.Wait()
-	})
+	cmd := s.start(buildDaemon(s, dir), path, log)
 	pipe, err := os.OpenFile(path, os.O_WRONLY, 0) // returns once the daemon reads
 	s.g.Expect(err).NotTo(HaveOccurred())
 	s.g.Expect(cmd.Process.Signal(syscall.SIGHUP)).To(Succeed())
@@ -94,3 +82,16 @@
 	s.g.Expect(err).NotTo(HaveOccurred(), string(out))
 	return program
 }
+
+// start runs the program until the end of the test.
+func (s *site) start(program, settingsPath string, log *syncBuffer) *exec.Cmd {
+	s.t.Helper()
+	cmd := exec.Command(program, "--settings", settingsPath)
+	cmd.Stdout, cmd.Stderr = log, log
+	s.g.Expect(cmd.Start()).To(Succeed())
+	s.t.Cleanup(func() {
+		_ = cmd.Process.Signal(syscall.SIGTERM)
+		_ = cmd.Wait()
+	})
+	return cmd
+}
--- /dev/null
+++ b/edge/upload_test.go
@@ -0,0 +1,159 @@
+package edge_test
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/agateusher/agateusher/standin/consortium"
+)
+
+const uploadRoute = `,"r-up":{"host":"api.example","path_prefix":"/up/","route_type":"upload","timeout_ms":4000,"target_latency_ms":2000,"priority":1,"service":"atlas","max_attempts":2}`
+
+// uploadSite has a server for uploads and one for other requests, and routes for both.
+func uploadSite(t *testing.T) (s *site, uploads *consortium.Server) {
+	s = newSite(t)
+	s.store.Put("config", "main", fmt.Sprintf(`{"version":1,"routes":{`+routes+uploadRoute+`},"services":{},"limits":{"max_header_bytes":8192,"max_body_bytes":1048576,"header_timeout_ms":3000,"idle_timeout_ms":30000}}`, 3000), "")
+	for _, id := range []string{"i-reads", "i-uploads"} {
+		server, err := consortium.NewServer(id, 1)
+		s.g.Expect(err).NotTo(HaveOccurred())
+		t.Cleanup(server.Close)
+		name := service
+		if id == "i-uploads" {
+			uploads, name = server, otherService
+		}
+		spec, status := server.Entry(name, zone, "in_service", 400)
+		s.store.Put("servers", id, spec, status)
+	}
+	return s, uploads
+}
+
+// uploadBody returns the body of an upload; each has a different one.
+func uploadBody(id string, size int) string {
+	return strings.Repeat(id+";", size/len(id)+1)[:size]
+}
+
+// upload sends an upload in parts over a time, and returns the status of the response;
+// zero: none. With leave it closes the connection after half of the body.
+func (d *daemon) upload(id string, size int, over time.Duration, leave bool) int {
+	c, err := net.Dial("tcp4", d.settings.Listeners.Caller)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(over + 10*time.Second))
+	body := uploadBody(id, size)
+	head := request("POST", "/up/x", id, "", fmt.Sprintf("Content-Length: %d\r\n", size))
+	if _, err := io.WriteString(c, head); err != nil {
+		return 0
+	}
+	const parts = 20
+	for i := range parts {
+		if leave && i == parts/2 {
+			return 0
+		}
+		if _, err := io.WriteString(c, body[i*size/parts:(i+1)*size/parts]); err != nil {
+			break // a response may have arrived
+		}
+		time.Sleep(over / parts)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0
+	}
+	return resp.StatusCode
+}
+
+// checkUpload compares the status of an upload with what the server ran.
+func (s *site) checkUpload(server map[string][]consortium.ReceivedRequest, id string, size, status int) {
+	s.t.Helper()
+	ran := 0
+	for _, x := range server[id] {
+		if x.Ran {
+			ran++
+			s.g.Expect(string(x.Body) == uploadBody(id, size)).To(BeTrue(), "%s: %d bytes of %d", id, len(x.Body), size)
+		}
+	}
+	s.g.Expect(ran).To(BeNumerically("<=", 1), id)
+	switch status {
+	case http.StatusOK:
+		s.g.Expect(ran).To(Equal(1), id)
+	case http.StatusServiceUnavailable, http.StatusRequestTimeout:
+		s.g.Expect(ran).To(BeZero(), id)
+	}
+}
+
+func byID(requests []consortium.ReceivedRequest) map[string][]consortium.ReceivedRequest {
+	m := map[string][]consortium.ReceivedRequest{}
+	for _, x := range requests {
+		m[x.ID] = append(m[x.ID], x)
+	}
+	return m
+}
+
+var peakMemory = regexp.MustCompile(`VmHWM:\s+(\d+) kB`)
+
+// Guards against slow uploads that use more memory than the smallest host has, that are
+// run twice, cut or answered as done when cut, and that break other requests.
+func TestManySlowUploads(t *testing.T) {
+	const uploads, memoryMiB, over = 2000, 136, 5 * time.Second
+	s, server := uploadSite(t)
+	set := s.settings("h1")
+	set.MemoryMiB = memoryMiB
+	dir := t.TempDir()
+	path := filepath.Join(dir, "settings.jsonc")
+	data, err := json.Marshal(set)
+	s.g.Expect(err).NotTo(HaveOccurred())
+	s.g.Expect(os.WriteFile(path, data, 0o600)).To(Succeed())
+	log := &syncBuffer{}
+	process := s.start(buildDaemon(s, dir), path, log).Process
+	d := s.ready(&daemon{settings: set, log: log})
+
+	random := rand.New(rand.NewPCG(1, 1))
+	sizes, statuses := make([]int, uploads), make([]int, uploads)
+	var wait sync.WaitGroup
+	for i := range uploads {
+		sizes[i] = min(1000+int(random.ExpFloat64()*60000), 360000)
+		wait.Go(func() {
+			time.Sleep(time.Duration(i) * time.Second / uploads)
+			statuses[i] = d.upload(fmt.Sprint("up-", i), sizes[i], over, i%10 == 0)
+		})
+	}
+	done := make(chan struct{})
+	go func() { wait.Wait(); close(done) }()
+	reads := 0
+	for ended := false; !ended; reads++ {
+		s.g.Expect(s.read(d, fmt.Sprint("read-", reads)).status).To(Equal(http.StatusOK))
+		select {
+		case <-done:
+			ended = true
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+	counts := map[int]int{}
+	requests := byID(server.Requests())
+	for i, status := range statuses {
+		counts[status]++
+		s.checkUpload(requests, fmt.Sprint("up-", i), sizes[i], status)
+	}
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", process.Pid))
+	s.g.Expect(err).NotTo(HaveOccurred())
+	peakKB, err := strconv.Atoi(peakMemory.FindStringSubmatch(string(text))[1])
+	s.g.Expect(err).NotTo(HaveOccurred())
+	t.Logf("%d uploads in %s: statuses %v, %d other requests, peak %d KiB", uploads, over, counts, reads, peakKB)
+	s.g.Expect(peakKB).To(BeNumerically("<", memoryMiB<<10))
+}
