edge: uploads that are slow, cut or refused; requests wait for their turn when read

Uploads: - A server that answers 2xx before it has the whole body ends its connection and gets no more of it; the answer was passed on as success and is now 502. - A caller that still sent its body when it was refused had its connection reset 0.5 s after the response; it is now read while it sends, 5 s at most. - A planned stop cut a slow upload without a response; it now gets 408. - The time limit of a body was 20 s whatever its length; it grows by a second for each 4 KiB. - Bodies of more than 32 KiB leave a quarter of the memory for bodies to other requests, and the buffer of a body grows to its length at most.

Pipelines: a request behind a streamed response waited in the reading goroutine, so that the time of those behind it began late, and another attempt could begin to stream between the check and the forwarding. Requests now wait one by one, the check and the record are one step, and a request whose time ended while it waited is refused with 503 and not sent.

--- a/core/pipeline/pipeline.go
+++ b/core/pipeline/pipeline.go
@@ -46,29 +46,36 @@
 	return p.last, true
 }
 
-// MayForward reports whether a request may be forwarded now. memoryScarce is set if a
-// response could probably not be buffered; requests are then forwarded one at a time.
-func (p *Pipeline) MayForward(n Number, memoryScarce bool) bool {
-	for _, r := range p.requests {
-		if r.number >= n {
-			break
-		}
-		if r.streamed || memoryScarce {
-			return false
-		}
-	}
-	return true
-}
+// Decision is whether a request is forwarded.
+type Decision uint8
 
-// Forward records that a request is forwarded. It returns false if the connection is
-// closing: the request must then not be forwarded.
-func (p *Pipeline) Forward(n Number) bool {
+const (
+	// Wait: not yet.
+	Wait Decision = iota
+	// Forwarded: the request is forwarded now.
+	Forwarded
+	// Dropped: the connection is closing, and the request must not be forwarded.
+	Dropped
+)
+
+// Forward decides whether a request is forwarded now, and records it if so. memoryScarce is
+// set if a response could probably not be buffered; requests are then forwarded one at a
+// time.
+func (p *Pipeline) Forward(n Number, memoryScarce bool) Decision {
 	r := p.find(n)
 	if r == nil || p.closing {
-		return false
+		return Dropped
+	}
+	for _, ahead := range p.requests {
+		if ahead.number >= n {
+			break
+		}
+		if ahead.streamed || memoryScarce {
+			return Wait
+		}
 	}
 	r.forwarded = true
-	return true
+	return Forwarded
 }
 
 // Stream asks whether a response may be streamed before it has arrived whole, and records
--- a/core/pipeline/pipeline_test.go
+++ b/core/pipeline/pipeline_test.go
@@ -18,21 +18,18 @@
 	g := NewWithT(t)
 	var p Pipeline
 	first, second, third := add(g, &p), add(g, &p), add(g, &p)
-	g.Expect(p.MayForward(second, false)).To(BeTrue())
-	g.Expect(p.MayForward(first, true)).To(BeTrue())
-	g.Expect(p.MayForward(second, true)).To(BeFalse(), "memory is scarce")
-	g.Expect(p.Forward(first)).To(BeTrue())
-	g.Expect(p.Forward(second)).To(BeTrue())
+	g.Expect(p.Forward(first, true)).To(Equal(Forwarded))
+	g.Expect(p.Forward(second, true)).To(Equal(Wait), "memory is scarce")
+	g.Expect(p.Forward(second, false)).To(Equal(Forwarded))
 	allowed, exposed := p.Stream(first, false)
 	g.Expect(allowed).To(BeFalse())
 	g.Expect(exposed).To(Equal(1))
 	allowed, _ = p.Stream(second, false)
 	g.Expect(allowed).To(BeTrue(), "the third request has not been forwarded")
-	g.Expect(p.MayForward(third, false)).To(BeFalse())
-	g.Expect(p.MayForward(first, false)).To(BeTrue())
+	g.Expect(p.Forward(third, false)).To(Equal(Wait))
 	p.Done(first)
 	p.Done(second)
-	g.Expect(p.MayForward(third, true)).To(BeTrue())
+	g.Expect(p.Forward(third, true)).To(Equal(Forwarded))
 	allowed, exposed = p.Stream(first, false)
 	g.Expect(allowed && exposed == 0).To(BeTrue(), "late result of an answered request")
 }
@@ -42,11 +39,11 @@
 	g := NewWithT(t)
 	var p Pipeline
 	first, second := add(g, &p), add(g, &p)
-	p.Forward(second)
+	g.Expect(p.Forward(second, false)).To(Equal(Forwarded))
 	allowed, exposed := p.Stream(first, true)
 	g.Expect(allowed).To(BeTrue())
 	g.Expect(exposed).To(Equal(1))
-	g.Expect(p.MayForward(add(g, &p), false)).To(BeFalse())
+	g.Expect(p.Forward(add(g, &p), false)).To(Equal(Wait))
 }
 
 // Guards against a request that is forwarded although its connection closes, and against
@@ -62,7 +59,7 @@
 	g.Expect(p.HasRoom()).To(BeFalse())
 	p.Close()
 	g.Expect(p.HasRoom()).To(BeTrue())
-	g.Expect(p.Forward(last)).To(BeFalse())
+	g.Expect(p.Forward(last, false)).To(Equal(Dropped))
 	_, ok := p.Add()
 	g.Expect(ok).To(BeFalse())
 }
--- a/edge/body.go
+++ b/edge/body.go
@@ -4,10 +4,7 @@
 	"context"
 	"errors"
 	"io"
-	"net/http"
 	"sync"
-
-	"github.com/agateusher/agateusher/fleet"
 )
 
 const (
@@ -17,6 +14,10 @@
 	// unreservedBytes of a body are buffered without a reservation, so that small
 	// exchanges work while large ones use up the memory.
 	unreservedBytes = 8 << 10
+	// Request bodies of more than smallBodyBytes use at most largeBodyShare of the
+	// memory for bodies, so that many slow uploads leave room for other requests.
+	smallBodyBytes = 32 << 10
+	largeBodyShare = 0.75
 	// bodyChunkBytes is the unit in which memory for a body is reserved and read.
 	bodyChunkBytes = 16 << 10
 	// A response is buffered as long as the host's link takes responseBufferMillis
@@ -93,6 +94,8 @@
 	mu     sync.Mutex
 	bytes  int64
 	closed bool
+	// receiving is set while the body of the request is being read.
+	receiving bool
 }
 
 func (m *bodyMemory) newReservation() *reservation { return &reservation{memory: m} }
@@ -104,7 +107,11 @@
 	defer r.mu.Unlock()
 	r.memory.mu.Lock()
 	defer r.memory.mu.Unlock()
-	if r.closed || r.memory.used+int64(bytes) > r.memory.limit {
+	limit := r.memory.limit
+	if r.receiving && r.bytes >= smallBodyBytes {
+		limit = int64(largeBodyShare * float64(limit))
+	}
+	if r.closed || r.memory.used+int64(bytes) > limit {
 		return false
 	}
 	r.memory.used += int64(bytes)
@@ -152,7 +159,7 @@
 			reserved += bodyChunkBytes
 			continue
 		}
-		data = growSlice(data, room)
+		data = growSlice(data, room, limit)
 		n, err := body.Read(data[len(data) : len(data)+room])
 		data = data[:len(data)+n]
 		if len(data)-reported >= progressBytes {
@@ -168,29 +175,17 @@
 	}
 }
 
-// growSlice returns data with room for more bytes; its capacity at least doubles.
-func growSlice(data []byte, room int) []byte {
+// growSlice returns data with room for more bytes. Its capacity at least doubles, up to
+// limit bytes.
+func growSlice(data []byte, room, limit int) []byte {
 	if cap(data)-len(data) >= room {
 		return data
 	}
-	grown := make([]byte, len(data), max(len(data)+room, 2*cap(data)))
+	grown := make([]byte, len(data), max(len(data)+room, min(2*cap(data), limit)))
 	copy(grown, data)
 	return grown
 }
 
-// readRequestBody reads the body of a caller's request. Errors are errNoMemory,
-// fleet.ErrTooLarge and those of the connection.
-func readRequestBody(q *http.Request, limit int64, r *reservation) ([]byte, error) {
-	if q.ContentLength > limit {
-		return nil, fleet.ErrTooLarge
-	}
-	data, whole, err := readBody(q.Body, int(limit), r, func() {})
-	if err == nil && !whole {
-		err = fleet.ErrTooLarge
-	}
-	return data, err
-}
-
 // bodyStream is the part of a response's body that was not buffered. Close ends the
 // attempt.
 type bodyStream struct {
--- a/edge/callerconn/callerconn.go
+++ b/edge/callerconn/callerconn.go
@@ -5,7 +5,6 @@
 package callerconn
 
 import (
-	"io"
 	"net"
 	"sync"
 	"syscall"
@@ -18,12 +17,15 @@
 type Options struct {
 	// WriteTimeout bounds one write of a part of a response.
 	WriteTimeout time.Duration
-	// Linger is how long the connection is read after its write side was closed.
-	// Closing it with unread bytes would reset it before the caller has received the
-	// response.
-	Linger time.Duration
+	// After its write side was closed, the connection is read until nothing has
+	// arrived for Linger, and for MaxLinger at most. Closing it with unread bytes would
+	// reset it before the caller, which may still send a body, has read the response.
+	Linger, MaxLinger time.Duration
 }
 
+// discardBytes is the size of the buffer for input that is discarded.
+const discardBytes = 4 << 10
+
 // Conn is a connection of a caller.
 type Conn struct {
 	socket  net.Conn
@@ -40,8 +42,9 @@
 func (c *Conn) Reader() *Reader { return &c.reader }
 
 // Serve runs read on a goroutine of its own and write on the calling one. When write
-// returns, it closes the write side, lets reads fail after Options.Linger, waits for read
-// and closes the connection. If either returns false, the connection is closed at once.
+// returns, it closes the write side, lets reads fail after Options.Linger, waits for read,
+// discards further input and closes the connection. If either returns false, the connection
+// is closed at once.
 func (c *Conn) Serve(read func() bool, write func(*Writer) bool) {
 	readerDone := make(chan struct{})
 	go func() {
@@ -58,18 +61,31 @@
 	if tcp, ok := c.socket.(*net.TCPConn); ok {
 		_ = tcp.CloseWrite()
 	}
-	c.reader.limit(time.Now().Add(c.options.Linger))
+	latest := time.Now().Add(c.options.MaxLinger)
+	c.reader.Limit(time.Now().Add(c.options.Linger))
 	<-readerDone
-	_, _ = io.Copy(io.Discard, &c.reader)
+	c.discard(latest)
 	_ = c.socket.Close()
 }
 
-// Reader is the side of a connection that is read. SetDeadline and PeerClosed are safe for
+// discard reads until nothing arrives for Options.Linger, and until latest at most.
+func (c *Conn) discard(latest time.Time) {
+	buffer := make([]byte, discardBytes)
+	for time.Now().Before(latest) {
+		_ = c.socket.SetReadDeadline(time.Now().Add(c.options.Linger))
+		if _, err := c.socket.Read(buffer); err != nil {
+			return
+		}
+	}
+}
+
+// Reader is the side of a connection that is read. Its methods but Read are safe for
 // concurrent use.
 type Reader struct {
 	socket net.Conn
 
-	mu sync.Mutex
+	mu       sync.Mutex
+	deadline time.Time
 	// latest bounds the deadlines; zero: they are not bounded.
 	latest time.Time
 }
@@ -84,15 +100,21 @@
 	if !r.latest.IsZero() && (t.IsZero() || t.After(r.latest)) {
 		t = r.latest
 	}
+	r.deadline = t
 	_ = r.socket.SetReadDeadline(t)
 }
 
-// limit makes reads fail at latest, whatever deadlines are set later.
-func (r *Reader) limit(latest time.Time) {
+// Limit makes reads fail at latest or before, whatever deadlines are set later.
+func (r *Reader) Limit(latest time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if !r.latest.IsZero() && r.latest.Before(latest) {
+		return
+	}
 	r.latest = latest
-	_ = r.socket.SetReadDeadline(latest)
+	if r.deadline.IsZero() || r.deadline.After(latest) {
+		_ = r.socket.SetReadDeadline(latest)
+	}
 }
 
 // PeerClosed reports whether the other end has closed the connection, or its sending side.
--- a/edge/conn.go
+++ b/edge/conn.go
@@ -25,17 +25,20 @@
 	writeBufferSize = 32 << 10
 	// writeTimeout bounds one write of a part of a response.
 	writeTimeout = 10 * time.Second
-	// bodyReadTimeout bounds the reading of a request body.
+	// bodyReadTimeout bounds the reading of a request body, together with
+	// slowestBodyRate, in bytes a second: a body of 360 KB takes 36 s at 10 KB/s.
 	bodyReadTimeout = 20 * time.Second
+	slowestBodyRate = 4 << 10
 	// continueCheckInterval is the interval between checks whether a caller that waits
 	// for "100 Continue" has got it. Until then bodyReadTimeout does not run.
 	continueCheckInterval = time.Second
 	// stopReadTimeout is how long connections are still read at the end of a
 	// graceful shutdown. Requests that have arrived by then are served.
 	stopReadTimeout = 5 * time.Millisecond
-	// lingerTimeout is how long a connection is read after its write side was
-	// closed.
+	// After its write side was closed, a connection is read until nothing has arrived
+	// for lingerTimeout, and for maxLingerTime at most.
 	lingerTimeout = 500 * time.Millisecond
+	maxLingerTime = 5 * time.Second
 )
 
 // defaultLimits apply until there is a configuration.
@@ -69,12 +72,12 @@
 }
 
 func (n *Node) serveConn(socket net.Conn) {
-	link := callerconn.New(socket, callerconn.Options{WriteTimeout: writeTimeout, Linger: lingerTimeout})
+	link := callerconn.New(socket, callerconn.Options{WriteTimeout: writeTimeout, Linger: lingerTimeout, MaxLinger: maxLingerTime})
 	input := &limitedReader{Reader: link.Reader(), remaining: -1}
 	ctx, cancelRequests := context.WithCancel(context.Background())
 	c := &conn{
 		node: n, input: input, reader: bufio.NewReaderSize(input, connBufferSize),
-		responses: make(chan *pendingResponse, pipeline.MaxRequests), changed: make(chan struct{}, 1), cancelRequests: cancelRequests,
+		responses: make(chan *pendingResponse, pipeline.MaxRequests), changed: make(chan struct{}), cancelRequests: cancelRequests,
 	}
 	n.addConn(c)
 	defer n.removeConn(c)
@@ -93,7 +96,7 @@
 	defer close(c.responses)
 	for {
 		limits := c.node.limits()
-		if !c.awaitRequest(limits.IdleTimeout) || !c.waitUntil(c.pipeline.HasRoom) {
+		if !c.awaitRequest(limits.IdleTimeout) || !c.waitUntil(ctx, c.pipeline.HasRoom) {
 			return
 		}
 		p, q, err := c.readHeader(limits)
@@ -112,11 +115,8 @@
 				c.rejectMalformed(p, err)
 			}
 		}
+		c.finishReading()
 		if err == nil {
-			if !c.awaitTurn(p) {
-				close(p.response)
-				return
-			}
 			go c.answer(ctx, p, q)
 		}
 		if p.close {
@@ -128,6 +128,10 @@
 
 // answer sets the response to a request.
 func (c *conn) answer(ctx context.Context, p *pendingResponse, q *request) {
+	if !c.awaitTurn(ctx, p) {
+		close(p.response)
+		return
+	}
 	var resp *response
 	if !c.node.contain("request", func() { resp = c.node.handleRequest(ctx, q) }) {
 		// A server may have run the request.
@@ -220,8 +224,10 @@
 			return err
 		}
 	}
-	c.input.SetDeadline(time.Now().Add(bodyReadTimeout))
-	q.body, err = readRequestBody(p.httpRequest, limits.MaxBodyBytes, p.reserved)
+	if p.httpRequest.ContentLength != 0 {
+		input := &timedBody{Reader: p.httpRequest.Body, input: c.input.Reader, deadline: time.Now().Add(bodyReadTimeout)}
+		q.body, err = readRequestBody(input, p.httpRequest.ContentLength, limits.MaxBodyBytes, p.reserved)
+	}
 	q.received = time.Now()
 	return err
 }
@@ -231,13 +237,15 @@
 func (c *conn) awaitBody(p *pendingResponse) error {
 	var continuedAt time.Time
 	for {
-		c.input.SetDeadline(time.Now().Add(continueCheckInterval))
+		checkAt := time.Now().Add(continueCheckInterval)
+		c.input.SetDeadline(checkAt)
 		_, err := c.reader.Peek(1)
 		if err == nil {
 			p.bodyBegun.Store(true)
 			return nil
 		}
-		if !errors.Is(err, os.ErrDeadlineExceeded) || c.isClosing() {
+		// Reads fail before checkAt once the connection or the daemon is closing.
+		if !errors.Is(err, os.ErrDeadlineExceeded) || time.Now().Before(checkAt) {
 			return err
 		}
 		select {
--- a/edge/drain.go
+++ b/edge/drain.go
@@ -10,6 +10,9 @@
 	// forcedExitMargin is how long before the end of the grace period the daemon
 	// stops waiting for open connections.
 	forcedExitMargin = 500 * time.Millisecond
+	// unreadRequestMargin is how long before the daemon stops waiting for connections
+	// the requests that are still being read are refused.
+	unreadRequestMargin = 300 * time.Millisecond
 	// drainPollInterval is the interval between checks for open connections.
 	drainPollInterval = 20 * time.Millisecond
 )
@@ -30,7 +33,7 @@
 	n.mu.Lock()
 	n.stopped = true
 	for c := range n.conns {
-		c.stop()
+		c.stop(startedAt.Add(grace - forcedExitMargin - unreadRequestMargin))
 	}
 	n.mu.Unlock()
 	_ = n.callerListener.Close()
--- a/edge/exchange.go
+++ b/edge/exchange.go
@@ -96,6 +96,9 @@
 	}
 	progress()
 	verdict := x.headers.Classify(resp, q.id)
+	if verdict == Usable && succeededEarly(resp) {
+		verdict = InvalidResponse
+	}
 	limit := x.serverLimit(resp, verdict)
 	if !verdict.mayHaveRun() {
 		_ = resp.Body.Close()
@@ -176,7 +179,7 @@
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, ContentLength: int64(len(q.body)),
 	}).WithContext(ctx)
 	if len(q.body) > 0 {
-		out.Body = fleet.NewNonReplayableBody(q.body)
+		out.Body = newSentBody(q.body)
 	}
 	return out, nil
 }
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -167,6 +167,11 @@
 // run makes attempts until there is a response.
 func (f *forwarding) run(ctx context.Context) *response {
 	defer f.cancelAll()
+	if time.Until(f.deadline) <= 0 {
+		// It waited behind other requests of its connection, and has not run.
+		f.reason = model.ReasonTimeout
+		return f.failureResponse()
+	}
 	if !f.sendNext(ctx) {
 		return f.failureResponse()
 	}
--- a/edge/internal_test.go
+++ b/edge/internal_test.go
@@ -115,6 +115,23 @@
 	g.Expect(m.inUse()).To(BeZero())
 }
 
+// Guards against slow uploads that use all the memory for bodies, so that small requests and
+// responses have none.
+func TestLargeBodiesLeaveMemory(t *testing.T) {
+	g := NewWithT(t)
+	m := newBodyMemory(4 << 20) // 1 MiB for bodies
+	body := func(size int) error {
+		_, err := readRequestBody(strings.NewReader(strings.Repeat("x", size)), int64(size), 1<<20, m.newReservation())
+		return err
+	}
+	for body(300<<10) == nil {
+	}
+	g.Expect(m.inUse()).To(BeNumerically("<=", 768<<10))
+	g.Expect(body(32 << 10)).To(Succeed())
+	_, _, err := readBody(strings.NewReader(strings.Repeat("x", 100<<10)), 200<<10, m.newReservation(), func() {})
+	g.Expect(err).NotTo(HaveOccurred())
+}
+
 // Guards against a daemon that acts on content whose confirmation has run out while its
 // host was suspended: the monotonic clock does not count that time.
 func TestSuspensionAgesContent(t *testing.T) {
--- a/edge/pipeline.go
+++ b/edge/pipeline.go
@@ -27,8 +27,6 @@
 	input     *limitedReader
 	reader    *bufio.Reader
 	responses chan *pendingResponse
-	// changed wakes the reading goroutine in waitUntil.
-	changed chan struct{}
 	// cancelRequests cancels the requests when the caller disconnects.
 	cancelRequests context.CancelFunc
 
@@ -36,7 +34,9 @@
 	// pipeline holds the requests whose responses have not been written. It is closed
 	// once a response with "Connection: close" is due or a write has failed.
 	pipeline pipeline.Pipeline
-	// reading is set while a request is being read or waits for its turn.
+	// changed is closed, and replaced, when the pipeline has changed.
+	changed chan struct{}
+	// reading is set while a request is being read.
 	reading bool
 	// stopping is set when the connection stops waiting for further requests.
 	stopping bool
@@ -93,26 +93,29 @@
 	return true
 }
 
-// awaitTurn waits until a request may be forwarded. It returns false if it must not be
-// forwarded, because the connection closes or the caller has disconnected.
-func (c *conn) awaitTurn(p *pendingResponse) bool {
-	if !c.waitUntil(func() bool {
-		return c.pipeline.Closing() || c.pipeline.MayForward(p.number, c.node.bodyMemory.scarce())
-	}) {
-		return false
-	}
+// finishReading records that a request has been read.
+func (c *conn) finishReading() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reading = false
-	return c.pipeline.Forward(p.number)
 }
 
-// waitUntil waits until ready, which is called under the lock, returns true. It returns
-// false if the caller disconnects meanwhile, and cancels the requests in progress.
-func (c *conn) waitUntil(ready func() bool) bool {
+// awaitTurn waits until a request may be forwarded. It returns false if it must not be
+// forwarded, because the connection closes or the caller has disconnected.
+func (c *conn) awaitTurn(ctx context.Context, p *pendingResponse) bool {
+	decision := pipeline.Wait
+	return c.waitUntil(ctx, func() bool {
+		decision = c.pipeline.Forward(p.number, c.node.bodyMemory.scarce())
+		return decision != pipeline.Wait
+	}) && decision == pipeline.Forwarded
+}
+
+// waitUntil calls ready, under the lock, until it returns true. It returns false if the
+// caller disconnects meanwhile, and cancels the requests in progress.
+func (c *conn) waitUntil(ctx context.Context, ready func() bool) bool {
 	for {
 		c.mu.Lock()
-		ok := ready()
+		ok, changed := ready(), c.changed
 		c.mu.Unlock()
 		if ok {
 			return true
@@ -123,8 +126,10 @@
 		}
 		timer := time.NewTimer(disconnectCheckInterval)
 		select {
-		case <-c.changed:
+		case <-changed:
 		case <-timer.C:
+		case <-ctx.Done():
+			return false
 		}
 		timer.Stop()
 	}
@@ -160,10 +165,12 @@
 	return c.pipeline.Len() > 0
 }
 
-// stop closes the connection once the requests that were read are answered.
-func (c *conn) stop() {
+// stop closes the connection once the requests that were read are answered. A request that
+// is still being read at latest is answered that it has not run.
+func (c *conn) stop(latest time.Time) {
 	c.mu.Lock()
 	c.stopping = true
+	c.input.Limit(latest)
 	if !c.reading {
 		c.input.SetDeadline(time.Now())
 	}
@@ -235,11 +242,9 @@
 		c.pipeline.Close()
 	}
 	c.pipeline.Done(p.number)
+	close(c.changed)
+	c.changed = make(chan struct{})
 	c.mu.Unlock()
-	select {
-	case c.changed <- struct{}{}:
-	default:
-	}
 }
 
 func (c *conn) writeResponse(w *callerconn.Writer, p *pendingResponse, resp *response, last bool) error {
--- a/edge/pipeline_test.go
+++ b/edge/pipeline_test.go
@@ -140,7 +140,7 @@
 	for b, whole := range map[consortium.Behaviour]bool{consortium.LargePaused: true, consortium.LargeStalled: false} {
 		s := newSite(t)
 		c, atlas := s.longResponse(b)
-		c.send(request("GET", "/atlas/x", "behind", "", ""))
+		c.send(request("GET", "/atlas/x", "behind", "", "") + request("GET", "/atlas/x", "late", "", "Agateusher-Deadline-Ms: 100\r\n"))
 		time.Sleep(consortium.LargePause / 2)
 		s.g.Expect(atlas.Requests()).To(BeEmpty())
 		resp, err := http.ReadResponse(c.reader, nil)
@@ -150,6 +150,8 @@
 		if whole {
 			s.g.Expect(err).NotTo(HaveOccurred())
 			s.g.Expect(c.receive().body).To(Equal(consortium.Body("behind")))
+			s.g.Expect(c.receive().status).To(Equal(http.StatusServiceUnavailable))
+			s.g.Expect(atlas.Requests()).To(HaveLen(1))
 			continue
 		}
 		s.g.Expect(err).To(HaveOccurred())
--- a/edge/upload_test.go
+++ b/edge/upload_test.go
@@ -19,6 +19,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/agateusher/agateusher/settings"
 	"github.com/agateusher/agateusher/standin/consortium"
 )
 
@@ -47,8 +48,8 @@
 	return strings.Repeat(id+";", size/len(id)+1)[:size]
 }
 
-// upload sends an upload in parts over a time, and returns the status of the response;
-// zero: none. With leave it closes the connection after half of the body.
+// upload sends an upload in parts over a time, and returns the status of the response. With
+// leave it closes the connection after half of the body and returns zero.
 func (d *daemon) upload(id string, size int, over time.Duration, leave bool) int {
 	c, err := net.Dial("tcp4", d.settings.Listeners.Caller)
 	if err != nil {
@@ -78,6 +79,80 @@
 	return resp.StatusCode
 }
 
+// Guards against an upload that is cut, run twice or answered as done when cut, because its
+// server answers early or reads slowly.
+func TestUploadsAndServers(t *testing.T) {
+	const size = 360 << 10 // with ReadSlowly, 0.46 s
+	s, server := uploadSite(t)
+	d := s.ready(s.daemon(s.settings("h1")))
+	for _, c := range []struct {
+		name      string
+		behaviour consortium.Behaviour
+		size      int
+		headers   string
+		status    int
+	}{
+		{"slow", consortium.ReadSlowly, size, "", http.StatusOK},
+		{"slow-late", consortium.ReadSlowly, 1 << 20, "Agateusher-Deadline-Ms: 300\r\n", http.StatusGatewayTimeout},
+		{"refused-early", consortium.AnswerEarly, size, "", http.StatusRequestEntityTooLarge},
+		{"done-early", consortium.SucceedEarly, 1 << 20, "", http.StatusBadGateway},
+	} {
+		server.SetBehaviour(always(c.behaviour))
+		body := uploadBody(c.name, c.size)
+		s.g.Expect(s.do(d, request("POST", "/up/x", c.name, body, c.headers)).status).To(Equal(c.status), c.name)
+		arrived := byID(server.Requests())[c.name]
+		s.g.Expect(arrived).To(HaveLen(1), c.name)
+		if c.status == http.StatusOK {
+			s.g.Expect(string(arrived[0].Body) == body).To(BeTrue(), c.name)
+		}
+	}
+}
+
+// Guards against an upload that is forwarded although its caller left midway.
+func TestCutUploadsAreNotForwarded(t *testing.T) {
+	s, server := uploadSite(t)
+	d := s.ready(s.daemon(s.settings("h1")))
+	for _, text := range []string{
+		request("POST", "/up/x", "length", strings.Repeat("x", 100<<10), ""),
+		request("POST", "/up/x", "chunks", "", "Transfer-Encoding: chunked\r\n") + "4\r\nbody\r\n0\r\n",
+	} {
+		c := s.dial(d)
+		c.send(text[:len(text)-1])
+		time.Sleep(50 * time.Millisecond)
+		_ = c.Close()
+	}
+	s.g.Consistently(server.Requests).WithTimeout(300 * time.Millisecond).Should(BeEmpty())
+}
+
+// Guards against a refusal that the caller does not get, because its connection is reset
+// while it still sends the body.
+func TestRefusalReachesSlowUpload(t *testing.T) {
+	s, _ := uploadSite(t)
+	d := s.ready(s.daemon(s.settings("h1")))
+	c := s.dial(d)
+	c.send(request("POST", "/up/x", "up", "", "Content-Length: 2000000\r\n"))
+	for range 10 {
+		time.Sleep(100 * time.Millisecond)
+		c.send(strings.Repeat("x", 10000))
+	}
+	s.g.Expect(c.receive().status).To(Equal(http.StatusRequestEntityTooLarge))
+}
+
+// Guards against a slow upload that is cut by a planned stop without a response: the status
+// tells the caller that it has not run.
+func TestStopAnswersSlowUpload(t *testing.T) {
+	s, server := uploadSite(t)
+	set := s.settings("h1")
+	set.Stop.Grace = settings.Duration(1500 * time.Millisecond)
+	d := s.ready(s.daemon(set))
+	c := s.dial(d)
+	c.send(request("POST", "/up/x", "up", "", "Content-Length: 100000\r\n") + "a part")
+	time.Sleep(50 * time.Millisecond)
+	d.stop()
+	s.g.Expect(c.receive().status).To(Equal(http.StatusRequestTimeout))
+	s.g.Expect(server.Requests()).To(BeEmpty())
+}
+
 // checkUpload compares the status of an upload with what the server ran.
 func (s *site) checkUpload(server map[string][]consortium.ReceivedRequest, id string, size, status int) {
 	s.t.Helper()
@@ -92,7 +167,7 @@
 	switch status {
 	case http.StatusOK:
 		s.g.Expect(ran).To(Equal(1), id)
-	case http.StatusServiceUnavailable, http.StatusRequestTimeout:
+	case 0, http.StatusServiceUnavailable, http.StatusRequestTimeout:
 		s.g.Expect(ran).To(BeZero(), id)
 	}
 }
--- a/standin/consortium/server.go
+++ b/standin/consortium/server.go
@@ -83,6 +83,11 @@
 	// AnswerEarly runs the request, answers 413 before reading the body, and then
 	// reads it.
 	AnswerEarly
+	// SucceedEarly answers 200 before reading the body, and does not read it.
+	SucceedEarly
+	// ReadSlowly reads the body at 0.8 MB a second at most, and then behaves like
+	// Answer.
+	ReadSlowly
 )
 
 // ReceivedRequest is a request that reached a server.
@@ -237,8 +242,17 @@
 	if target := req.Header.Get("Agateusher-Target-Instance"); target != "" && target != s.ID {
 		b = Misdirect
 	}
+	if b == SucceedEarly {
+		s.respond(c, received, Answer)
+		time.Sleep(slowReadPause)
+		return false
+	}
 	if b != AnswerEarly {
-		body, err := io.ReadAll(req.Body)
+		input := io.Reader(req.Body)
+		if b == ReadSlowly {
+			input = slowReader{input}
+		}
+		body, err := io.ReadAll(input)
 		if err != nil {
 			return false
 		}
@@ -266,6 +280,18 @@
 	return err == nil
 }
 
+// slowReadPause is the pause of ReadSlowly.
+const slowReadPause = 5 * time.Millisecond
+
+// slowReader implements ReadSlowly.
+type slowReader struct{ io.Reader }
+
+// Read implements io.Reader.
+func (s slowReader) Read(p []byte) (int, error) {
+	time.Sleep(slowReadPause)
+	return s.Reader.Read(p[:min(len(p), 4<<10)])
+}
+
 // run waits for the service time. It returns false and counts a cancellation if
 // the connection is lost meanwhile.
 func (s *Server) run(c net.Conn, r *bufio.Reader, serviceTime time.Duration, hang bool) bool {
