edge: upload test does not depend on what the systems buffer

TestUploadsAndServers failed 14 of 20 times: a body of 1 MB fits into the buffers of the two sockets, so that nothing of it was left to send when the server answered.

--- a/edge/upload_test.go
+++ b/edge/upload_test.go
@@ -28,7 +28,7 @@
 // uploadSite has a server for uploads and one for other requests, and routes for both.
 func uploadSite(t *testing.T) (s *site, uploads *consortium.Server) {
 	s = newSite(t)
-	s.store.Put("config", "main", fmt.Sprintf(`{"version":1,"routes":{`+routes+uploadRoute+`},"services":{},"limits":{"max_header_bytes":8192,"max_body_bytes":1048576,"header_timeout_ms":3000,"idle_timeout_ms":30000}}`, 3000), "")
+	s.store.Put("config", "main", fmt.Sprintf(`{"version":1,"routes":{`+routes+uploadRoute+`},"services":{},"limits":{"max_header_bytes":8192,"max_body_bytes":16000000,"header_timeout_ms":3000,"idle_timeout_ms":30000}}`, 3000), "")
 	for _, id := range []string{"i-reads", "i-uploads"} {
 		server, err := consortium.NewServer(id, 1)
 		s.g.Expect(err).NotTo(HaveOccurred())
@@ -85,6 +85,8 @@
 	const size = 360 << 10 // with ReadSlowly, 0.46 s
 	s, server := uploadSite(t)
 	d := s.ready(s.daemon(s.settings("h1")))
+	// The body of the last one is larger than what the systems buffer, so that a part of it
+	// has not been sent when the server answers.
 	for _, c := range []struct {
 		name      string
 		behaviour consortium.Behaviour
@@ -95,7 +97,7 @@
 		{"slow", consortium.ReadSlowly, size, "", http.StatusOK},
 		{"slow-late", consortium.ReadSlowly, 1 << 20, "Agateusher-Deadline-Ms: 300\r\n", http.StatusGatewayTimeout},
 		{"refused-early", consortium.AnswerEarly, size, "", http.StatusRequestEntityTooLarge},
-		{"done-early", consortium.SucceedEarly, 1 << 20, "", http.StatusBadGateway},
+		{"done-early", consortium.SucceedEarly, 12 << 20, "", http.StatusBadGateway},
 	} {
 		server.SetBehaviour(always(c.behaviour))
 		body := uploadBody(c.name, c.size)
@@ -130,7 +132,7 @@
 	s, _ := uploadSite(t)
 	d := s.ready(s.daemon(s.settings("h1")))
 	c := s.dial(d)
-	c.send(request("POST", "/up/x", "up", "", "Content-Length: 2000000\r\n"))
+	c.send(request("POST", "/up/x", "up", "", "Content-Length: 20000000\r\n"))
 	for range 10 {
 		time.Sleep(100 * time.Millisecond)
 		c.send(strings.Repeat("x", 10000))
