--- a/cmd/usher-edge/main.go
+++ b/cmd/usher-edge/main.go
@@ -14,6 +14,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"github.com/agateusher/agateusher/edge"
+	"github.com/agateusher/agateusher/internal/hangup"
 	"github.com/agateusher/agateusher/platform"
 	"github.com/agateusher/agateusher/telemetry"
 )
@@ -72,15 +73,14 @@
 	return 0
 }
 
-// reload reloads the settings on each SIGHUP until ctx ends.
+// reload reloads the settings on each SIGHUP until ctx ends, also on one that arrived
+// while the daemon started.
 func reload(ctx context.Context, node *edge.Node, path string) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-hangups:
+		case <-hangup.Signals():
 			s, err := edge.LoadSettings(path)
 			if err == nil {
 				err = node.Reload(s)
--- a/standin/consortium/server.go
+++ b/standin/consortium/server.go
@@ -75,9 +75,19 @@
 	// NoContent runs the request and answers 204, followed by bytes that are no
 	// answer.
 	NoContent
+	// HeadOnly runs the request and sends a header without a length and nothing more,
+	// as is usual for HEAD.
+	HeadOnly
+	// LargePaused sends LargeBody with a pause of LargePause in the middle.
+	LargePaused
 	// AnswerEarly runs the request, answers 413 before reading the body, and then
 	// reads it.
 	AnswerEarly
+	// SucceedEarly answers 200 before reading the body, and does not read it.
+	SucceedEarly
+	// ReadSlowly reads the body at 0.8 MB a second at most, and then behaves like
+	// Answer.
+	ReadSlowly
 )
 
 // ReceivedRequest is a request that reached a server.
@@ -232,8 +242,17 @@
 	if target := req.Header.Get("Agateusher-Target-Instance"); target != "" && target != s.ID {
 		b = Misdirect
 	}
+	if b == SucceedEarly {
+		s.respond(c, received, Answer)
+		time.Sleep(slowReadPause)
+		return false
+	}
 	if b != AnswerEarly {
-		body, err := io.ReadAll(req.Body)
+		input := io.Reader(req.Body)
+		if b == ReadSlowly {
+			input = slowReader{input}
+		}
+		body, err := io.ReadAll(input)
 		if err != nil {
 			return false
 		}
@@ -261,6 +280,18 @@
 	return err == nil
 }
 
+// slowReadPause is the pause of ReadSlowly.
+const slowReadPause = 5 * time.Millisecond
+
+// slowReader implements ReadSlowly.
+type slowReader struct{ io.Reader }
+
+// Read implements io.Reader.
+func (s slowReader) Read(p []byte) (int, error) {
+	time.Sleep(slowReadPause)
+	return s.Reader.Read(p[:min(len(p), 4<<10)])
+}
+
 // run waits for the service time. It returns false and counts a cancellation if
 // the connection is lost meanwhile.
 func (s *Server) run(c net.Conn, r *bufio.Reader, serviceTime time.Duration, hang bool) bool {
@@ -296,6 +327,9 @@
 	return strings.Repeat(line, LargeBodyBytes/len(line)+1)[:LargeBodyBytes]
 }
 
+// LargePause is the pause of LargePaused.
+const LargePause = 400 * time.Millisecond
+
 // dripInterval is the pause between the bytes of DripBody and DripHead.
 const dripInterval = 20 * time.Millisecond
 
@@ -336,6 +370,14 @@
 		return write(c, status+headers+length+body)
 	case LargeChunked:
 		return write(c, status+headers+chunked+chunk+"0\r\n\r\n")
+	case HeadOnly:
+		return write(c, status+headers+"\r\n")
+	case LargePaused:
+		if !write(c, status+headers+length+body[:len(body)/2]) {
+			return false
+		}
+		time.Sleep(LargePause)
+		return write(c, body[len(body)/2:])
 	case LargeTruncated:
 		write(c, status+headers+length+body[:len(body)/2])
 		return false
@@ -368,7 +410,7 @@
 	idHeader := "Agateusher-Request-Id: " + received.ID + "\r\n" + s.limitHeader()
 	signatureHeader := "Agateusher-Response-Signature: " + s.ID + "." + received.ID + "\r\n"
 	lengthHeader := fmt.Sprintf("Content-Length: %d\r\n", len(body))
-	if b >= Large && b <= NoContent {
+	if b >= Large && b <= LargePaused {
 		return s.respondLarge(c, received, b, idHeader+signatureHeader)
 	}
 	response := "HTTP/1.1 200 OK\r\n" + idHeader + signatureHeader + lengthHeader + "\r\n" + body
