balance, gossip, edge: servers that are leaving or want a pause get no requests

Cause: Server-Leaving and the Retry-After of a server's 503 were not read. A host sent requests, probes and retries to a server until the store listed it as draining, and to a server that shed after 40 to 320 ms.

Change: the head of each response is read for both signals. core/balance keeps them by incarnation, apart from the entries, and leaves such servers out of every choice; an attempt that is being prepared (permit, dial) is checked again before it is sent and is given up as "withheld", which is no evidence and charges no budget. A pause binds the host that was asked, at most 10 minutes; others count the server as shedding for at most 320 ms. Leaving servers are announced to all data centres at once. Heartbeats carry a digest of the set, so that hosts that missed it (lost datagrams, freezes, cuts, a start) get the list.

Tests: TestLeavingServerGetsNoRequests and TestPausedServerGetsNoRequests failed on the code before; TestLeavingServersReachAllHosts and TestPreparedAttemptIsGivenUp fail without the list and without the second check. core/balance, gossip and platform pass; edge passes but for TestEndlessBytes/body, which fails under load (load average 20) on the code before as well: 2 of 8 runs there, 1 of 8 here.

--- a/core/balance/choose.go
+++ b/core/balance/choose.go
@@ -83,6 +83,9 @@
 	// PermitWait is the time until a permit for one of the servers that were left out
 	// for want of permits may be available; zero if there are none.
 	PermitWait time.Duration
+	// PauseWait is the time until the first pause ends, of the servers that were left out
+	// because they asked for one; zero if there are none.
+	PauseWait time.Duration
 	// NextCost is the cost of the second-best server; zero if there is none or
 	// for a probe.
 	NextCost float64
@@ -114,7 +117,7 @@
 
 // Choose returns the server of least cost for an attempt, or one that is due for a
 // probe. It returns false if the query, or the lack of permits, rules out every server
-// of the service; only PermitWait is valid then.
+// of the service; only PermitWait and PauseWait are valid then.
 func (t *Table) Choose(now time.Time, q Query) (Choice, bool) {
 	svc, ok := t.services[q.Service]
 	if !ok {
@@ -134,13 +137,19 @@
 		}
 	}
 	var best Choice
-	var permitWait time.Duration
+	var permitWait, pauseWait time.Duration
 	found := false
 	for i := range svc.servers {
 		s := svc.servers[(i+int(q.TieBreak%uint64(len(svc.servers))))%len(svc.servers)]
 		if slices.Contains(q.Excluded, s.Key) || (len(q.Allowed) > 0 && !slices.Contains(q.Allowed, s.Key)) {
 			continue
 		}
+		if withheld, wait := t.signals.withheld(now, s.Key); withheld {
+			if wait > 0 && (pauseWait == 0 || wait < pauseWait) {
+				pauseWait = wait
+			}
+			continue
+		}
 		if wait := s.permitWait(now); wait > 0 || (s.limit.InForce && (q.Hedge || q.NoPermit)) {
 			if permitWait == 0 || wait < permitWait {
 				permitWait = max(1, wait)
@@ -161,7 +170,7 @@
 			best.NextCost = c.Cost
 		}
 	}
-	best.PermitWait = permitWait
+	best.PermitWait, best.PauseWait = permitWait, pauseWait
 	return best, found
 }
 
@@ -173,6 +182,9 @@
 	renew := svc.expectsNonIdempotent(now) && t.budgetUsed(now, svc) < probeBudgetShare
 	var oldest *server
 	for _, s := range svc.servers {
+		if withheld, _ := t.signals.withheld(now, s.Key); withheld {
+			continue
+		}
 		if s.DataCentre != t.opts.DataCentre || slices.Contains(q.Excluded, s.Key) || s.outstanding > 0 ||
 			now.Before(s.unreachableUntil) || now.Before(s.shedUntil) || !t.probeDue(now, s, renew) ||
 			s.permitWait(now) > 0 || (s.limit.InForce && q.NoPermit) {
--- /dev/null
+++ b/core/balance/signals.go
@@ -0,0 +1,153 @@
+package balance
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// MaxPause bounds the pause that a server may ask for.
+	MaxPause = 10 * time.Minute
+	// leavingLifetime is how long it is remembered that a server that is not listed any
+	// more is leaving, and how long other daemons are told. An entry may come back after
+	// an outage of the store.
+	leavingLifetime = time.Hour
+	// maxLeaving bounds the number of servers remembered as leaving. Their list fits in
+	// one datagram.
+	maxLeaving = 512
+)
+
+// Leaving is a server that said that it is leaving, and for how long that has been known.
+type Leaving struct {
+	Server ServerKey
+	Age    time.Duration
+}
+
+// signals is what servers said about themselves. It is kept by incarnation and apart
+// from the entries, because an entry may disappear and come back, and a server may be
+// heard of before its entry.
+type signals struct {
+	// leaving has since when it is known that a server is leaving.
+	leaving map[ServerKey]time.Time
+	// pausedUntil has the ends of the pauses that servers asked this daemon for.
+	pausedUntil map[ServerKey]time.Time
+}
+
+func newSignals() signals {
+	return signals{leaving: map[ServerKey]time.Time{}, pausedUntil: map[ServerKey]time.Time{}}
+}
+
+// withheld reports whether this daemon must send the server no request, and for how long;
+// a negative time means forever.
+func (s *signals) withheld(now time.Time, k ServerKey) (bool, time.Duration) {
+	if _, ok := s.leaving[k]; ok {
+		return true, -1
+	}
+	wait := s.pausedUntil[k].Sub(now)
+	return wait > 0, max(0, wait)
+}
+
+// MayReceive reports whether this daemon may still send the server a request for which it
+// was chosen before. It is false if the server has left, is leaving or asked for a pause.
+func (t *Table) MayReceive(now time.Time, k ServerKey) bool {
+	_, listed := t.servers[k]
+	withheld, _ := t.signals.withheld(now, k)
+	return listed && !withheld
+}
+
+// ObserveLeaving records that a server said, the time age ago, that it is leaving. It
+// returns false if that is known already. A server that leaves never returns under the
+// same key: a new start has another one.
+func (t *Table) ObserveLeaving(now time.Time, l Leaving) bool {
+	since := now.Add(-max(0, l.Age))
+	known, ok := t.signals.leaving[l.Server]
+	if ok || l.Age > leavingLifetime {
+		// The earliest time is kept, so that all daemons forget at the same time.
+		if ok && since.Before(known) {
+			t.signals.leaving[l.Server] = since
+		}
+		return false
+	}
+	t.signals.leaving[l.Server] = since
+	t.forgetSignals(now)
+	return true
+}
+
+// ObservePause records that a server asked this daemon for a pause. A shorter pause does
+// not end a longer one: each response binds by itself.
+func (t *Table) ObservePause(now time.Time, k ServerKey, pause time.Duration) {
+	until := now.Add(min(pause, MaxPause))
+	if pause > 0 && until.After(t.signals.pausedUntil[k]) {
+		t.signals.pausedUntil[k] = until
+	}
+	t.forgetSignals(now)
+}
+
+// forgetSignals removes pauses that have ended, and servers that are leaving, are not
+// listed and have been known for longest.
+func (t *Table) forgetSignals(now time.Time) {
+	for k, until := range t.signals.pausedUntil {
+		if !now.Before(until) {
+			delete(t.signals.pausedUntil, k)
+		}
+	}
+	for k, since := range t.signals.leaving {
+		if _, listed := t.servers[k]; !listed && now.Sub(since) > leavingLifetime {
+			delete(t.signals.leaving, k)
+		}
+	}
+	for len(t.signals.leaving) > maxLeaving {
+		var oldest ServerKey
+		var found, oldestListed bool
+		for k, since := range t.signals.leaving {
+			_, listed := t.servers[k]
+			if !found || (oldestListed && !listed) || (oldestListed == listed && since.Before(t.signals.leaving[oldest])) {
+				oldest, oldestListed, found = k, listed, true
+			}
+		}
+		delete(t.signals.leaving, oldest)
+	}
+}
+
+// LeavingServers returns the servers that are leaving and that other daemons are to be
+// told of, in the order of their keys.
+func (t *Table) LeavingServers(now time.Time) []Leaving {
+	var list []Leaving
+	for k, since := range t.signals.leaving {
+		if age := now.Sub(since); age <= leavingLifetime {
+			list = append(list, Leaving{Server: k, Age: max(0, age)})
+		}
+	}
+	slices.SortFunc(list, func(a, b Leaving) int {
+		if a.Server < b.Server {
+			return -1
+		}
+		return 1
+	})
+	return list
+}
+
+// PausedServers returns the number of servers that asked this daemon for a pause that has
+// not ended.
+func (t *Table) PausedServers(now time.Time) int {
+	n := 0
+	for _, until := range t.signals.pausedUntil {
+		if now.Before(until) {
+			n++
+		}
+	}
+	return n
+}
+
+// ObserveShort records that a server asked another daemon for a pause. It counts as
+// shedding for that time, at most for maxShedBackoff: the pause binds only the daemon
+// that was asked.
+func (t *Table) ObserveShort(now time.Time, k ServerKey, pause time.Duration) {
+	s, ok := t.servers[k]
+	if !ok {
+		return
+	}
+	if until := now.Add(min(pause, maxShedBackoff)); until.After(s.shedUntil) {
+		s.shedUntil = until
+	}
+}
--- a/core/balance/table.go
+++ b/core/balance/table.go
@@ -53,6 +53,7 @@
 	dataCentres int
 	// countingSince is when the counting of requests and retries began.
 	countingSince time.Time
+	signals       signals
 }
 
 type service struct {
@@ -126,7 +127,7 @@
 func NewTable(o Options) *Table {
 	return &Table{
 		opts: o, servers: map[ServerKey]*server{}, services: map[model.ServiceName]*service{},
-		attempts: map[AttemptKey]*attempt{}, dataCentres: 1,
+		attempts: map[AttemptKey]*attempt{}, dataCentres: 1, signals: newSignals(),
 	}
 }
 
--- a/edge/exchange.go
+++ b/edge/exchange.go
@@ -3,12 +3,11 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/agateusher/agateusher/core/balance"
@@ -40,6 +39,8 @@
 	length int64
 	// limit is the rate limit that the backend server named in the response.
 	limit model.RateLimit
+	// pause is for how long the server wants no requests from this host.
+	pause time.Duration
 }
 
 // close ends the attempt that a streamed response comes from.
@@ -57,6 +58,10 @@
 	sameRegion, crossRegion *http.Transport
 	// bufferBytes is how much of a response is buffered before it is streamed.
 	bufferBytes int
+	// mayReceive reports whether a request may still be sent to a server.
+	mayReceive func(balance.ServerKey) bool
+	// observeSignals is called with what the head of a response says about its server.
+	observeSignals func(server balance.Server, leaving bool, pause time.Duration)
 }
 
 func newExchanger(h Headers, bufferBytes int) *exchanger {
@@ -72,6 +77,9 @@
 	}
 }
 
+// errWithheld is returned for an attempt that was given up before anything was sent.
+var errWithheld = errors.New("the server wants no requests")
+
 // errTargetNotPath is returned for a request target that does not start with "/".
 var errTargetNotPath = errors.New("request target is not a path")
 
@@ -80,8 +88,6 @@
 // read or closed by the caller of exchange. remaining is the time until the
 // deadline; it is sent to the server. progress is called for each part received.
 func (x *exchanger) exchange(ctx context.Context, q *request, server balance.Server, crossRegion bool, remaining time.Duration, progress func()) (Verdict, *response, error) {
-	var connected atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
 	out, err := x.newServerRequest(ctx, q, server, remaining)
 	if err != nil {
 		return ConnectFailed, nil, err
@@ -90,26 +96,40 @@
 	if crossRegion {
 		transport = x.crossRegion
 	}
-	resp, err := transport.RoundTrip(out)
+	conn, err := transport.NewClientConn(ctx, "http", server.Address)
+	if err != nil {
+		return ConnectFailed, nil, err
+	}
+	// The server may have said meanwhile that it wants no requests.
+	if !x.mayReceive(server.Key) {
+		_ = conn.Close()
+		return Withheld, nil, errWithheld
+	}
+	resp, err := conn.RoundTrip(out)
 	if err != nil {
-		return classifyError(ctx, connected.Load()), nil, err
+		_ = conn.Close()
+		return classifyError(ctx), nil, err
 	}
+	resp.Body = &connBody{ReadCloser: resp.Body, conn: conn}
 	progress()
 	verdict := x.headers.Classify(resp, q.id)
-	limit := x.serverLimit(resp, verdict)
+	limit, pause := x.serverLimit(resp, verdict), x.headers.ServerPause(resp)
+	if verdict != Misdirected {
+		x.observeSignals(server, x.headers.ServerLeaving(resp.Header), pause)
+	}
 	if !verdict.mayHaveRun() {
 		_ = resp.Body.Close()
-		return verdict, &response{status: resp.StatusCode, header: http.Header{}, limit: limit}, nil
+		return verdict, &response{status: resp.StatusCode, header: http.Header{}, limit: limit, pause: pause}, nil
 	}
 	r, err := x.readResponse(ctx, resp, verdict, q.reserved, progress)
 	if err != nil {
 		_ = resp.Body.Close()
-		return classifyError(ctx, true), nil, err
+		return classifyError(ctx), nil, err
 	}
 	if r.rest == nil {
 		_ = resp.Body.Close()
 	}
-	r.header, r.limit = fleet.EndToEnd(resp.Header), limit
+	r.header, r.limit, r.pause = fleet.EndToEnd(resp.Header), limit, pause
 	x.headers.CopyResponse(r.header, resp.Header)
 	return verdict, r, nil
 }
@@ -146,11 +166,23 @@
 	return r, nil
 }
 
-// classifyError returns the verdict on an attempt without a complete response.
-func classifyError(ctx context.Context, connected bool) Verdict {
+// connBody is the body of a response. Close also closes the connection.
+type connBody struct {
+	io.ReadCloser
+	conn *http.ClientConn
+}
+
+// Close implements io.Closer.
+func (b *connBody) Close() error {
+	err := b.ReadCloser.Close()
+	_ = b.conn.Close()
+	return err
+}
+
+// classifyError returns the verdict on an attempt that opened a connection and received
+// no complete response.
+func classifyError(ctx context.Context) Verdict {
 	switch {
-	case !connected:
-		return ConnectFailed
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return TimedOut
 	case ctx.Err() != nil:
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -67,9 +67,9 @@
 	dials           int                 // attempts, including those that opened no connection
 	reachedServer   bool                // an attempt opened a connection
 	mayHaveRun      bool                // a server may have run the request
-	// permitWait is the time until a server that limits its rate may take the request,
-	// if it was refused for that.
-	permitWait time.Duration
+	// wait is the time until a server that limits its rate or asked for a pause may take
+	// the request, if it was refused for that.
+	wait time.Duration
 	// budgetRefused is set if the retry budget refused another attempt.
 	budgetRefused bool
 	serverFailure *response // the last response of a server that failed
@@ -279,7 +279,10 @@
 func (f *forwarding) send(ctx context.Context, q balance.Query) bool {
 	choice, number, reason := f.chooseServer(ctx, q, f.reachedServer || len(f.active) > 0)
 	if reason != model.ReasonNone {
-		f.reason, f.permitWait = reason, choice.PermitWait
+		f.reason, f.wait = reason, choice.PermitWait
+		if reason == model.ReasonShed {
+			f.wait = choice.PauseWait
+		}
 		if reason == model.ReasonQueueFull {
 			f.recordQueueFull(choice, q.LatencyLimit)
 		}
@@ -330,12 +333,12 @@
 		cancel()
 	}
 	f.recordAttempt(r)
-	// Attempts at a server that cannot be reached or whose address belongs to
-	// another server do not count towards max_attempts.
-	if r.verdict == ConnectFailed || r.verdict == Misdirected {
+	// Attempts at a server that cannot be reached, that wants no requests or whose
+	// address belongs to another server do not count towards max_attempts.
+	if r.verdict.nothingSent() || r.verdict == Misdirected {
 		f.countedAttempts--
 	}
-	f.reachedServer = f.reachedServer || r.verdict != ConnectFailed
+	f.reachedServer = f.reachedServer || !r.verdict.nothingSent()
 	f.mayHaveRun = f.mayHaveRun || r.verdict.mayHaveRun()
 	if r.verdict == Usable {
 		return r.resp, true
@@ -360,14 +363,13 @@
 }
 
 // mayRetry reports whether the request may be sent to another server after an
-// attempt with verdict v. It charges the retry budget, except after a failed
-// connect.
+// attempt with verdict v. It charges the retry budget, unless nothing was sent.
 func (f *forwarding) mayRetry(v Verdict) bool {
 	if !f.attemptsLeft() || (!f.route.Idempotent && f.mayHaveRun) {
 		return false
 	}
 	invariant.Check(f.route.Idempotent || !v.mayHaveRun(), invariant.AtMostOnce, "request %s repeated after %s", f.request.id, v)
-	return v == ConnectFailed || f.allowRetry()
+	return v.nothingSent() || f.allowRetry()
 }
 
 // allowRetry reports whether the retry budget allows another attempt, and records
@@ -392,7 +394,7 @@
 
 func reasonOf(v Verdict) model.Reason {
 	switch v {
-	case Refused, Misdirected:
+	case Refused, Misdirected, Withheld:
 		return model.ReasonShed
 	case ConnectFailed:
 		return model.ReasonConnect
@@ -412,8 +414,8 @@
 		return f.serverFailure
 	case !f.mayHaveRun && len(f.active) == 0:
 		resp := f.node.refuse(f.request, f.reason)
-		if f.reason == model.ReasonServerLimit && f.permitWait > retryAfterDelay {
-			setRetryAfter(resp, f.permitWait)
+		if f.wait > retryAfterDelay {
+			setRetryAfter(resp, f.wait)
 		}
 		return resp
 	case f.reason == model.ReasonTimeout:
--- a/edge/gauges.go
+++ b/edge/gauges.go
@@ -26,6 +26,7 @@
 func (n *Node) updateGauges(now time.Time) {
 	versions := n.cache.Versions()
 	configAge, serverAge := n.cache.Ages(now)
+	leaving, paused := n.serverState.withheldServers()
 	for name, value := range map[string]float64{
 		"config_epoch":           float64(versions.Epoch),
 		"server_revision":        float64(versions.Revision),
@@ -37,6 +38,8 @@
 		"log_lines_dropped":      float64(n.logWriter.ring.Dropped()),
 		"request_lines_left_out": float64(n.requestLog.skippedTotal.Load()),
 		"limited_servers":        float64(n.serverState.limitedServers()),
+		"leaving_servers":        float64(leaving),
+		"paused_servers":         float64(paused),
 		"observations_dropped":   float64(n.gossiper.Dropped()),
 	} {
 		n.metrics.Scope.Gauge(name).Update(value)
--- a/edge/headers.go
+++ b/edge/headers.go
@@ -31,6 +31,9 @@
 	ConnectFailed
 	// Cancelled: this daemon cancelled the attempt.
 	Cancelled
+	// Withheld: nothing was sent, because the server said meanwhile that it is leaving or
+	// wants no requests.
+	Withheld
 	// TimedOut: there was no whole response until the request's deadline.
 	TimedOut
 )
@@ -38,7 +41,7 @@
 var verdictNames = [...]string{
 	Usable: "usable", ServerFailure: "server-failure", Refused: "refused", Misdirected: "misdirected",
 	MismatchedResponse: "foreign", InvalidResponse: "spoilt", ConnectionLost: "broken", ConnectFailed: "unconnected", Cancelled: "cancelled",
-	TimedOut: "timed-out",
+	Withheld: "withheld", TimedOut: "timed-out",
 }
 
 // String returns the form used in logs and metrics.
@@ -50,9 +53,12 @@
 
 // mayHaveRun reports whether the server may have run the request.
 func (v Verdict) mayHaveRun() bool {
-	return v != Refused && v != Misdirected && v != ConnectFailed
+	return v != Refused && v != Misdirected && !v.nothingSent()
 }
 
+// nothingSent reports whether the attempt ended before anything was sent.
+func (v Verdict) nothingSent() bool { return v == ConnectFailed || v == Withheld }
+
 // Headers reads and writes the headers that the platform defines.
 type Headers interface {
 	// ParseRequest returns the caller's request ID and how long the caller will
@@ -64,6 +70,11 @@
 	Classify(resp *http.Response, id model.RequestID) Verdict
 	// ServerLimit returns the rate limit that a response of a server names.
 	ServerLimit(h http.Header) model.RateLimit
+	// ServerLeaving reports whether a response says that its server is leaving.
+	ServerLeaving(h http.Header) bool
+	// ServerPause returns for how long the server of a response wants no requests from
+	// this host; zero: it does not say so.
+	ServerPause(resp *http.Response) time.Duration
 	// CopyResponse copies the platform's headers of a response that the caller
 	// receives.
 	CopyResponse(to, from http.Header)
--- a/edge/node.go
+++ b/edge/node.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/agateusher/agateusher/catalog"
+	"github.com/agateusher/agateusher/core/balance"
 	"github.com/agateusher/agateusher/core/invariant"
 	"github.com/agateusher/agateusher/core/model"
 	"github.com/agateusher/agateusher/core/split"
@@ -130,6 +131,10 @@
 		return nil, &StartError{Component: "gossip", Err: err}
 	}
 	n.serverState.publish = n.gossiper.Publish
+	n.exchanger.mayReceive = n.serverState.mayReceive
+	n.exchanger.observeSignals = func(server balance.Server, leaving bool, pause time.Duration) {
+		n.serverState.observeSignals(server, leaving, pause, n.gossiper.AnnounceLeaving)
+	}
 	n.follower = catalog.NewFollower(n.cache, n.platform.Source, n.role, s.bootstrapDelay(), n.log)
 	n.puller = newPuller(n)
 	if n.callerListener, err = net.Listen("tcp4", s.Listeners.Caller); err != nil {
--- a/edge/state.go
+++ b/edge/state.go
@@ -76,6 +76,8 @@
 		var ok bool
 		c, ok = s.table.Choose(now, q)
 		switch {
+		case !ok && c.PauseWait > 0:
+			reason = model.ReasonShed
 		case !ok && c.PermitWait > 0:
 			reason = model.ReasonServerLimit
 		case !ok:
@@ -93,10 +95,10 @@
 }
 
 // startPermitted records an attempt for which a permit was issued. It returns zero if
-// the server has left meanwhile.
+// the server has left meanwhile or said that it wants no requests.
 func (s *serverState) startPermitted(c balance.Choice, retry bool) (number uint64) {
 	s.update(func(now time.Time) {
-		if _, ok := s.table.Server(c.Server.Key); ok {
+		if s.table.MayReceive(now, c.Server.Key) {
 			number = s.recordStart(now, c.Server.Key, retry)
 		}
 	})
@@ -132,6 +134,7 @@
 	MismatchedResponse: {gen.Observation_KIND_FAILED, balance.Failed},
 	InvalidResponse:    {gen.Observation_KIND_FAILED, balance.Failed},
 	ConnectionLost:     {gen.Observation_KIND_FAILED, balance.Failed},
+	Withheld:           {gen.Observation_KIND_ABANDONED, balance.Abandoned},
 	ConnectFailed:      {gen.Observation_KIND_ABANDONED, balance.Abandoned},
 	Cancelled:          {gen.Observation_KIND_ABANDONED, balance.Abandoned},
 	TimedOut:           {gen.Observation_KIND_TIMED_OUT, balance.TimedOut},
@@ -145,6 +148,7 @@
 	var limit model.RateLimit
 	if r.resp != nil {
 		limit = r.resp.limit
+		observation.PauseMs = uint32(r.resp.pause.Milliseconds())
 	}
 	if limit.InForce {
 		observation.Limit = &limit.PerSecond
@@ -208,6 +212,7 @@
 		}
 		limitChange = s.observeLimit(now, key, result, latency, limit)
 		change = s.table.AttemptFinished(now, key, attempt, result, latency)
+		s.table.ObserveShort(now, key, time.Duration(o.PauseMs)*time.Millisecond)
 	})
 	s.logBeliefChange(change, "peer", h)
 	s.logLimitChange(limitChange, h)
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -30,6 +30,7 @@
 	outstanding       []uint64
 	permitsIssued     int
 	peerOutstanding   map[model.HostID][]uint64
+	leaving           []*gen.LeavingServer
 }
 
 func (r *recorder) with(f func()) {
@@ -43,6 +44,20 @@
 func (r *recorder) Outstanding() []uint64         { return r.outstanding }
 func (r *recorder) LocalLoads() []*gen.ServerLoad { return r.localLoads }
 func (r *recorder) PeerGone(h model.HostID)       { r.with(func() { r.gone = append(r.gone, h) }) }
+func (r *recorder) Leaving() (list []*gen.LeavingServer) {
+	r.with(func() { list = slices.Clone(r.leaving) })
+	return list
+}
+func (r *recorder) PeerLeaving(_ model.HostID, list []*gen.LeavingServer) (added []*gen.LeavingServer) {
+	r.with(func() {
+		for _, l := range list {
+			if !slices.ContainsFunc(r.leaving, func(x *gen.LeavingServer) bool { return x.Server == l.Server }) {
+				r.leaving, added = append(r.leaving, l), append(added, l)
+			}
+		}
+	})
+	return added
+}
 func (r *recorder) IssuePermit(*gen.PermitRequest) *gen.PermitReply {
 	r.with(func() { r.permitsIssued++ })
 	return &gen.PermitReply{Granted: true}
--- a/gossip/gossiper.go
+++ b/gossip/gossiper.go
@@ -68,6 +68,11 @@
 	LocalLoads() []*gen.ServerLoad
 	// IssuePermit returns the reply to another daemon's request for a permit.
 	IssuePermit(q *gen.PermitRequest) *gen.PermitReply
+	// Leaving returns the servers that this daemon knows to be leaving.
+	Leaving() []*gen.LeavingServer
+	// PeerLeaving is called with those that another daemon knows. It returns those that
+	// this daemon did not know.
+	PeerLeaving(h model.HostID, list []*gen.LeavingServer) []*gen.LeavingServer
 	// RemoteLoads is called with the digest of another data centre.
 	RemoteLoads(from model.DataCentre, loads []*gen.ServerLoad)
 }
@@ -94,7 +99,10 @@
 	// permitRequests are the requests for permits without a reply yet.
 	permitRequests    map[uint64]chan *gen.PermitReply
 	lastPermitRequest uint64
-	hub               hubChoice
+	// lastLeavingProbe is when the leaving servers were last compared with those known
+	// in other regions.
+	lastLeavingProbe time.Time
+	hub              hubChoice
 	// reportedGone holds the members that were reported as gone and have not been
 	// heard from since.
 	reportedGone map[model.HostID]bool
@@ -203,6 +211,7 @@
 				lastDigest = now
 				g.sendDigest()
 				g.sendClaim()
+				g.probeLeaving(now)
 			}
 		}
 	}
@@ -239,6 +248,7 @@
 		Outstanding:    g.handler.Outstanding(),
 		Weight:         g.self.Weight,
 		StoreFailing:   s.StoreFailing,
+		LeavingDigest:  leavingDigest(g.handler.Leaving()),
 	}
 }
 
@@ -367,6 +377,7 @@
 		g.handler.PeerObservation(h.ID, o)
 	}
 	g.handler.PeerOutstanding(h.ID, m.Outstanding)
+	g.handleLeaving(m, from)
 }
 
 func stateOf(m *gen.Gossip) State {
--- a/gossip/member.go
+++ b/gossip/member.go
@@ -75,6 +75,10 @@
 	// not reply to the last permitFailures requests.
 	noPermitsUntil time.Time
 	permitFailures int
+	// lastLeavingList is when the member was last sent the list of leaving servers.
+	// leavingDiffered is set if its last message had another digest of them.
+	lastLeavingList time.Time
+	leavingDiffered bool
 }
 
 // candidate returns the member as a possible relay.
--- a/gossip/region.go
+++ b/gossip/region.go
@@ -113,6 +113,7 @@
 		// A digest is sent to only some daemons of a data centre.
 		g.forward(m)
 	}
+	g.handleLeaving(m, from)
 	if !m.RegionRelay {
 		return
 	}
--- a/standin/consortium/server.go
+++ b/standin/consortium/server.go
@@ -105,6 +105,8 @@
 	behaviour   func(*ReceivedRequest) Behaviour
 	serviceTime time.Duration
 	limit       string
+	leaving     bool
+	retryAfter  string
 	requests    []*ReceivedRequest
 	conns       map[net.Conn]struct{}
 	cancelled   int
@@ -154,14 +156,34 @@
 // SetLimit sets the value of the Server-Limit header of the answers; empty: no header.
 func (s *Server) SetLimit(perSecond string) { s.update(func() { s.limit = perSecond }) }
 
-// limitHeader returns the header line with the server's limit, or an empty text.
-func (s *Server) limitHeader() (line string) {
+// SetLeaving sets whether all responses say that the server is leaving.
+func (s *Server) SetLeaving(leaving bool) { s.update(func() { s.leaving = leaving }) }
+
+// SetRetryAfter sets the value of the Retry-After header of refusals; empty: no header.
+func (s *Server) SetRetryAfter(seconds string) { s.update(func() { s.retryAfter = seconds }) }
+
+// signalHeaders returns the header lines with the server's limit and, if it is leaving,
+// with that.
+func (s *Server) signalHeaders() (lines string) {
 	s.update(func() {
 		if s.limit != "" {
-			line = "Server-Limit: " + s.limit + "\r\n"
+			lines += "Server-Limit: " + s.limit + "\r\n"
+		}
+		if s.leaving {
+			lines += "Server-Leaving: 1\r\n"
+		}
+	})
+	return lines
+}
+
+// refusalHeaders returns the header lines of a refusal.
+func (s *Server) refusalHeaders() (lines string) {
+	s.update(func() {
+		if s.retryAfter != "" {
+			lines = "Retry-After: " + s.retryAfter + "\r\n"
 		}
 	})
-	return line
+	return lines + s.signalHeaders()
 }
 
 // Requests returns copies of the requests that arrived, in order of arrival.
@@ -241,7 +263,7 @@
 	}
 	switch b {
 	case Shed:
-		return write(c, "HTTP/1.1 503 Service Unavailable\r\nAgateusher-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+		return write(c, "HTTP/1.1 503 Service Unavailable\r\nAgateusher-Not-Executed: 1\r\n"+s.refusalHeaders()+"Content-Length: 0\r\n\r\n")
 	case Misdirect:
 		return write(c, "HTTP/1.1 421 Misdirected Request\r\nAgateusher-Instance-Id: "+s.ID+"\r\nContent-Length: 0\r\n\r\n")
 	}
@@ -365,7 +387,7 @@
 // respond writes the answer. It returns false if the connection must be closed.
 func (s *Server) respond(c net.Conn, received *ReceivedRequest, b Behaviour) bool {
 	body := Body(received.ID)
-	idHeader := "Agateusher-Request-Id: " + received.ID + "\r\n" + s.limitHeader()
+	idHeader := "Agateusher-Request-Id: " + received.ID + "\r\n" + s.signalHeaders()
 	signatureHeader := "Agateusher-Response-Signature: " + s.ID + "." + received.ID + "\r\n"
 	lengthHeader := fmt.Sprintf("Content-Length: %d\r\n", len(body))
 	if b >= Large && b <= NoContent {
