edge, reuse, balance: connections to servers are reused

Cause: each attempt opened a connection, which costs the server 1 ms of a slot and is charged: one connection for each request.

Each connection is an http.ClientConn, which sends a request once and never opens another connection. A connection is kept only after a response with the request's ID. A reset before any byte of the response is the verdict stale-connection: no evidence about the server; an idempotent request goes to the same server on a new connection, charged to the retry budget.

--- a/cmd/usher-edge/main.go
+++ b/cmd/usher-edge/main.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -53,8 +54,9 @@
 		return 0
 	}
 	debug.SetMemoryLimit(s.HeapLimit())
-	node, err := edge.New(s, os.Stdout, func(scope telemetry.Scope, log telemetry.Logger) edge.Platform {
-		store := platform.NewStore(s.Store, scope, log)
+	log.SetOutput(edge.LibraryLog{Writer: os.Stderr})
+	node, err := edge.New(s, os.Stdout, func(scope telemetry.Scope, logger telemetry.Logger) edge.Platform {
+		store := platform.NewStore(s.Store, scope, logger)
 		return edge.Platform{Source: store, Registry: store, Headers: platform.Headers{}, ReadinessPath: platform.ReadinessPath}
 	})
 	if err != nil {
--- a/core/balance/choose.go
+++ b/core/balance/choose.go
@@ -25,6 +25,9 @@
 	// UnreachablePath is added for a server that could recently not be connected
 	// to, or whose address was recently found to belong to another server.
 	UnreachablePath float64
+	// NewConnection is added for a server that a new connection has to be opened to. It is
+	// low, so that it decides only among servers that are nearly equal.
+	NewConnection float64
 	// SheddingServer is added for a server that shed a request within its backoff.
 	SheddingServer float64
 }
@@ -52,6 +55,8 @@
 	// servers with a free slot that are not suspects and have no rate limit are
 	// chosen for it.
 	Hedge bool
+	// Warm lists servers that the attempt needs no new connection to.
+	Warm []ServerKey
 	// NoPermit leaves out servers with a rate limit.
 	NoPermit bool
 	// TieBreak selects among servers of equal cost. Any number is valid; random
@@ -193,13 +198,27 @@
 		if !q.CanRetry && t.opts.Model.FailingProbability(s.belief, now) >= suspectThreshold {
 			continue // the probe would probably cost the request
 		}
-		if oldest == nil || s.lastSent.Before(oldest.lastSent) {
+		if oldest == nil || probeBefore(now, s, oldest, q.Warm) {
 			oldest = s
 		}
 	}
 	return oldest
 }
 
+// probeBefore reports whether server a is probed before b: one that is idle for
+// maxIdleInterval, then one that no new connection has to be opened to, then the one
+// without a request for longest.
+func probeBefore(now time.Time, a, b *server, warm []ServerKey) bool {
+	aIdle, bIdle := now.Sub(a.lastSent) >= maxIdleInterval, now.Sub(b.lastSent) >= maxIdleInterval
+	if aIdle != bIdle {
+		return aIdle
+	}
+	if aWarm, bWarm := slices.Contains(warm, a.Key), slices.Contains(warm, b.Key); aWarm != bWarm && !aIdle {
+		return aWarm
+	}
+	return a.lastSent.Before(b.lastSent)
+}
+
 // probeDue reports whether the server has had no request for maxIdleInterval or,
 // if renew is set, its evidence is older than the probe interval.
 func (t *Table) probeDue(now time.Time, s *server, renew bool) bool {
@@ -235,6 +254,11 @@
 	if c.QueueFull {
 		c.Cost = refusalCostShare * t.requestFailureCost(q)
 	}
+	// A server that is half busy gets no preference, so that hosts do not gather at the
+	// servers that they used last.
+	if 2*c.Outstanding >= s.Slots || !slices.Contains(q.Warm, s.Key) {
+		c.Cost += t.opts.Costs.NewConnection
+	}
 	if now.Before(s.unreachableUntil) {
 		c.Cost += t.opts.Costs.UnreachablePath
 	}
--- a/edge/exchange.go
+++ b/edge/exchange.go
@@ -4,10 +4,11 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
+	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/agateusher/agateusher/core/balance"
@@ -50,12 +51,10 @@
 	}
 }
 
-// exchanger sends requests to backend servers. Each attempt opens a new connection:
-// this shows that packets pass in both directions, and unlike a reused connection it
-// carries no late response to an earlier request and was not dropped while idle.
+// exchanger sends requests to backend servers.
 type exchanger struct {
-	headers                 Headers
-	sameRegion, crossRegion *http.Transport
+	headers Headers
+	conns   *serverConns
 	// bufferBytes is how much of a response is buffered before it is streamed.
 	bufferBytes int
 	// mayReceive reports whether a request may still be sent to a server.
@@ -64,17 +63,8 @@
 	observeSignals func(server balance.Server, leaving bool, pause time.Duration)
 }
 
-func newExchanger(h Headers, bufferBytes int) *exchanger {
-	return &exchanger{headers: h, bufferBytes: bufferBytes, sameRegion: newTransport(sameRegionDialTimeout), crossRegion: newTransport(crossRegionDialTimeout)}
-}
-
-func newTransport(dialTimeout time.Duration) *http.Transport {
-	return &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: dialTimeout, KeepAlive: -1}).DialContext,
-		DisableKeepAlives:      true,
-		DisableCompression:     true,
-		MaxResponseHeaderBytes: maxResponseHeaderBytes,
-	}
+func newExchanger(h Headers, bufferBytes int, conns *serverConns) *exchanger {
+	return &exchanger{headers: h, bufferBytes: bufferBytes, conns: conns}
 }
 
 // errWithheld is returned for an attempt that was given up before anything was sent.
@@ -87,51 +77,76 @@
 // there is none. Of a long response only the first part is read; the rest has to be
 // read or closed by the caller of exchange. remaining is the time until the
 // deadline; it is sent to the server. progress is called for each part received.
-func (x *exchanger) exchange(ctx context.Context, q *request, server balance.Server, crossRegion bool, remaining time.Duration, progress func()) (Verdict, *response, error) {
-	out, err := x.newServerRequest(ctx, q, server, remaining)
-	if err != nil {
-		return ConnectFailed, nil, err
+func (x *exchanger) exchange(ctx context.Context, q *request, server balance.Server, crossRegion bool, r connReuse, remaining time.Duration, progress func()) (Verdict, *response, error) {
+	if q.id == "" {
+		r = newConnection // a late response to an earlier request could not be told from this one's
 	}
-	transport := x.sameRegion
-	if crossRegion {
-		transport = x.crossRegion
-	}
-	conn, err := transport.NewClientConn(ctx, "http", server.Address)
+	verdict, resp, conn, err := x.roundTrip(ctx, q, server, crossRegion, r, remaining)
 	if err != nil {
-		return ConnectFailed, nil, err
-	}
-	// The server may have said meanwhile that it wants no requests.
-	if !x.mayReceive(server.Key) {
-		_ = conn.Close()
-		return Withheld, nil, errWithheld
+		return verdict, nil, err
 	}
-	resp, err := conn.RoundTrip(out)
-	if err != nil {
-		_ = conn.Close()
-		return classifyError(ctx), nil, err
-	}
-	resp.Body = &connBody{ReadCloser: resp.Body, conn: conn}
 	progress()
-	verdict := x.headers.Classify(resp, q.id)
+	verdict = x.headers.Classify(resp, q.id)
+	echoed := x.headers.EchoedID(resp.Header)
+	body := &connBody{ReadCloser: resp.Body, conns: x.conns, conn: conn}
+	resp.Body = body
+	switch {
+	case conn.reused && (verdict == MismatchedResponse || (echoed != "" && echoed != q.id)):
+		// A late response to an earlier request on the connection, whatever it says.
+		verdict = MismatchedResponse
+		x.conns.distrust(conn)
+	case verdict.madeByServer() && echoed == q.id && q.id != "":
+		body.keep, body.keepAlive = true, announcedKeepAlive(resp.Header)
+	}
 	limit, pause := x.serverLimit(resp, verdict), x.headers.ServerPause(resp)
-	if verdict != Misdirected {
+	if resp.StatusCode != http.StatusMisdirectedRequest {
 		x.observeSignals(server, x.headers.ServerLeaving(resp.Header), pause)
 	}
 	if !verdict.mayHaveRun() {
 		_ = resp.Body.Close()
 		return verdict, &response{status: resp.StatusCode, header: http.Header{}, limit: limit, pause: pause}, nil
 	}
-	r, err := x.readResponse(ctx, resp, verdict, q.reserved, progress)
+	answer, err := x.readResponse(ctx, resp, verdict, q.reserved, progress)
 	if err != nil {
 		_ = resp.Body.Close()
 		return classifyError(ctx), nil, err
 	}
-	if r.rest == nil {
+	if answer.rest == nil {
 		_ = resp.Body.Close()
 	}
-	r.header, r.limit, r.pause = fleet.EndToEnd(resp.Header), limit, pause
-	x.headers.CopyResponse(r.header, resp.Header)
-	return verdict, r, nil
+	answer.header, answer.limit, answer.pause = fleet.EndToEnd(resp.Header), limit, pause
+	x.headers.CopyResponse(answer.header, resp.Header)
+	return verdict, answer, nil
+}
+
+// roundTrip sends a request to a server and returns the head of the response. Without an
+// error, the verdict is zero. The request is sent once: it is sent on a second connection
+// only if nothing could be written to the first one.
+func (x *exchanger) roundTrip(ctx context.Context, q *request, server balance.Server, crossRegion bool, r connReuse, remaining time.Duration) (Verdict, *http.Response, *serverConn, error) {
+	for {
+		out, err := x.newServerRequest(ctx, q, server, remaining)
+		if err != nil {
+			return ConnectFailed, nil, nil, err
+		}
+		conn, err := x.conns.get(ctx, server, crossRegion, r)
+		if err != nil {
+			return ConnectFailed, nil, nil, err
+		}
+		// The server may have said meanwhile that it wants no requests.
+		if !x.mayReceive(server.Key) {
+			_ = conn.Close()
+			return Withheld, nil, nil, errWithheld
+		}
+		resp, err := conn.RoundTrip(out)
+		if err == nil {
+			return 0, resp, conn, nil
+		}
+		verdict, resend := x.conns.fail(ctx, conn)
+		if !resend {
+			return verdict, nil, nil, err
+		}
+		r = newConnection
+	}
 }
 
 // serverLimit returns the limit that a response names.
@@ -166,19 +181,50 @@
 	return r, nil
 }
 
-// connBody is the body of a response. Close also closes the connection.
+// connBody is the body of a response. Close keeps the connection for other requests if
+// keep is set and the body was read to its end; otherwise it closes the connection.
 type connBody struct {
 	io.ReadCloser
-	conn *http.ClientConn
+	conns *serverConns
+	conn  *serverConn
+	keep  bool
+	// keepAlive is how long the server announces to keep the connection; negative: not
+	// announced.
+	keepAlive time.Duration
+	once      sync.Once
 }
 
 // Close implements io.Closer.
 func (b *connBody) Close() error {
 	err := b.ReadCloser.Close()
-	_ = b.conn.Close()
+	b.once.Do(func() {
+		if b.keep {
+			b.conns.release(b.conn, b.keepAlive)
+		} else {
+			_ = b.conn.Close()
+		}
+	})
 	return err
 }
 
+// announcedKeepAlive returns for how long the Keep-Alive header of a response says that
+// an idle connection is kept; negative if it does not say so, zero if no request may follow.
+func announcedKeepAlive(h http.Header) time.Duration {
+	announced := time.Duration(-1)
+	for _, part := range strings.Split(strings.Join(h["Keep-Alive"], ","), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		n, err := strconv.ParseUint(strings.Trim(value, ` "`), 10, 31)
+		switch {
+		case err != nil:
+		case strings.EqualFold(name, "timeout"):
+			announced = time.Duration(n) * time.Second
+		case strings.EqualFold(name, "max") && n == 0:
+			return 0
+		}
+	}
+	return announced
+}
+
 // classifyError returns the verdict on an attempt that opened a connection and received
 // no complete response.
 func classifyError(ctx context.Context) Verdict {
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -75,6 +75,8 @@
 	serverFailure *response // the last response of a server that failed
 	reason        model.Reason
 	attemptNotes  []string
+	// noReuse is set after an attempt failed on an idle connection.
+	noReuse bool
 }
 
 // activeAttempt is an attempt without a result yet.
@@ -248,7 +250,7 @@
 		CanRetry:      f.route.Idempotent && f.countedAttempts+1 < f.route.MaxAttempts,
 		TargetLatency: f.route.TargetLatency, ExpectedBytes: f.node.sizeEstimator.estimate(f.route.Name, len(f.request.body)),
 		LatencyLimit: f.latencyLimit(),
-		Excluded:     f.excluded, TieBreak: rand.Uint64(),
+		Excluded:     f.excluded, Warm: f.node.exchanger.conns.warm(f.connReuse()), TieBreak: rand.Uint64(),
 	}
 }
 
@@ -288,6 +290,7 @@
 		}
 		return false
 	}
+	reuse := f.connReuse()
 	f.dials++
 	f.excluded = append(f.excluded, choice.Server.Key)
 	attemptCtx, cancel := context.WithDeadline(f.attemptContext(ctx), f.deadline)
@@ -301,7 +304,7 @@
 		result := attemptResult{number: number, choice: choice, verdict: ConnectionLost}
 		f.node.contain("attempt", func() {
 			crossRegion := choice.Server.Region != f.node.settings.Host.Region
-			result.verdict, result.resp, result.err = f.node.exchanger.exchange(attemptCtx, f.request, choice.Server, crossRegion, remaining,
+			result.verdict, result.resp, result.err = f.node.exchanger.exchange(attemptCtx, f.request, choice.Server, crossRegion, reuse, remaining,
 				func() { progressAt.Store(int64(time.Since(startedAt))) })
 		})
 		result.latency = time.Since(startedAt)
@@ -350,6 +353,9 @@
 	case Refused:
 		f.refusedBy = append(f.refusedBy, r.choice.Server.Key)
 	}
+	if r.verdict == StaleConnection && f.resend(ctx, r.choice.Server.Key) {
+		return nil, false
+	}
 	if f.mayRetry(r.verdict) && f.sendNext(ctx) {
 		return nil, false
 	}
@@ -400,7 +406,7 @@
 		return model.ReasonConnect
 	case Cancelled, TimedOut:
 		return model.ReasonTimeout
-	case InvalidResponse, MismatchedResponse, ConnectionLost:
+	case InvalidResponse, MismatchedResponse, ConnectionLost, StaleConnection:
 		return model.ReasonTruncated
 	}
 	return model.ReasonServerFailed
--- a/edge/gauges.go
+++ b/edge/gauges.go
@@ -39,6 +39,7 @@
 		"request_lines_left_out": float64(n.requestLog.skippedTotal.Load()),
 		"limited_servers":        float64(n.serverState.limitedServers()),
 		"leaving_servers":        float64(leaving),
+		"idle_connections":       float64(n.exchanger.conns.count()),
 		"paused_servers":         float64(paused),
 		"observations_dropped":   float64(n.gossiper.Dropped()),
 	} {
--- a/edge/headers.go
+++ b/edge/headers.go
@@ -27,6 +27,9 @@
 	InvalidResponse
 	// ConnectionLost: the connection failed when the request may have been sent.
 	ConnectionLost
+	// StaleConnection: the server or the path had dropped an idle connection that the
+	// request was sent on. It may have run, but that is unlikely.
+	StaleConnection
 	// ConnectFailed: no connection was opened, so that nothing was sent.
 	ConnectFailed
 	// Cancelled: this daemon cancelled the attempt.
@@ -41,7 +44,7 @@
 var verdictNames = [...]string{
 	Usable: "usable", ServerFailure: "server-failure", Refused: "refused", Misdirected: "misdirected",
 	MismatchedResponse: "foreign", InvalidResponse: "spoilt", ConnectionLost: "broken", ConnectFailed: "unconnected", Cancelled: "cancelled",
-	Withheld: "withheld", TimedOut: "timed-out",
+	StaleConnection: "stale-connection", Withheld: "withheld", TimedOut: "timed-out",
 }
 
 // String returns the form used in logs and metrics.
@@ -70,6 +73,9 @@
 	Classify(resp *http.Response, id model.RequestID) Verdict
 	// ServerLimit returns the rate limit that a response of a server names.
 	ServerLimit(h http.Header) model.RateLimit
+	// EchoedID returns the ID of the request that a response says it belongs to; empty
+	// if it does not say so.
+	EchoedID(h http.Header) model.RequestID
 	// ServerLeaving reports whether a response says that its server is leaving.
 	ServerLeaving(h http.Header) bool
 	// ServerPause returns for how long the server of a response wants no requests from
--- a/edge/log.go
+++ b/edge/log.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"sync/atomic"
@@ -91,3 +92,16 @@
 	}
 	r.log.WithFields(fields).Info(message)
 }
+
+// LibraryLog is the output of the standard library's log. It leaves out the lines of
+// net/http about bytes on idle connections, because they contain the bytes, which may be
+// part of a caller's response.
+type LibraryLog struct{ io.Writer }
+
+// Write implements io.Writer.
+func (l LibraryLog) Write(line []byte) (int, error) {
+	if bytes.Contains(line, []byte("Unsolicited response received on idle HTTP channel")) {
+		return len(line), nil
+	}
+	return l.Writer.Write(line)
+}
--- a/edge/node.go
+++ b/edge/node.go
@@ -122,7 +122,8 @@
 	n.panics = telemetry.NewCounterVec(n.metrics.Scope, "panics", "unit", "")
 	n.platform = connect(n.metrics.Scope, n.log)
 	n.headers = n.platform.Headers
-	n.exchanger = newExchanger(n.headers, responseBufferBytes(s.Host.LinkMbps))
+	n.exchanger = newExchanger(n.headers, responseBufferBytes(s.Host.LinkMbps),
+		newServerConns(s.MemoryMiB, telemetry.NewCounterVec(n.metrics.Scope, "server_connections", "use", "")))
 	n.bodyMemory = newBodyMemory(s.memoryBytes())
 	n.seeds.Store(&s.Seeds)
 	n.serverState = newServerState(s, n.log)
@@ -257,6 +258,7 @@
 
 func (n *Node) runTick(now time.Time) {
 	n.serverState.tick()
+	n.exchanger.conns.expire(now)
 	for _, id := range n.cache.ExpireLapsed(now) {
 		n.log.WithFields(telemetry.Fields{"event": "server_lapsed", "server": id}).Info("removed a backend server whose entry did not come back")
 	}
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -123,6 +123,7 @@
 	LateResponse:         0.4,
 	UnreachablePath:      0.6,
 	SheddingServer:       0.3,
+	NewConnection:        0.02,
 }
 
 // requestValue is the mean value of a request, in the currency of the platform's
--- a/edge/signals_internal_test.go
+++ b/edge/signals_internal_test.go
@@ -16,6 +16,7 @@
 	"github.com/agateusher/agateusher/core/model"
 	gen "github.com/agateusher/agateusher/gen/agateusher/v1"
 	"github.com/agateusher/agateusher/standin/consortium"
+	"github.com/agateusher/agateusher/telemetry"
 )
 
 // Guards against a request that a host sends to a server that said, while the host was
@@ -44,18 +45,18 @@
 			entry := catalog.Server{ID: "i-1", StartedAtMs: 1, Service: "s", Address: standIn.Address(), Slots: 2}
 			state.setServers(&catalog.View{Servers: []catalog.Server{entry}})
 			server, _ := state.table.Server(balance.ServerKey(entry.Key()))
-			x := newExchanger(nil, 1<<10)
+			conns := newServerConns(64, telemetry.NewCounterVec(telemetry.NewMetrics("test").Scope, "connections", "use", ""))
+			x := newExchanger(noHeaders{}, 1<<10, conns)
 			x.mayReceive = state.mayReceive
-			dial := x.sameRegion.DialContext
-			x.sameRegion.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+			dial := conns.sameRegion.DialContext
+			conns.sameRegion.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 				signal(state, server)
 				return dial(ctx, network, address)
 			}
-			x.headers = noHeaders{}
 			choice, number, reason := state.startAttempt(balance.Query{Service: "s"}, false)
 			g.Expect(reason).To(Equal(model.ReasonNone))
 			g.Expect(number).NotTo(BeZero())
-			verdict, _, err := x.exchange(t.Context(), &request{method: "POST", target: "/"}, choice.Server, false, time.Second, func() {})
+			verdict, _, err := x.exchange(t.Context(), &request{method: "POST", target: "/"}, choice.Server, false, newConnection, time.Second, func() {})
 			g.Expect(err).To(MatchError(errWithheld))
 			g.Expect(verdict).To(Equal(Withheld))
 			g.Expect(verdict.mayHaveRun()).To(BeFalse())
--- a/edge/state.go
+++ b/edge/state.go
@@ -134,6 +134,7 @@
 	MismatchedResponse: {gen.Observation_KIND_FAILED, balance.Failed},
 	InvalidResponse:    {gen.Observation_KIND_FAILED, balance.Failed},
 	ConnectionLost:     {gen.Observation_KIND_FAILED, balance.Failed},
+	StaleConnection:    {gen.Observation_KIND_ABANDONED, balance.Abandoned},
 	Withheld:           {gen.Observation_KIND_ABANDONED, balance.Abandoned},
 	ConnectFailed:      {gen.Observation_KIND_ABANDONED, balance.Abandoned},
 	Cancelled:          {gen.Observation_KIND_ABANDONED, balance.Abandoned},
--- a/standin/consortium/server.go
+++ b/standin/consortium/server.go
@@ -78,8 +78,15 @@
 	// AnswerEarly runs the request, answers 413 before reading the body, and then
 	// reads it.
 	AnswerEarly
+	// AnswerTwiceLate is like AnswerTwice, with the second answer lateAnswer later.
+	AnswerTwiceLate
+	// AnswerAndClose is like Answer, with "Connection: close".
+	AnswerAndClose
 )
 
+// lateAnswer is the time between the answers of AnswerTwiceLate.
+const lateAnswer = 30 * time.Millisecond
+
 // ReceivedRequest is a request that reached a server.
 type ReceivedRequest struct {
 	ID       string
@@ -107,6 +114,9 @@
 	limit       string
 	leaving     bool
 	retryAfter  string
+	keepAlive   string
+	idleDrop    time.Duration
+	accepted    int
 	requests    []*ReceivedRequest
 	conns       map[net.Conn]struct{}
 	cancelled   int
@@ -162,6 +172,33 @@
 // SetRetryAfter sets the value of the Retry-After header of refusals; empty: no header.
 func (s *Server) SetRetryAfter(seconds string) { s.update(func() { s.retryAfter = seconds }) }
 
+// SetKeepAlive sets the value of the Keep-Alive header of the answers; empty: no header.
+func (s *Server) SetKeepAlive(value string) { s.update(func() { s.keepAlive = value }) }
+
+// SetIdleDrop makes the server reset each connection on which something arrives after it
+// was idle for a time; zero: never.
+func (s *Server) SetIdleDrop(d time.Duration) { s.update(func() { s.idleDrop = d }) }
+
+// Connections returns how many connections the server has accepted.
+func (s *Server) Connections() (n int) {
+	s.update(func() { n = s.accepted })
+	return n
+}
+
+// dropped waits for the next bytes and resets the connection if they arrive after more
+// than the time set by SetIdleDrop.
+func (s *Server) dropped(c net.Conn, r *bufio.Reader) (reset bool) {
+	idleSince := time.Now()
+	if _, err := r.Peek(1); err != nil {
+		return true
+	}
+	s.update(func() { reset = s.idleDrop > 0 && time.Since(idleSince) > s.idleDrop })
+	if tcp, ok := c.(*net.TCPConn); reset && ok {
+		_ = tcp.SetLinger(0)
+	}
+	return reset
+}
+
 // signalHeaders returns the header lines with the server's limit and, if it is leaving,
 // with that.
 func (s *Server) signalHeaders() (lines string) {
@@ -169,6 +206,9 @@
 		if s.limit != "" {
 			lines += "Server-Limit: " + s.limit + "\r\n"
 		}
+		if s.keepAlive != "" {
+			lines += "Keep-Alive: " + s.keepAlive + "\r\n"
+		}
 		if s.leaving {
 			lines += "Server-Leaving: 1\r\n"
 		}
@@ -219,6 +259,7 @@
 		}
 		s.mu.Lock()
 		s.conns[c] = struct{}{}
+		s.accepted++
 		s.mu.Unlock()
 		go s.serve(c)
 	}
@@ -232,7 +273,7 @@
 		s.mu.Unlock()
 	}()
 	r := bufio.NewReader(c)
-	for {
+	for first := true; first || !s.dropped(c, r); first = false {
 		req, err := http.ReadRequest(r)
 		if err != nil {
 			return
@@ -419,6 +460,15 @@
 		return false
 	case AnswerTwice:
 		return write(c, response+response)
+	case AnswerTwiceLate:
+		if !write(c, response) {
+			return false
+		}
+		time.AfterFunc(lateAnswer, func() { write(c, response) })
+		return true
+	case AnswerAndClose:
+		write(c, "HTTP/1.1 200 OK\r\nConnection: close\r\n"+idHeader+signatureHeader+lengthHeader+"\r\n"+body)
+		return false
 	case AnswerEarly:
 		return write(c, "HTTP/1.1 413 Content Too Large\r\n"+idHeader+signatureHeader+"Content-Length: 0\r\n\r\n")
 	}
