edge, reuse: the kernel's time of the last bytes decides how long a connection was idle

Cause: the idle time was counted from when the process had read the response. A process that was frozen in between takes a connection for fresh that the server has dropped meanwhile, and the outcome of a request that must not repeat becomes unknown. After a suspension the clocks do not show the time either.

Change: before reuse, TCP_INFO tells since when nothing has arrived. A suspension closes all idle connections. Idempotent requests with more than 16 KiB of body use only recent connections: on a busy link their data is not acknowledged within the limit for silence.

Test: TestStateOfIdleConnection, case of bytes that were read late.

--- a/core/reuse/reuse.go
+++ b/core/reuse/reuse.go
@@ -112,6 +112,15 @@
 	return idempotent || (idle >= otherSettle && idle < min(otherIdle, limit/2))
 }
 
+// MaxIdle returns the longest time since the last byte from the server after which a
+// connection is used for a request that is idempotent or not.
+func MaxIdle(idempotent bool) time.Duration {
+	if idempotent {
+		return idempotentIdle
+	}
+	return otherIdle
+}
+
 // Limit returns how long a connection may be idle before an idempotent request.
 func (p *Pool[K, C]) Limit(now time.Time) time.Duration {
 	if p.lowered == 0 {
@@ -132,6 +141,14 @@
 	return p.Drop(k)
 }
 
+// Clear removes and returns all connections, which are to be closed.
+func (p *Pool[K, C]) Clear() (closing []C) {
+	for k := range p.idle {
+		closing = append(closing, p.Drop(k)...)
+	}
+	return closing
+}
+
 // Distrust records that a server sent bytes that nobody asked for, and returns its
 // connections, which are to be closed.
 func (p *Pool[K, C]) Distrust(now time.Time, k K) []C {
--- a/edge/internal_test.go
+++ b/edge/internal_test.go
@@ -130,7 +130,7 @@
 
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	n := &Node{log: log, cache: catalog.NewCache(nil), serverState: newServerState(DefaultSettings(), log)}
+	n := &Node{log: log, cache: catalog.NewCache(nil), serverState: newServerState(DefaultSettings(), log), exchanger: &exchanger{conns: newServerConns(64, nil)}}
 	n.cache.Merge(time.Now(), catalog.Snapshot{Config: &catalog.Config{Epoch: 1}, Servers: map[string]*catalog.Server{}, Revision: 5})
 	n.afterSuspension(gap)
 	config, servers := n.cache.Ages(time.Now())
--- a/edge/reuse.go
+++ b/edge/reuse.go
@@ -8,6 +8,10 @@
 	"github.com/agateusher/agateusher/core/model"
 )
 
+// maxResendBody bounds the bodies that are sent on a connection that may have gone stale.
+// Large ones are not acknowledged in time on a busy link and cost the link twice.
+const maxResendBody = 16 << 10
+
 // connReuse returns which idle connections the next attempt may use. An idempotent request
 // may use any while the retry budget allows to send it again. A request that is not
 // idempotent may use a recent one for its first attempt only: on a connection that carried
@@ -16,7 +20,7 @@
 	switch {
 	case f.noReuse || (!f.route.Idempotent && f.dials > 0):
 		return newConnection
-	case f.route.Idempotent && f.node.serverState.budgetAllows(f.service):
+	case f.route.Idempotent && len(f.request.body) <= maxResendBody && f.node.serverState.budgetAllows(f.service):
 		return idleConnection
 	}
 	return recentConnection
--- a/edge/serverconns.go
+++ b/edge/serverconns.go
@@ -155,6 +155,21 @@
 	return state
 }
 
+// silence returns the time since the kernel received the last bytes. A process that was
+// frozen meanwhile has read them later.
+func (c *watchedConn) silence() (since time.Duration) {
+	if raw, ok := c.Conn.(*net.TCPConn); ok {
+		if sys, err := raw.SyscallConn(); err == nil {
+			_ = sys.Control(func(fd uintptr) {
+				if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+					since = time.Duration(info.Last_data_recv) * time.Millisecond
+				}
+			})
+		}
+	}
+	return since
+}
+
 // setSilentLimit sets after how long without an acknowledgement the kernel breaks the
 // connection; zero: its default.
 func (c *watchedConn) setSilentLimit(d time.Duration) {
@@ -222,7 +237,8 @@
 	}
 	s.mu.Lock()
 	now := time.Now()
-	c, idle, ok, closing := s.pool.Take(now, key, r == idleConnection, (*serverConn).checkIdle)
+	maxIdle := reuse.MaxIdle(r == idleConnection)
+	c, idle, ok, closing := s.pool.Take(now, key, r == idleConnection, func(c *serverConn) bool { return c.checkIdle(maxIdle) })
 	for _, x := range closing {
 		if x.dirty {
 			closing = append(closing, s.pool.Distrust(now, key)...)
@@ -248,10 +264,10 @@
 }
 
 // checkIdle reports whether a request may be sent on an idle connection, and reserves it.
-func (c *serverConn) checkIdle() bool {
+func (c *serverConn) checkIdle(maxIdle time.Duration) bool {
 	state := c.socket.state(c.received)
 	c.dirty = state == idleBytes
-	return state == idleClean && c.Reserve() == nil
+	return state == idleClean && c.socket.silence() < maxIdle && c.Reserve() == nil
 }
 
 // release keeps the connection for later requests if its response was read to the end,
@@ -304,6 +320,14 @@
 	closeConns(append(closing, c))
 }
 
+// clear closes all idle connections.
+func (s *serverConns) clear() {
+	s.mu.Lock()
+	closing := s.pool.Clear()
+	s.mu.Unlock()
+	closeConns(closing)
+}
+
 // drop closes the idle connections to a server.
 func (s *serverConns) drop(key balance.ServerKey) {
 	s.mu.Lock()
--- a/edge/serverconns_internal_test.go
+++ b/edge/serverconns_internal_test.go
@@ -43,6 +43,11 @@
 			x.peer(peer)
 			time.Sleep(20 * time.Millisecond)
 			g.Expect(c.state(0)).To(Equal(x.want))
+			// A process that was frozen reads bytes late; the kernel knows when they came.
+			if x.want == idleBytes {
+				time.Sleep(100 * time.Millisecond)
+				g.Expect(c.silence()).To(BeNumerically(">=", 90*time.Millisecond))
+			}
 			if !x.reading && x.want == idleClosed {
 				return
 			}
--- a/edge/suspend.go
+++ b/edge/suspend.go
@@ -53,9 +53,11 @@
 }
 
 // afterSuspension makes the content unconfirmed, so that the store or another daemon
-// has to confirm it, and forgets the attempts of other daemons.
+// has to confirm it, forgets the attempts of other daemons and closes the idle
+// connections: their servers counted on while the clocks here stood still.
 func (n *Node) afterSuspension(gap time.Duration) {
 	n.log.WithFields(telemetry.Fields{"event": "host_suspended", "for": gap.Round(time.Millisecond)}).Warn("the host was suspended; its content has to be confirmed again")
 	n.cache.AddAge(gap)
 	n.serverState.forgetPeerAttempts()
+	n.exchanger.conns.clear()
 }
