balance, gossip: a restarted host is told of the pauses that servers asked it for

Cause: the pauses lived in the process only. A host restarted within a pause sent the server requests again: 36 in 4.2 s in the test.

Change: the daemons of a data centre remember the pauses that their observations report, at most 4,096.

Test: TestPauseOutlivesRestart failed before (36 arrivals where 2 are allowed).

--- a/core/balance/signals.go
+++ b/core/balance/signals.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/agateusher/agateusher/core/model"
 )
 
 const (
@@ -31,10 +33,29 @@
 	leaving map[ServerKey]time.Time
 	// pausedUntil has the ends of the pauses that servers asked this daemon for.
 	pausedUntil map[ServerKey]time.Time
+	// peerPauses has the ends of those that servers asked other daemons of the data centre
+	// for, so that they can be told after a restart.
+	peerPauses map[peerPause]time.Time
+}
+
+// peerPause is a server that asked a host for a pause.
+type peerPause struct {
+	host   model.HostID
+	server ServerKey
+}
+
+// maxPeerPauses bounds the pauses of other daemons that are remembered. Further ones are
+// not, and end when the daemon restarts.
+const maxPeerPauses = 4096
+
+// Pause is a server that wants no requests, and for how long.
+type Pause struct {
+	Server ServerKey
+	Left   time.Duration
 }
 
 func newSignals() signals {
-	return signals{leaving: map[ServerKey]time.Time{}, pausedUntil: map[ServerKey]time.Time{}}
+	return signals{leaving: map[ServerKey]time.Time{}, pausedUntil: map[ServerKey]time.Time{}, peerPauses: map[peerPause]time.Time{}}
 }
 
 // withheld reports whether this daemon must send the server no request, and for how long;
@@ -91,6 +112,11 @@
 			delete(t.signals.pausedUntil, k)
 		}
 	}
+	for p, until := range t.signals.peerPauses {
+		if !now.Before(until) {
+			delete(t.signals.peerPauses, p)
+		}
+	}
 	for k, since := range t.signals.leaving {
 		if _, listed := t.servers[k]; !listed && now.Sub(since) > leavingLifetime {
 			delete(t.signals.leaving, k)
@@ -127,6 +153,16 @@
 	return list
 }
 
+// PeerPauses returns the pauses of another daemon that have not ended.
+func (t *Table) PeerPauses(now time.Time, h model.HostID) (list []Pause) {
+	for p, until := range t.signals.peerPauses {
+		if p.host == h && now.Before(until) {
+			list = append(list, Pause{Server: p.server, Left: until.Sub(now)})
+		}
+	}
+	return list
+}
+
 // PausedServers returns the number of servers that asked this daemon for a pause that has
 // not ended.
 func (t *Table) PausedServers(now time.Time) int {
@@ -139,10 +175,18 @@
 	return n
 }
 
-// ObserveShort records that a server asked another daemon for a pause. It counts as
+// ObservePeerPause records that a server asked another daemon for a pause. It counts as
 // shedding for that time, at most for maxShedBackoff: the pause binds only the daemon
 // that was asked.
-func (t *Table) ObserveShort(now time.Time, k ServerKey, pause time.Duration) {
+func (t *Table) ObservePeerPause(now time.Time, h model.HostID, k ServerKey, pause time.Duration) {
+	if pause <= 0 {
+		return
+	}
+	t.forgetSignals(now)
+	p, until := peerPause{host: h, server: k}, now.Add(min(pause, MaxPause))
+	if len(t.signals.peerPauses) < maxPeerPauses && until.After(t.signals.peerPauses[p]) {
+		t.signals.peerPauses[p] = until
+	}
 	s, ok := t.servers[k]
 	if !ok {
 		return
--- a/core/balance/signals_test.go
+++ b/core/balance/signals_test.go
@@ -80,7 +80,9 @@
 	g.Expect(b.table.MayReceive(b.now, 1)).To(BeTrue())
 
 	other := newTableDriver(local(2)...)
-	other.table.ObserveShort(other.now, 1, time.Hour)
+	other.table.ObservePeerPause(other.now, "h9", 1, time.Hour)
+	g.Expect(other.table.PeerPauses(other.now.Add(time.Minute), "h9")).To(Equal([]balance.Pause{{Server: 1, Left: balance.MaxPause - time.Minute}}))
+	g.Expect(other.table.PeerPauses(other.now.Add(balance.MaxPause), "h9")).To(BeEmpty())
 	g.Expect(other.table.MayReceive(other.now, 1)).To(BeTrue())
 	g.Expect(other.choose(nonIdempotentQuery()).Server.Key).To(Equal(balance.ServerKey(2)))
 	other.now = other.now.Add(400 * time.Millisecond)
--- a/edge/signals.go
+++ b/edge/signals.go
@@ -86,3 +86,22 @@
 func (p gossipHandler) PeerLeaving(from model.HostID, list []*gen.LeavingServer) []*gen.LeavingServer {
 	return p.serverState.addLeaving(from, list)
 }
+
+// PausesOf implements gossip.Handler.
+func (p gossipHandler) PausesOf(h model.HostID) (out []*gen.ServerPause) {
+	p.serverState.update(func(now time.Time) {
+		for _, x := range p.serverState.table.PeerPauses(now, h) {
+			out = append(out, &gen.ServerPause{Server: uint64(x.Server), LeftMs: uint32(x.Left.Milliseconds())})
+		}
+	})
+	return out
+}
+
+// OwnPauses implements gossip.Handler.
+func (p gossipHandler) OwnPauses(pauses []*gen.ServerPause) {
+	p.serverState.update(func(now time.Time) {
+		for _, x := range pauses {
+			p.serverState.table.ObservePause(now, balance.ServerKey(x.Server), time.Duration(x.LeftMs)*time.Millisecond)
+		}
+	})
+}
--- a/edge/signals_test.go
+++ b/edge/signals_test.go
@@ -107,3 +107,33 @@
 	time.Sleep(time.Until(started.Add(2600 * time.Millisecond)))
 	s.g.Expect(s.write(a, "after").status).To(Equal(http.StatusOK))
 }
+
+// Guards against a host that forgets the pauses that servers asked it for when its process
+// is restarted: the other hosts of the data centre tell it.
+func TestPauseOutlivesRestart(t *testing.T) {
+	s := newSite(t)
+	s.configure(2*time.Second, "")
+	paused := s.server("i-1", service)
+	set := s.settings("h1")
+	a, b := s.ready(s.daemon(set)), s.ready(s.daemon(s.settings("h2")))
+	time.Sleep(1500 * time.Millisecond) // until the daemons have found each other
+	paused.SetBehaviour(always(consortium.Shed))
+	paused.SetRetryAfter("5")
+	asked := time.Now()
+	s.write(a, "first")
+	paused.SetRetryAfter("")
+	paused.SetBehaviour(always(consortium.Answer))
+	time.Sleep(50 * time.Millisecond)
+	a.stop()
+	s.g.Expect(<-a.exited).To(Succeed())
+	a.exited <- nil
+	restarted := s.ready(s.daemon(set))
+	time.Sleep(300 * time.Millisecond)
+	before := arrivals(paused)
+	for i := 0; time.Since(asked) < 4500*time.Millisecond; i++ {
+		s.read(restarted, fmt.Sprint("r", i))
+		time.Sleep(100 * time.Millisecond)
+	}
+	s.g.Expect(arrivals(paused) - before).To(BeNumerically("<=", 2))
+	s.g.Expect(s.write(b, "other").status).To(Equal(http.StatusOK))
+}
--- a/edge/state.go
+++ b/edge/state.go
@@ -213,7 +213,7 @@
 		}
 		limitChange = s.observeLimit(now, key, result, latency, limit)
 		change = s.table.AttemptFinished(now, key, attempt, result, latency)
-		s.table.ObserveShort(now, key, time.Duration(o.PauseMs)*time.Millisecond)
+		s.table.ObservePeerPause(now, h, key, time.Duration(o.PauseMs)*time.Millisecond)
 	})
 	s.logBeliefChange(change, "peer", h)
 	s.logLimitChange(limitChange, h)
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -58,6 +58,8 @@
 	})
 	return added
 }
+func (r *recorder) PausesOf(model.HostID) []*gen.ServerPause { return nil }
+func (r *recorder) OwnPauses([]*gen.ServerPause)             {}
 func (r *recorder) IssuePermit(*gen.PermitRequest) *gen.PermitReply {
 	r.with(func() { r.permitsIssued++ })
 	return &gen.PermitReply{Granted: true}
--- a/gossip/gossiper.go
+++ b/gossip/gossiper.go
@@ -73,6 +73,10 @@
 	// PeerLeaving is called with those that another daemon knows. It returns those that
 	// this daemon did not know.
 	PeerLeaving(h model.HostID, list []*gen.LeavingServer) []*gen.LeavingServer
+	// PausesOf returns the pauses that servers asked another daemon of the data centre for.
+	PausesOf(h model.HostID) []*gen.ServerPause
+	// OwnPauses is called with those that servers asked this daemon for before its start.
+	OwnPauses(pauses []*gen.ServerPause)
 	// RemoteLoads is called with the digest of another data centre.
 	RemoteLoads(from model.DataCentre, loads []*gen.ServerLoad)
 }
@@ -371,6 +375,10 @@
 	h, restarted := g.recordHeartbeat(m, from)
 	if restarted {
 		g.handler.PeerGone(h.ID)
+		g.sendPauses(h.ID, from)
+	}
+	if len(m.Pauses) > 0 {
+		g.handler.OwnPauses(m.Pauses)
 	}
 	g.handler.PeerState(h, stateOf(m))
 	for _, o := range m.Observations {
