edge, reuse: connections are kept after refusals

Cause: a refusal without the request's ID, or with a body, ended its connection. While a service sheds, each refused attempt costs the server a new connection.

Change: a short body of a refusal is read for at most 20 ms. After a refusal without an ID only idempotent requests use the connection: a late duplicate of it could be taken for the refusal of a request that ran.

Tests: TestConnectionAfterRefusalWithoutID replaces TestRefusalWithoutIDEndsConnection; it failed without the reading of the body (2 connections instead of 1) and without the rule for other requests (1 instead of 2). The stand-in's refusals have a body now.

--- a/edge/exchange.go
+++ b/edge/exchange.go
@@ -95,7 +95,8 @@
 		// A late response to an earlier request on the connection, whatever it says.
 		verdict = MismatchedResponse
 		x.conns.distrust(conn)
-	case verdict.madeByServer() && echoed == q.id && q.id != "":
+	case verdict.madeByServer() && q.id != "" && (echoed == "" || echoed == q.id):
+		conn.onlyIdempotent = conn.onlyIdempotent || echoed == ""
 		body.keep, body.keepAlive = true, announcedKeepAlive(resp.Header)
 	}
 	limit, pause := x.serverLimit(resp, verdict), x.headers.ServerPause(resp)
@@ -103,6 +104,7 @@
 		x.observeSignals(server, x.headers.ServerLeaving(resp.Header), pause)
 	}
 	if !verdict.mayHaveRun() {
+		body.drain(resp.ContentLength)
 		_ = resp.Body.Close()
 		return verdict, &response{status: resp.StatusCode, header: http.Header{}, limit: limit, pause: pause}, nil
 	}
@@ -194,6 +196,23 @@
 	once      sync.Once
 }
 
+const (
+	// maxDrainBytes and drainTimeout bound the body of a refusal that is read for the sake
+	// of its connection.
+	maxDrainBytes = 4 << 10
+	drainTimeout  = 20 * time.Millisecond
+)
+
+// drain reads a short body that nobody needs, so that the connection can be kept.
+func (b *connBody) drain(length int64) {
+	if !b.keep || length <= 0 || length > maxDrainBytes {
+		return
+	}
+	timer := time.AfterFunc(drainTimeout, func() { _ = b.conn.Close() })
+	_, _ = io.Copy(io.Discard, b.ReadCloser)
+	timer.Stop()
+}
+
 // Close implements io.Closer.
 func (b *connBody) Close() error {
 	err := b.ReadCloser.Close()
--- a/edge/serverconns.go
+++ b/edge/serverconns.go
@@ -197,6 +197,9 @@
 	written, received int64
 	sentAt            time.Time
 	silentLimit       time.Duration
+	// onlyIdempotent is set after a response without an ID: a late duplicate of it could be
+	// taken for the response to a later request.
+	onlyIdempotent bool
 	// dirty is set if bytes that belong to no request were found.
 	dirty bool
 }
@@ -280,7 +283,7 @@
 	}
 	c.received = c.socket.received.Load()
 	s.mu.Lock()
-	closing := s.pool.Put(time.Now(), c.server, c, reuse.KeepAlive(keepAlive))
+	closing := s.pool.Put(time.Now(), c.server, c, reuse.KeepAlive(keepAlive), c.onlyIdempotent)
 	s.mu.Unlock()
 	closeConns(closing)
 }
