--- a/edge/forward.go
+++ b/edge/forward.go
@@ -72,14 +72,16 @@
 	dials           int                 // attempts, including those that opened no connection
 	reachedServer   bool                // an attempt opened a connection
 	mayHaveRun      bool                // a server may have run the request
-	// permitWait is the time until a server that limits its rate may take the request,
-	// if it was refused for that.
-	permitWait time.Duration
+	// wait is the time until a server that limits its rate or asked for a pause may take
+	// the request, if it was refused for that.
+	wait time.Duration
 	// budgetRefused is set if the retry budget refused another attempt.
 	budgetRefused bool
 	serverFailure *response // the last response of a server that failed
 	reason        model.Reason
 	attemptNotes  []string
+	// noReuse is set after an attempt failed on an idle connection.
+	noReuse bool
 }
 
 // activeAttempt is an attempt without a result yet.
@@ -261,7 +263,7 @@
 		CanRetry:      f.route.Idempotent && f.countedAttempts+1 < f.route.MaxAttempts,
 		TargetLatency: f.route.TargetLatency, ExpectedBytes: f.node.sizeEstimator.estimate(f.route.Name, len(f.request.body)),
 		LatencyLimit: f.latencyLimit(),
-		Excluded:     f.excluded, TieBreak: rand.Uint64(),
+		Excluded:     f.excluded, Warm: f.node.exchanger.conns.warm(f.connReuse()), TieBreak: rand.Uint64(),
 	}
 }
 
@@ -298,12 +300,16 @@
 		}
 	}
 	if reason != model.ReasonNone {
-		f.reason, f.permitWait = reason, choice.PermitWait
+		f.reason, f.wait = reason, choice.PermitWait
+		if reason == model.ReasonShed {
+			f.wait = choice.PauseWait
+		}
 		if reason == model.ReasonQueueFull {
 			f.recordQueueFull(choice, q.LatencyLimit)
 		}
 		return false
 	}
+	reuse := f.connReuse()
 	f.dials++
 	f.excluded = append(f.excluded, choice.Server.Key)
 	attemptCtx, cancel := context.WithDeadline(f.attemptContext(ctx), f.deadline)
@@ -317,7 +323,7 @@
 		result := attemptResult{number: number, choice: choice, verdict: ConnectionLost}
 		f.node.contain("attempt", func() {
 			crossRegion := choice.Server.Region != f.node.settings.Host.Region
-			result.verdict, result.resp, result.err = f.node.exchanger.exchange(attemptCtx, outgoing, choice.Server, crossRegion, remaining,
+			result.verdict, result.resp, result.err = f.node.exchanger.exchange(attemptCtx, outgoing, choice.Server, crossRegion, reuse, remaining,
 				func() { progressAt.Store(int64(time.Since(startedAt))) })
 		})
 		result.latency = time.Since(startedAt)
@@ -349,12 +355,12 @@
 		cancel()
 	}
 	f.recordAttempt(r)
-	// Attempts at a server that cannot be reached or whose address belongs to
-	// another server do not count towards max_attempts.
-	if r.verdict == ConnectFailed || r.verdict == Misdirected {
+	// Attempts at a server that cannot be reached, that wants no requests or whose
+	// address belongs to another server do not count towards max_attempts.
+	if r.verdict.nothingSent() || r.verdict == Misdirected {
 		f.countedAttempts--
 	}
-	f.reachedServer = f.reachedServer || r.verdict != ConnectFailed
+	f.reachedServer = f.reachedServer || !r.verdict.nothingSent()
 	f.mayHaveRun = f.mayHaveRun || r.verdict.mayHaveRun()
 	if r.verdict == Usable {
 		return r.resp, true
@@ -366,6 +372,9 @@
 	case Refused:
 		f.refusedBy = append(f.refusedBy, r.choice.Server.Key)
 	}
+	if r.verdict == StaleConnection && f.resend(ctx, r.choice.Server.Key) {
+		return nil, false
+	}
 	if f.mayRetry(r.verdict) && f.sendNext(ctx) {
 		return nil, false
 	}
@@ -379,14 +388,13 @@
 }
 
 // mayRetry reports whether the request may be sent to another server after an
-// attempt with verdict v. It charges the retry budget, except after a failed
-// connect.
+// attempt with verdict v. It charges the retry budget, unless nothing was sent.
 func (f *forwarding) mayRetry(v Verdict) bool {
 	if !f.attemptsLeft() || (!f.route.Idempotent && f.mayHaveRun) {
 		return false
 	}
 	invariant.Check(f.route.Idempotent || !v.mayHaveRun(), invariant.AtMostOnce, "request %s repeated after %s", f.request.id, v)
-	return v == ConnectFailed || f.allowRetry()
+	return v.nothingSent() || f.allowRetry()
 }
 
 // allowRetry reports whether the retry budget allows another attempt, and records
@@ -411,13 +419,13 @@
 
 func reasonOf(v Verdict) model.Reason {
 	switch v {
-	case Refused, Misdirected:
+	case Refused, Misdirected, Withheld:
 		return model.ReasonShed
 	case ConnectFailed:
 		return model.ReasonConnect
 	case Cancelled, TimedOut:
 		return model.ReasonTimeout
-	case InvalidResponse, MismatchedResponse, ConnectionLost:
+	case InvalidResponse, MismatchedResponse, ConnectionLost, StaleConnection:
 		return model.ReasonTruncated
 	}
 	return model.ReasonServerFailed
@@ -435,8 +443,8 @@
 			return f.node.refuseForKey(f.request, f.reason)
 		}
 		resp := f.node.refuse(f.request, f.reason)
-		if f.reason == model.ReasonServerLimit && f.permitWait > retryAfterDelay {
-			setRetryAfter(resp, f.permitWait)
+		if f.wait > retryAfterDelay {
+			setRetryAfter(resp, f.wait)
 		}
 		return resp
 	case f.reason == model.ReasonTimeout:
--- a/edge/node.go
+++ b/edge/node.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/agateusher/agateusher/catalog"
+	"github.com/agateusher/agateusher/core/balance"
 	"github.com/agateusher/agateusher/core/invariant"
 	"github.com/agateusher/agateusher/core/model"
 	"github.com/agateusher/agateusher/core/split"
@@ -123,7 +124,8 @@
 	n.panics = telemetry.NewCounterVec(n.metrics.Scope, "panics", "unit", "")
 	n.platform = connect(n.metrics.Scope, n.log)
 	n.headers = n.platform.Headers
-	n.exchanger = newExchanger(n.headers, responseBufferBytes(s.Host.LinkMbps))
+	n.exchanger = newExchanger(n.headers, responseBufferBytes(s.Host.LinkMbps),
+		newServerConns(s.MemoryMiB, telemetry.NewCounterVec(n.metrics.Scope, "server_connections", "use", "")))
 	n.bodyMemory = newBodyMemory(s.memoryBytes())
 	n.seeds.Store(&s.Seeds)
 	n.keys = newKeyState(s.Workspaces.Revocation)
@@ -136,6 +138,10 @@
 		return nil, &StartError{Component: "gossip", Err: err}
 	}
 	n.serverState.publish = n.gossiper.Publish
+	n.exchanger.mayReceive = n.serverState.mayReceive
+	n.exchanger.observeSignals = func(server balance.Server, leaving bool, pause time.Duration) {
+		n.serverState.observeSignals(server, leaving, pause, n.gossiper.AnnounceLeaving)
+	}
 	n.follower = catalog.NewFollower(n.cache, n.platform.Source, n.role, s.bootstrapDelay(), n.log)
 	n.puller = newPuller(n)
 	n.content = newContentServer(s.Host.LinkMbps, n.metrics.Scope)
@@ -264,6 +270,7 @@
 func (n *Node) runTick(now time.Time) {
 	n.tickKeys()
 	n.serverState.tick()
+	n.exchanger.conns.expire(now)
 	for _, id := range n.cache.ExpireLapsed(now) {
 		n.log.WithFields(telemetry.Fields{"event": "server_lapsed", "server": id}).Info("removed a backend server whose entry did not come back")
 	}
--- a/gossip/gossiper.go
+++ b/gossip/gossiper.go
@@ -76,6 +76,15 @@
 	LocalLoads() []*gen.ServerLoad
 	// IssuePermit returns the reply to another daemon's request for a permit.
 	IssuePermit(q *gen.PermitRequest) *gen.PermitReply
+	// Leaving returns the servers that this daemon knows to be leaving.
+	Leaving() []*gen.LeavingServer
+	// PeerLeaving is called with those that another daemon knows. It returns those that
+	// this daemon did not know.
+	PeerLeaving(h model.HostID, list []*gen.LeavingServer) []*gen.LeavingServer
+	// PausesOf returns the pauses that servers asked another daemon of the data centre for.
+	PausesOf(h model.HostID) []*gen.ServerPause
+	// OwnPauses is called with those that servers asked this daemon for before its start.
+	OwnPauses(pauses []*gen.ServerPause)
 	// RemoteLoads is called with the digest of another data centre.
 	RemoteLoads(from model.DataCentre, loads []*gen.ServerLoad)
 }
@@ -104,7 +113,10 @@
 	// permitRequests are the requests for permits without a reply yet.
 	permitRequests    map[uint64]chan *gen.PermitReply
 	lastPermitRequest uint64
-	hub               hubChoice
+	// lastLeavingProbe is when the leaving servers were last compared with those known
+	// in other regions.
+	lastLeavingProbe time.Time
+	hub              hubChoice
 	// reportedGone holds the members that were reported as gone and have not been
 	// heard from since.
 	reportedGone map[model.HostID]bool
@@ -214,6 +226,7 @@
 				lastDigest = now
 				g.sendDigest()
 				g.sendClaim()
+				g.probeLeaving(now)
 			}
 		}
 	}
@@ -252,6 +265,7 @@
 		StoreFailing:   s.StoreFailing,
 		Reading:        s.Reading || g.remoteReading(),
 		ServedMs:       uint64(s.Served.Milliseconds()),
+		LeavingDigest:  leavingDigest(g.handler.Leaving()),
 	}
 }
 
@@ -374,12 +388,17 @@
 	h, restarted := g.recordHeartbeat(m, from)
 	if restarted {
 		g.handler.PeerGone(h.ID)
+		g.sendPauses(h.ID, from)
+	}
+	if len(m.Pauses) > 0 {
+		g.handler.OwnPauses(m.Pauses)
 	}
 	g.handler.PeerState(h, stateOf(m))
 	for _, o := range m.Observations {
 		g.handler.PeerObservation(h.ID, o)
 	}
 	g.handler.PeerOutstanding(h.ID, m.Outstanding)
+	g.handleLeaving(m, from)
 }
 
 func stateOf(m *gen.Gossip) State {
--- a/standin/consortium/server.go
+++ b/standin/consortium/server.go
@@ -19,7 +19,7 @@
 	Answer Behaviour = iota
 	// Fail runs the request and answers 500.
 	Fail
-	// Shed answers 503 and marks the request as not executed.
+	// Shed answers 503 with a short body and marks the request as not executed.
 	Shed
 	// Misdirect answers 421: the request was meant for another server.
 	Misdirect
@@ -88,8 +88,15 @@
 	// ReadSlowly reads the body at 0.8 MB a second at most, and then behaves like
 	// Answer.
 	ReadSlowly
+	// AnswerTwiceLate is like AnswerTwice, with the second answer lateAnswer later.
+	AnswerTwiceLate
+	// AnswerAndClose is like Answer, with "Connection: close".
+	AnswerAndClose
 )
 
+// lateAnswer is the time between the answers of AnswerTwiceLate.
+const lateAnswer = 30 * time.Millisecond
+
 // ReceivedRequest is a request that reached a server.
 type ReceivedRequest struct {
 	ID       string
@@ -115,6 +122,11 @@
 	behaviour   func(*ReceivedRequest) Behaviour
 	serviceTime time.Duration
 	limit       string
+	leaving     bool
+	retryAfter  string
+	keepAlive   string
+	idleDrop    time.Duration
+	accepted    int
 	requests    []*ReceivedRequest
 	conns       map[net.Conn]struct{}
 	cancelled   int
@@ -164,14 +176,64 @@
 // SetLimit sets the value of the Server-Limit header of the answers; empty: no header.
 func (s *Server) SetLimit(perSecond string) { s.update(func() { s.limit = perSecond }) }
 
-// limitHeader returns the header line with the server's limit, or an empty text.
-func (s *Server) limitHeader() (line string) {
+// SetLeaving sets whether all responses say that the server is leaving.
+func (s *Server) SetLeaving(leaving bool) { s.update(func() { s.leaving = leaving }) }
+
+// SetRetryAfter sets the value of the Retry-After header of refusals; empty: no header.
+func (s *Server) SetRetryAfter(seconds string) { s.update(func() { s.retryAfter = seconds }) }
+
+// SetKeepAlive sets the value of the Keep-Alive header of the answers; empty: no header.
+func (s *Server) SetKeepAlive(value string) { s.update(func() { s.keepAlive = value }) }
+
+// SetIdleDrop makes the server reset each connection on which something arrives after it
+// was idle for a time; zero: never.
+func (s *Server) SetIdleDrop(d time.Duration) { s.update(func() { s.idleDrop = d }) }
+
+// Connections returns how many connections the server has accepted.
+func (s *Server) Connections() (n int) {
+	s.update(func() { n = s.accepted })
+	return n
+}
+
+// dropped waits for the next bytes and resets the connection if they arrive after more
+// than the time set by SetIdleDrop.
+func (s *Server) dropped(c net.Conn, r *bufio.Reader) (reset bool) {
+	idleSince := time.Now()
+	if _, err := r.Peek(1); err != nil {
+		return true
+	}
+	s.update(func() { reset = s.idleDrop > 0 && time.Since(idleSince) > s.idleDrop })
+	if tcp, ok := c.(*net.TCPConn); reset && ok {
+		_ = tcp.SetLinger(0)
+	}
+	return reset
+}
+
+// signalHeaders returns the header lines with the server's limit and, if it is leaving,
+// with that.
+func (s *Server) signalHeaders() (lines string) {
 	s.update(func() {
 		if s.limit != "" {
-			line = "Server-Limit: " + s.limit + "\r\n"
+			lines += "Server-Limit: " + s.limit + "\r\n"
+		}
+		if s.keepAlive != "" {
+			lines += "Keep-Alive: " + s.keepAlive + "\r\n"
+		}
+		if s.leaving {
+			lines += "Server-Leaving: 1\r\n"
+		}
+	})
+	return lines
+}
+
+// refusalHeaders returns the header lines of a refusal.
+func (s *Server) refusalHeaders() (lines string) {
+	s.update(func() {
+		if s.retryAfter != "" {
+			lines = "Retry-After: " + s.retryAfter + "\r\n"
 		}
 	})
-	return line
+	return lines + s.signalHeaders()
 }
 
 // Requests returns copies of the requests that arrived, in order of arrival.
@@ -207,6 +269,7 @@
 		}
 		s.mu.Lock()
 		s.conns[c] = struct{}{}
+		s.accepted++
 		s.mu.Unlock()
 		go s.serve(c)
 	}
@@ -220,7 +283,7 @@
 		s.mu.Unlock()
 	}()
 	r := bufio.NewReader(c)
-	for {
+	for first := true; first || !s.dropped(c, r); first = false {
 		req, err := http.ReadRequest(r)
 		if err != nil {
 			return
@@ -260,7 +323,7 @@
 	}
 	switch b {
 	case Shed:
-		return write(c, "HTTP/1.1 503 Service Unavailable\r\nAgateusher-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+		return write(c, "HTTP/1.1 503 Service Unavailable\r\nAgateusher-Not-Executed: 1\r\n"+s.refusalHeaders()+"Content-Length: 8\r\n\r\nrefused\n")
 	case Misdirect:
 		return write(c, "HTTP/1.1 421 Misdirected Request\r\nAgateusher-Instance-Id: "+s.ID+"\r\nContent-Length: 0\r\n\r\n")
 	}
@@ -407,7 +470,7 @@
 // respond writes the answer. It returns false if the connection must be closed.
 func (s *Server) respond(c net.Conn, received *ReceivedRequest, b Behaviour) bool {
 	body := Body(received.ID)
-	idHeader := "Agateusher-Request-Id: " + received.ID + "\r\n" + s.limitHeader()
+	idHeader := "Agateusher-Request-Id: " + received.ID + "\r\n" + s.signalHeaders()
 	signatureHeader := "Agateusher-Response-Signature: " + s.ID + "." + received.ID + "\r\n"
 	lengthHeader := fmt.Sprintf("Content-Length: %d\r\n", len(body))
 	if b >= Large && b <= LargePaused {
@@ -439,6 +502,15 @@
 		return false
 	case AnswerTwice:
 		return write(c, response+response)
+	case AnswerTwiceLate:
+		if !write(c, response) {
+			return false
+		}
+		time.AfterFunc(lateAnswer, func() { write(c, response) })
+		return true
+	case AnswerAndClose:
+		write(c, "HTTP/1.1 200 OK\r\nConnection: close\r\n"+idHeader+signatureHeader+lengthHeader+"\r\n"+body)
+		return false
 	case AnswerEarly:
 		return write(c, "HTTP/1.1 413 Content Too Large\r\n"+idHeader+signatureHeader+"Content-Length: 0\r\n\r\n")
 	}
