core/quota: limits of workspaces over all hosts, in virtual time

Each host owns an equal share of every limit and votes for one issuer of its data centre, which issues admissions at its voters' shares. Issuers exchange rate through the workspace's coordinator by gifts and grants that end by themselves. Every part of a limit is held by one host at a time, whoever is cut off, frozen or restarted.

--- /dev/null
+++ b/core/quota/rule.go
@@ -0,0 +1,85 @@
+package quota
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Key identifies a workspace in messages. It is the hash of its name.
+type Key uint64
+
+// KeyOf returns the key of a workspace.
+func KeyOf(workspace string) Key { return Key(xxhash.Sum64String(workspace)) }
+
+// Limit is the limit of a workspace over all hosts.
+type Limit struct {
+	// PerSecond is the sustained rate, in requests per second, and Burst the number of
+	// requests that may come at once.
+	PerSecond, Burst float64
+}
+
+// Rule bounds the requests that run in every window: (limit x Window + burst) x (1 +
+// Overage) + Slack.
+type Rule struct {
+	Window         time.Duration
+	Overage, Slack float64
+}
+
+const (
+	// voteLifetime, giftLifetime and grantLifetime end what a host holds for another.
+	// Each exceeds the next, because it must outlast what is passed on of it, by a
+	// round trip between regions and the interval between messages.
+	voteLifetime  = 1900 * time.Millisecond
+	giftLifetime  = 1400 * time.Millisecond
+	grantLifetime = 700 * time.Millisecond
+	// reportInterval is the time between reports of an issuer to a coordinator. When
+	// the demand for a workspace has just grown, for fastReportTime, it is
+	// fastReportInterval: the first exchanges settle which issuer has rate to give.
+	reportInterval     = 300 * time.Millisecond
+	fastReportInterval = 100 * time.Millisecond
+	fastReportTime     = 500 * time.Millisecond
+	// smallLimit is the rate, in requests per second, up to which issuers exchange no
+	// rate: with a few tokens each they would lose more by it than they gain. Hosts ask
+	// the issuers of all data centres instead, which is seldom enough.
+	smallLimit = 10
+	// maxAdmissionLifetime bounds the lifetime of admissions.
+	maxAdmissionLifetime = 300 * time.Millisecond
+	// admissionShare is the part of the overage of a window that is spent on admissions
+	// issued before the window and used in it.
+	admissionShare = 0.6
+	// burstSlackShare is the part of the rule's slack that is added to the burst. The
+	// buckets of the data centres cannot lend each other tokens, and those of a small
+	// limit would be empty too often. The rest covers the tokens that new issuers start
+	// with.
+	burstSlackShare = 0.6
+)
+
+// admissionLifetime returns how long an admission may be used after it was asked for.
+// Until then it may be used in a window after the one that it was issued in.
+func (r Rule) admissionLifetime() time.Duration {
+	return min(maxAdmissionLifetime, time.Duration(admissionShare*r.Overage*float64(r.Window)))
+}
+
+// capacity returns the number of tokens that the buckets of a workspace hold together.
+func (r Rule) capacity(l Limit) float64 { return max(1, l.Burst+burstSlackShare*r.Slack) }
+
+// Bound returns the number of requests that the rule allows in a window.
+func (r Rule) Bound(l Limit) float64 {
+	return (l.PerSecond*r.Window.Seconds()+l.Burst)*(1+r.Overage) + r.Slack
+}
+
+// Stamp is a time of the clock of the host that made it, in milliseconds. Zero is none.
+type Stamp uint64
+
+func stampOf(now time.Time) Stamp { return Stamp(now.UnixMilli()) }
+
+// expiry returns when something that was received with a returned stamp ends; the zero
+// time if this host's clock cannot have made the stamp.
+func (s Stamp) expiry(now time.Time, lifetime time.Duration) time.Time {
+	made := time.UnixMilli(int64(s))
+	if s == 0 || made.After(now) {
+		return time.Time{}
+	}
+	return made.Add(lifetime)
+}
