gossip: messages for admissions, reports and leases of workspace quotas

Heartbeats carry a stamp, a vote and the number of registered hosts. Requests for admissions use the request and reply of permits, which is now one function for both, and are sent a second time after 20 ms; an issuer that receives one twice gives the same answer. The issuer of a data centre is the first daemon in the order of relays that replies, so that large hosts do the work.

go test -race ./gossip: ok.

--- a/core/model/outcome.go
+++ b/core/model/outcome.go
@@ -57,6 +57,9 @@
 	ReasonMemory Reason = "memory"
 	// ReasonRateLimited: the workspace or route exceeds its rate limit.
 	ReasonRateLimited Reason = "rate-limited"
+	// ReasonQuotaUnavailable: whether the workspace exceeds its rate limit cannot be
+	// decided, because no daemon that could is reachable.
+	ReasonQuotaUnavailable Reason = "quota-unavailable"
 	// ReasonQueueFull: the pool's queue is full.
 	ReasonQueueFull Reason = "queue-full"
 	// ReasonDeadline: the deadline cannot be met, or has passed.
--- a/core/quota/host.go
+++ b/core/quota/host.go
@@ -184,6 +184,40 @@
 	}
 }
 
+// Voted reports whether other hosts vote for this one, or this one does.
+func (h *Host) Voted() bool { return len(h.electorate.expires) > 0 || h.voter.preferred == h.self }
+
+// Status describes this host's part in the limits.
+type Status struct {
+	// Share is the part of all limits that voters pass to this host.
+	Share float64
+	// Granted is the number of workspaces of which a coordinator has granted this host
+	// more, Given the number of those of which it has given some away.
+	Granted, Given int
+	// LeaseAge is the time since the last lease of the coordinator that was silent for
+	// longest, of those that this host reports to.
+	LeaseAge time.Duration
+}
+
+// Status returns this host's part in the limits.
+func (h *Host) Status(now time.Time) Status {
+	s := Status{Share: h.Share(now)}
+	for k, a := range h.accounts {
+		if a.granted(now) > 0 {
+			s.Granted++
+		}
+		if a.given(now) > 0 {
+			s.Given++
+		}
+		if now.Before(a.wantsUntil) || now.Before(a.reportUntil) {
+			if last, ok := h.leases[h.peers[h.coordinators[k]]]; ok {
+				s.LeaseAge = max(s.LeaseAge, now.Sub(last.at))
+			}
+		}
+	}
+	return s
+}
+
 // Tick updates the rates of all workspaces. It is to be called every TickInterval.
 func (h *Host) Tick(now time.Time) {
 	h.tickedAt = now
@@ -305,7 +339,6 @@
 	}
 	h.leases[from] = heard{l.Stamp, now}
 	h.peers[dc] = from
-	maps.DeleteFunc(h.leases, func(_ model.HostID, x heard) bool { return now.Sub(x.at) >= clientLifetime })
 	own := h.electorate.share(now)
 	for _, e := range l.Entries {
 		a := h.accounts[e.Workspace]
--- a/core/quota/issuer.go
+++ b/core/quota/issuer.go
@@ -41,6 +41,9 @@
 	// Wait is when there is room for the first request that got no admission, and
 	// Spacing the time between it and each further one.
 	Wait, Spacing time.Duration
+	// NoRate is set if the issuer has no rate at all: it has just started, or its
+	// voters' last votes are with another one.
+	NoRate bool
 }
 
 // account is what an issuer knows of one workspace.
@@ -163,6 +166,7 @@
 	}
 	if refused := q.Need - r.Granted; refused > 0 {
 		r.Wait, r.Spacing = a.assignSlots(now, refused)
+		r.NoRate = a.part == 0
 	}
 	return r
 }
--- a/core/quota/rule.go
+++ b/core/quota/rule.go
@@ -43,26 +43,34 @@
 	// rate: with a few tokens each they would lose more by it than they gain. Hosts ask
 	// the issuers of all data centres instead, which is seldom enough.
 	smallLimit = 10
-	// maxAdmissionLifetime bounds the lifetime of admissions.
+	// minAdmissionLifetime and maxAdmissionLifetime bound the lifetime of admissions. It
+	// must exceed the time in which an issuer replies.
+	minAdmissionLifetime = 100 * time.Millisecond
 	maxAdmissionLifetime = 300 * time.Millisecond
 	// admissionShare is the part of the overage of a window that is spent on admissions
 	// issued before the window and used in it.
 	admissionShare = 0.6
 	// burstSlackShare is the part of the rule's slack that is added to the burst. The
 	// buckets of the data centres cannot lend each other tokens, and those of a small
-	// limit would be empty too often. The rest covers the tokens that new issuers start
-	// with.
+	// limit would be empty too often. At least startSlackShare of the slack is left for
+	// the tokens that new issuers start with.
 	burstSlackShare = 0.6
+	startSlackShare = 0.2
 )
 
 // admissionLifetime returns how long an admission may be used after it was asked for.
 // Until then it may be used in a window after the one that it was issued in.
 func (r Rule) admissionLifetime() time.Duration {
-	return min(maxAdmissionLifetime, time.Duration(admissionShare*r.Overage*float64(r.Window)))
+	lifetime := time.Duration(admissionShare * r.Overage * float64(r.Window))
+	return min(max(minAdmissionLifetime, lifetime), maxAdmissionLifetime)
 }
 
-// capacity returns the number of tokens that the buckets of a workspace hold together.
-func (r Rule) capacity(l Limit) float64 { return max(1, l.Burst+burstSlackShare*r.Slack) }
+// capacity returns the number of tokens that the buckets of a workspace hold together. It
+// is lower than the burst if the rule leaves no room for admissions of before the window.
+func (r Rule) capacity(l Limit) float64 {
+	room := r.Bound(l) - l.PerSecond*(r.Window+r.admissionLifetime()).Seconds() - startSlackShare*r.Slack
+	return max(1, min(l.Burst+burstSlackShare*r.Slack, room))
+}
 
 // Bound returns the number of requests that the rule allows in a window.
 func (r Rule) Bound(l Limit) float64 {
--- a/gossip/gossiper.go
+++ b/gossip/gossiper.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -91,10 +93,14 @@
 	// claims has, by data centre, when its relay last said that it follows the
 	// store for the whole region.
 	claims map[model.DataCentre]time.Time
-	// permitRequests are the requests for permits without a reply yet.
-	permitRequests    map[uint64]chan *gen.PermitReply
+	// permitRequests are the requests for permits and admissions without a reply yet.
+	// Identifiers start at a random number, because answers to an earlier process may
+	// be kept.
+	permitRequests    map[uint64]chan *gen.Gossip
 	lastPermitRequest uint64
-	hub               hubChoice
+	// quota is nil if the deployment has no limits of workspaces.
+	quota atomic.Pointer[quotaExchange]
+	hub   hubChoice
 	// reportedGone holds the members that were reported as gone and have not been
 	// heard from since.
 	reportedGone map[model.HostID]bool
@@ -128,7 +134,7 @@
 		pending: kernel.NewRing[*gen.Observation]("observations", observationQueueSize, kernel.DropNewest),
 		bundle:  kernel.NewRing[*gen.Gossip]("bundle", bundleQueueSize, kernel.DropNewest), starThreshold: starThreshold,
 		members: newMemberTable(), claims: map[model.DataCentre]time.Time{}, reportedGone: map[model.HostID]bool{},
-		permitRequests: map[uint64]chan *gen.PermitReply{},
+		permitRequests: map[uint64]chan *gen.Gossip{}, lastPermitRequest: uint64(rand.Uint32()),
 	}, nil
 }
 
@@ -239,6 +245,7 @@
 		Outstanding:    g.handler.Outstanding(),
 		Weight:         g.self.Weight,
 		StoreFailing:   s.StoreFailing,
+		Quota:          g.quotaState(),
 	}
 }
 
@@ -331,7 +338,7 @@
 }
 
 func (g *Gossiper) handle(m *gen.Gossip, from *net.UDPAddr) {
-	if model.HostID(m.Host) == g.self.ID || g.handlePermit(m, from) {
+	if model.HostID(m.Host) == g.self.ID || g.handlePermit(m, from) || g.handleQuota(m, from) {
 		return
 	}
 	if model.DataCentre(m.DataCentre) != g.self.DataCentre {
@@ -363,6 +370,7 @@
 		g.handler.PeerGone(h.ID)
 	}
 	g.handler.PeerState(h, stateOf(m))
+	g.handleQuotaState(h.ID, m.Quota)
 	for _, o := range m.Observations {
 		g.handler.PeerObservation(h.ID, o)
 	}
--- a/gossip/member.go
+++ b/gossip/member.go
@@ -75,6 +75,9 @@
 	// not reply to the last permitFailures requests.
 	noPermitsUntil time.Time
 	permitFailures int
+	// noQuotaUntil and quotaFailures are the same for admissions.
+	noQuotaUntil  time.Time
+	quotaFailures int
 }
 
 // candidate returns the member as a possible relay.
--- a/gossip/permit.go
+++ b/gossip/permit.go
@@ -57,39 +57,75 @@
 	if issuer == nil {
 		return g.handler.IssuePermit(q), nil
 	}
-	reply := make(chan *gen.PermitReply, 1)
+	reply, err := g.exchange(ctx, issuer, 0, func(id uint64) *gen.Gossip {
+		q.Id = id
+		return &gen.Gossip{PermitRequest: q}
+	})
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch {
+	case err == nil:
+		issuer.permitFailures = 0
+		return reply.PermitReply, nil
+	case errors.Is(err, context.DeadlineExceeded):
+		issuer.noPermitsUntil = time.Now().Add(permitAvoidance << min(issuer.permitFailures, maxPermitDoublings))
+		issuer.permitFailures++
+	}
+	return nil, &PermitError{Issuer: issuer.ID, Err: err}
+}
+
+// exchange sends the message that makeMessage returns for a new identifier to a daemon,
+// and returns the reply with this identifier. It sends the message a second time after
+// resendAfter, if that is not zero. The error is that of a context.
+func (g *Gossiper) exchange(ctx context.Context, to *member, resendAfter time.Duration, makeMessage func(id uint64) *gen.Gossip) (*gen.Gossip, error) {
+	reply := make(chan *gen.Gossip, 1)
 	g.mu.Lock()
 	g.lastPermitRequest++
-	q.Id = g.lastPermitRequest
-	g.permitRequests[q.Id] = reply
-	address := issuer.udpAddress
+	id := g.lastPermitRequest
+	g.permitRequests[id] = reply
+	address := to.udpAddress
 	g.mu.Unlock()
 	timeout := sameRegionPermitTimeout
-	if issuer.Region != g.self.Region {
+	if to.Region != g.self.Region {
 		timeout = otherRegionPermitTimeout
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	g.write(&gen.Gossip{Host: string(g.self.ID), DataCentre: string(g.self.DataCentre), PermitRequest: q}, []*net.UDPAddr{address})
-	var received *gen.PermitReply
-	select {
-	case received = <-reply:
-	case <-ctx.Done():
+	defer func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		delete(g.permitRequests, id)
+	}()
+	m := makeMessage(id)
+	m.Host, m.DataCentre = string(g.self.ID), string(g.self.DataCentre)
+	g.write(m, []*net.UDPAddr{address})
+	var resend <-chan time.Time
+	if resendAfter > 0 {
+		resend = time.After(resendAfter)
+	}
+	for {
+		select {
+		case received := <-reply:
+			// A reply that was received too late is not used: this daemon may have
+			// been paused since.
+			return received, ctx.Err()
+		case <-resend:
+			g.write(m, []*net.UDPAddr{address})
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
 	}
+}
+
+// deliver passes a reply to the exchange that waits for it, if any.
+func (g *Gossiper) deliver(id uint64, m *gen.Gossip) {
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	delete(g.permitRequests, q.Id)
-	switch {
-	case ctx.Err() == nil:
-		issuer.permitFailures = 0
-		return received, nil
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		issuer.noPermitsUntil = time.Now().Add(permitAvoidance << min(issuer.permitFailures, maxPermitDoublings))
-		issuer.permitFailures++
+	waiting := g.permitRequests[id]
+	delete(g.permitRequests, id)
+	g.mu.Unlock()
+	if waiting != nil {
+		waiting <- m
 	}
-	// A reply that was received too late is not used: this daemon may have been paused
-	// since.
-	return nil, &PermitError{Issuer: issuer.ID, Err: ctx.Err()}
 }
 
 // permitIssuer returns the daemon to ask for a permit of a server; nil if it is this one.
@@ -190,13 +226,7 @@
 		reply.Id = m.PermitRequest.Id
 		g.write(&gen.Gossip{Host: string(g.self.ID), DataCentre: string(g.self.DataCentre), PermitReply: reply}, []*net.UDPAddr{from})
 	case m.PermitReply != nil:
-		g.mu.Lock()
-		waiting := g.permitRequests[m.PermitReply.Id]
-		delete(g.permitRequests, m.PermitReply.Id)
-		g.mu.Unlock()
-		if waiting != nil {
-			waiting <- m.PermitReply
-		}
+		g.deliver(m.PermitReply.Id, m)
 	default:
 		return false
 	}
--- a/gossip/region.go
+++ b/gossip/region.go
@@ -73,7 +73,7 @@
 		return
 	}
 	m := g.message()
-	m.Loads = loads
+	m.Loads, m.Quota = loads, nil
 	g.write(m, g.relaysElsewhere())
 }
 
@@ -85,7 +85,7 @@
 	if m.StoreFailing || !g.Role().RegionRelay {
 		return
 	}
-	m.Outstanding, m.RegionRelay = nil, true
+	m.Outstanding, m.Quota, m.RegionRelay = nil, nil, true
 	g.write(m, g.relaysElsewhere())
 }
 
