edge: decide about requests of limited workspaces

quotas keeps the host's store of admissions and asks its issuer, then those of other data centres, with one message at a time for each workspace.

TestIssuerOfAdmissionsIsReplaced failed first: held requests got "over" from an issuer that had had its rate for a moment; such an issuer now says so.

--- a/core/quota/issuer.go
+++ b/core/quota/issuer.go
@@ -22,6 +22,8 @@
 	demandEvents = 20
 	// maxWait bounds the wait that refused callers are told.
 	maxWait = 30 * time.Second
+	// startTime is how long an issuer counts as starting after it got its first rate.
+	startTime = time.Second
 	// noRateWait is the wait that callers are told by an issuer without any rate.
 	noRateWait = time.Second
 )
@@ -41,9 +43,9 @@
 	// Wait is when there is room for the first request that got no admission, and
 	// Spacing the time between it and each further one.
 	Wait, Spacing time.Duration
-	// NoRate is set if the issuer has no rate at all: it has just started, or its
-	// voters' last votes are with another one.
-	NoRate bool
+	// Starting is set if the issuer has no rate or has just got some, so that it
+	// refuses requests below the limit. They should ask again.
+	Starting bool
 }
 
 // account is what an issuer knows of one workspace.
@@ -53,9 +55,9 @@
 	bucket   ratelimit.Bucket
 	// part is the part of the limit that the bucket's rate was set from.
 	part float64
-	// started is set once the bucket got its first token.
-	started bool
-	demand  meter
+	// startedAt is when the bucket got its first token.
+	startedAt time.Time
+	demand    meter
 	// lastSlot is the time that the last refused caller was told.
 	lastSlot time.Time
 	// gifts are those to coordinator. formerGifts were given to other coordinators.
@@ -129,10 +131,10 @@
 	}
 	a.part = part
 	a.bucket.SetRate(now, part*a.limit.PerSecond, part*a.capacity)
-	if !a.started {
+	if a.startedAt.IsZero() {
 		// A new issuer has one token, because that of a small limit may be replaced
 		// before it has earned one.
-		a.started = true
+		a.startedAt = now
 		a.bucket = ratelimit.NewBucket(now, part*a.limit.PerSecond, part*a.capacity, min(1, part*a.capacity))
 	}
 }
@@ -166,7 +168,7 @@
 	}
 	if refused := q.Need - r.Granted; refused > 0 {
 		r.Wait, r.Spacing = a.assignSlots(now, refused)
-		r.NoRate = a.part == 0
+		r.Starting = a.part == 0 || now.Sub(a.startedAt) < startTime
 	}
 	return r
 }
--- a/edge/gauges.go
+++ b/edge/gauges.go
@@ -41,4 +41,7 @@
 	} {
 		n.metrics.Scope.Gauge(name).Update(value)
 	}
+	for name, value := range n.quotas.gauges() {
+		n.metrics.Scope.Gauge(name).Update(value)
+	}
 }
--- a/edge/harness_test.go
+++ b/edge/harness_test.go
@@ -74,6 +74,7 @@
 // daemon is a running node.
 type daemon struct {
 	settings edge.Settings
+	node     *edge.Node
 	stop     context.CancelFunc
 	exited   chan error
 	log      *syncBuffer
@@ -124,7 +125,7 @@
 	})
 	s.g.Expect(err).NotTo(HaveOccurred())
 	ctx, cancel := context.WithCancel(context.Background())
-	d.stop = cancel
+	d.node, d.stop = node, cancel
 	go func() { d.exited <- node.Run(ctx) }()
 	s.t.Cleanup(func() {
 		cancel()
--- a/edge/node.go
+++ b/edge/node.go
@@ -69,6 +69,7 @@
 	serverState    *serverState
 	sizeEstimator  sizeEstimator
 	bodyMemory     *bodyMemory
+	quotas         *quotas
 	// seeds are the seeds in force.
 	seeds atomic.Pointer[[]string]
 	// splits distribute the requests of routes with several services.
@@ -125,11 +126,14 @@
 	n.bodyMemory = newBodyMemory(s.memoryBytes())
 	n.seeds.Store(&s.Seeds)
 	n.serverState = newServerState(s, n.log)
+	n.quotas = newQuotas(s, n.metrics.Scope, n.log, n.contain)
 	n.cache = catalog.NewCache(n.apply)
 	if n.gossiper, err = gossip.Listen(s.localHost(), model.Incarnation(rand.Text()), gossipHandler{n}, n.log); err != nil {
 		return nil, &StartError{Component: "gossip", Err: err}
 	}
 	n.serverState.publish = n.gossiper.Publish
+	n.quotas.gossiper = n.gossiper
+	n.gossiper.EnableQuotas(n.quotas)
 	n.follower = catalog.NewFollower(n.cache, n.platform.Source, n.role, s.bootstrapDelay(), n.log)
 	n.puller = newPuller(n)
 	if n.callerListener, err = net.Listen("tcp4", s.Listeners.Caller); err != nil {
@@ -152,6 +156,7 @@
 	tasks = append(tasks,
 		kernel.Task{Name: "callers", Run: n.acceptConnections},
 		kernel.Task{Name: "evidence", Run: n.tick},
+		kernel.Task{Name: "quota", Run: n.quotas.run},
 		kernel.Task{Name: "registry", Run: n.runRegistration},
 		kernel.Task{Name: "gauges", Run: n.runGauges},
 		kernel.Task{Name: "pull", Run: n.puller.run},
@@ -172,6 +177,7 @@
 // apply makes a new view the current one.
 func (n *Node) apply(v *catalog.View) {
 	n.serverState.setServers(v)
+	n.quotas.apply(v.Config)
 	before := n.view.Swap(v)
 	if n.gossiper.Role().Rank == 0 {
 		n.gossiper.Announce()
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -216,6 +216,7 @@
 		{"listeners", s.Listeners != next.Listeners},
 		{"store", s.Store != next.Store},
 		{"regions", !maps.Equal(s.Regions, next.Regions)},
+		{"workspaces.quota", s.Workspaces.Quota != next.Workspaces.Quota},
 	} {
 		if x.changed {
 			return &RestartError{Key: x.key}
