core/quota: issuers that have just started let held requests pass

A request that was held while no issuer could answer was refused as over the limit once one could, because the new issuer's bucket was nearly empty. Such an issuer now says for 2.5 s that it is starting. The tests hold requests as the request path does.

--- a/core/quota/fleet_test.go
+++ b/core/quota/fleet_test.go
@@ -193,30 +193,49 @@
 	}
 }
 
-// request handles a request of the workspace at a host. Round trips take no time.
+// request handles a request of the workspace at a host. Round trips take no time. While no
+// issuer of the data centre can answer, the request is held, as edge does.
 func (f *fleet) request(n *node) {
-	k := KeyOf("w")
 	f.asked++
-	n.store.Arrive(f.now, k)
+	n.store.Arrive(f.now, KeyOf("w"))
+	f.decide(n, n.Host, f.now.Add(2500*time.Millisecond))
+}
+
+func (f *fleet) decide(n *node, process *Host, until time.Time) {
+	k := KeyOf("w")
+	if !n.running() || n.Host != process {
+		return
+	}
 	if _, ok := n.store.Take(f.now, k); ok {
 		f.admit()
 		return
 	}
 	own := f.byID[n.Issuer(f.now)]
-	if own != nil && (own == n || reaches(n, own)) && f.ask(n, own, n.store.Ask(f.now, k, 1, n.AdmissionLifetime())) {
-		return
+	over := false
+	if own != nil && (own == n || reaches(n, own)) {
+		granted, starting := f.ask(n, own, n.store.Ask(f.now, k, 1, n.AdmissionLifetime()))
+		if granted {
+			return
+		}
+		over = !starting
 	}
 	for _, dc := range n.Others(f.now, k) {
-		if to := f.issuer(n, dc); to != nil && f.ask(n, to, Ask{Workspace: k, Need: 1}) {
-			return
+		if to := f.issuer(n, dc); to != nil {
+			if granted, _ := f.ask(n, to, Ask{Workspace: k, Need: 1}); granted {
+				return
+			}
 		}
 		n.Denied(f.now, k, dc, 0)
 	}
-	f.refused++
+	if over || !f.now.Before(until) {
+		f.refused++
+		return
+	}
+	f.after(50*time.Millisecond, func() { f.decide(n, process, until) })
 }
 
 // ask asks an issuer up to twice, until the reply is not lost.
-func (f *fleet) ask(n, to *node, q Ask) bool {
+func (f *fleet) ask(n, to *node, q Ask) (granted, starting bool) {
 	for range 2 {
 		f.asks++
 		if to.dc != n.dc {
@@ -227,13 +246,13 @@
 		}
 		r := to.Issue(f.now, q)
 		if r.Granted == 0 {
-			return false
+			return false, r.Starting
 		}
 		n.store.Add(f.now, q.Workspace, r.Granted-1, f.now.Add(n.AdmissionLifetime()))
 		f.admit()
-		return true
+		return true, false
 	}
-	return false
+	return false, true
 }
 
 func (f *fleet) admit() { f.ran = append(f.ran, f.now) }
--- a/core/quota/issuer.go
+++ b/core/quota/issuer.go
@@ -22,8 +22,9 @@
 	demandEvents = 20
 	// maxWait bounds the wait that refused callers are told.
 	maxWait = 30 * time.Second
-	// startTime is how long an issuer counts as starting after it got its first rate.
-	startTime = time.Second
+	// startTime is how long an issuer counts as starting after it got its first rate. It
+	// lets the requests pass that were held before.
+	startTime = 2500 * time.Millisecond
 	// noRateWait is the wait that callers are told by an issuer without any rate.
 	noRateWait = time.Second
 )
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -164,6 +164,8 @@
 						g.Expect(float64(f.refused)).To(BeNumerically("<=", allowed*float64(f.asked)))
 					}
 					g.Expect(float64(f.most(began))).To(BeNumerically("<=", bound))
+					changed := began.Add(15*time.Second + 5*time.Second + time.Second)
+					g.Expect(float64(f.most(changed))).To(BeNumerically("<=", rule.Bound(limit(rate*c.factor))))
 				}
 			})
 		}
--- a/gossip/quota.go
+++ b/gossip/quota.go
@@ -75,7 +75,10 @@
 // Unwrap returns the cause.
 func (e *QuotaError) Unwrap() error { return e.Err }
 
-var errNoIssuer = errors.New("no daemon is known that could issue any")
+var (
+	errNoIssuer = errors.New("no daemon is known that could issue any")
+	errAvoided  = errors.New("it did not reply to the last requests")
+)
 
 // EnableQuotas makes the daemon take part in the limits of workspaces.
 func (g *Gossiper) EnableQuotas(h QuotaHandler) {
@@ -132,6 +135,12 @@
 	if to == nil {
 		return nil, &QuotaError{Err: errNoIssuer}
 	}
+	g.mu.Lock()
+	avoided := time.Now().Before(to.noQuotaUntil)
+	g.mu.Unlock()
+	if avoided {
+		return nil, &QuotaError{Issuer: to.ID, Err: errAvoided}
+	}
 	resendAfter := quotaResendDelay
 	if to.Region != g.self.Region {
 		resendAfter = otherRegionPermitTimeout / 2
