--- a/edge/quota_test.go
+++ b/edge/quota_test.go
@@ -68,9 +68,10 @@
 		ran, took = nil, nil
 		var wait sync.WaitGroup
 		for until := time.Now().Add(d); time.Now().Before(until); asked++ {
+			host := asked
 			wait.Go(func() {
 				began := time.Now()
-				ok, _, _ := admit("w", asked)
+				ok, _, _ := admit("w", host)
 				mu.Lock()
 				defer mu.Unlock()
 				took = append(took, time.Since(began))
