--- a/edge/node.go
+++ b/edge/node.go
@@ -70,6 +70,7 @@
 	sizeEstimator  sizeEstimator
 	bodyMemory     *bodyMemory
 	quotas         *quotas
+	keys           *keyState
 	// seeds are the seeds in force.
 	seeds atomic.Pointer[[]string]
 	// splits distribute the requests of routes with several services.
@@ -125,6 +126,10 @@
 	n.exchanger = newExchanger(n.headers, responseBufferBytes(s.Host.LinkMbps))
 	n.bodyMemory = newBodyMemory(s.memoryBytes())
 	n.seeds.Store(&s.Seeds)
+	n.keys = newKeyState(s.Workspaces.Revocation)
+	if err := n.metrics.Register(newWorkspaceCollector(n.keys)); err != nil {
+		return nil, &StartError{Component: "metrics", Err: err}
+	}
 	n.serverState = newServerState(s, n.log)
 	n.quotas = newQuotas(s, n.metrics.Scope, n.log, n.contain)
 	n.cache = catalog.NewCache(n.apply)
@@ -178,6 +183,7 @@
 func (n *Node) apply(v *catalog.View) {
 	n.serverState.setServers(v)
 	n.quotas.apply(v.Config)
+	n.keys.replaceTable(n.view.Load(), v)
 	before := n.view.Swap(v)
 	if n.gossiper.Role().Rank == 0 {
 		n.gossiper.Announce()
@@ -257,6 +263,7 @@
 }
 
 func (n *Node) runTick(now time.Time) {
+	n.tickKeys()
 	n.serverState.tick()
 	for _, id := range n.cache.ExpireLapsed(now) {
 		n.log.WithFields(telemetry.Fields{"event": "server_lapsed", "server": id}).Info("removed a backend server whose entry did not come back")
@@ -289,7 +296,7 @@
 func (p gossipHandler) State() gossip.State {
 	v := p.cache.Versions()
 	config, servers := p.cache.Ages(time.Now())
-	return gossip.State{Leaving: p.draining.Load(), Epoch: v.Epoch, Revision: uint64(v.Revision), ConfirmedAge: max(config, servers), StoreFailing: p.follower.StoreFailing()}
+	return gossip.State{Leaving: p.draining.Load(), Epoch: v.Epoch, Revision: uint64(v.Revision), ConfirmedAge: p.exportedAge(max(config, servers)), StoreFailing: p.follower.StoreFailing()}
 }
 
 // heartbeatTransitTime is added to the age in a heartbeat, to account for the time
