edge: requests over the limit of their workspace get 429

handleRequest asks for an admission once the workspace is known and before the first attempt. Over the limit it responds 429 with Retry-After; when no issuer can answer, 503. The admission goes back to the store if no server got the request.

TestRequestsOverTheLimitAreRefused failed without the call (0 of 60 refused).

--- a/edge/forward.go
+++ b/edge/forward.go
@@ -64,6 +64,8 @@
 	credentials workspace.Credentials
 	// workspace is that of the request's key; nil: none.
 	workspace *catalog.Workspace
+	// quota is the decision about the workspace's limit.
+	quota quotaDecision
 
 	active          map[uint64]activeAttempt
 	countedAttempts int                 // attempts that count towards max_attempts
@@ -133,8 +135,12 @@
 		credentials: workspace.ParseCredentials(q.header[authorizationHeader]),
 	}
 	resp := f.refuseUnauthorized(ctx)
+	if resp == nil {
+		resp = f.admitQuota(ctx)
+	}
 	if resp == nil {
 		resp = f.run(ctx)
+		f.releaseQuota()
 	}
 	n.recordRequest(f, view, resp)
 	return resp
--- a/edge/quota.go
+++ b/edge/quota.go
@@ -372,21 +372,39 @@
 	return a
 }
 
-// admitQuota decides whether a request of a workspace is within its limit. It returns the
-// response to a request that is not.
-func (n *Node) admitQuota(ctx context.Context, q *request, w model.WorkspaceID, deadline time.Time) (quotaDecision, *response) {
-	d := n.quotas.admit(ctx, w, deadline)
+// admitQuota decides whether the request is within the limit of its workspace. It returns
+// the response if it is not. It is called before the first attempt; after a long wait it
+// is to be called again, because an admission that has expired would let the request run
+// in a later window.
+func (f *forwarding) admitQuota(ctx context.Context) *response {
+	n := f.node
+	if f.workspace == nil || (f.quota.admitted() && n.quotas.now().Before(f.quota.expires)) {
+		return nil
+	}
+	f.quota = n.quotas.admit(ctx, f.workspace.Name, f.deadline)
 	var resp *response
 	switch {
-	case d.result == "" || d.admitted():
-		return d, nil
-	case d.result == quotaOver:
-		resp = n.localResponse(q, http.StatusTooManyRequests, model.ReasonRateLimited)
+	case f.quota.result == "" || f.quota.admitted():
+		return nil
+	case f.quota.result == quotaCancelled:
+		f.reason = model.ReasonCancelled
+		return f.failureResponse()
+	case f.quota.result == quotaOver:
+		f.reason = model.ReasonRateLimited
+		resp = n.localResponse(f.request, http.StatusTooManyRequests, f.reason)
 	default:
-		resp = n.localResponse(q, http.StatusServiceUnavailable, model.ReasonQuotaUnavailable)
+		f.reason = model.ReasonQuotaUnavailable
+		resp = n.refuse(f.request, f.reason)
+	}
+	setRetryAfter(resp, max(f.quota.wait, time.Millisecond))
+	return resp
+}
+
+// releaseQuota gives the admission back if no server got the request.
+func (f *forwarding) releaseQuota() {
+	if !f.reachedServer && !f.mayHaveRun && len(f.active) == 0 {
+		f.node.quotas.release(f.quota)
 	}
-	setRetryAfter(resp, max(d.wait, time.Millisecond))
-	return d, resp
 }
 
 // quotaAsk returns the message for an ask.
--- a/edge/quota_internal_test.go
+++ b/edge/quota_internal_test.go
@@ -106,14 +106,18 @@
 	g := NewWithT(t)
 	q, advance := loneQuotas()
 	n := &Node{quotas: q, headers: localHeaders{}, localResponses: telemetry.NewCounterVec(telemetry.NewMetrics("test").Scope, "answers", "status", "reason")}
-	_, resp := n.admitQuota(context.Background(), &request{}, "w", time.Now().Add(50*time.Millisecond))
+	request := func(timeout time.Duration) *response {
+		f := &forwarding{node: n, request: &request{}, workspace: &catalog.Workspace{Name: "w"}, deadline: time.Now().Add(timeout)}
+		return f.admitQuota(context.Background())
+	}
+	resp := request(50 * time.Millisecond)
 	g.Expect(resp.status).To(Equal(http.StatusServiceUnavailable))
 	g.Expect(resp.header.Get("Retry-After")).To(Equal("0.3"))
 	advance(2 * time.Second)
 	advance(3 * time.Second)
 	last := 0
 	for range 40 {
-		if _, resp = n.admitQuota(context.Background(), &request{}, "w", time.Now().Add(time.Second)); resp != nil {
+		if resp = request(time.Second); resp != nil {
 			last = resp.status
 		}
 	}
--- a/edge/quota_test.go
+++ b/edge/quota_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"slices"
 	"strings"
 	"sync"
@@ -133,3 +134,31 @@
 	set.Workspaces.Quota.Window = settings.Duration(time.Second)
 	s.g.Expect(d.node.Reload(set)).To(Equal(&edge.RestartError{Key: "workspaces.quota"}))
 }
+
+// Guards against requests over the limit that reach a server or get another status than 429
+// with a time, and against ones of a workspace without a limit, or below it, that are
+// refused.
+func TestRequestsOverTheLimitAreRefused(t *testing.T) {
+	s := newSite(t)
+	s.limits(map[string]float64{"w": 5, "free": 0})
+	server := s.server("i-1", service)
+	d := s.ready(s.daemon(keySettings(s, "h1", revocation)))
+	s.g.Expect(s.do(d, get("/read/x", "first", bearer("key-w"))).status).To(Equal(http.StatusOK)) // Held until the daemon can vote.
+	time.Sleep(2500 * time.Millisecond)
+	refused, waits := 0, map[string]bool{}
+	for i := range 60 {
+		id := fmt.Sprint("w-", i)
+		a := s.do(d, get("/read/x", id, bearer("key-w")))
+		if a.status != http.StatusOK {
+			refused++
+			s.g.Expect(a.status).To(Equal(http.StatusTooManyRequests))
+			s.g.Expect(a.header.Get("Retry-After")).NotTo(BeEmpty())
+			s.g.Expect(runCount(id, server)).To(BeZero())
+			waits[a.header.Get("Retry-After")] = true
+		}
+		s.g.Expect(s.do(d, get("/read/x", fmt.Sprint("free-", i), bearer("key-free"))).status).To(Equal(http.StatusOK))
+	}
+	s.g.Expect(refused).To(BeNumerically(">=", 30))
+	s.g.Expect(len(waits)).To(BeNumerically(">=", refused/2), "refused callers are told different times")
+	s.g.Expect(d.log.String()).To(ContainSubstring("reason=rate-limited"))
+}
--- a/edge/requestlog.go
+++ b/edge/requestlog.go
@@ -77,6 +77,9 @@
 	if f.workspace != nil {
 		fields["workspace"] = f.workspace.Name
 	}
+	if f.quota.result != "" {
+		fields["quota"] = f.quota.result
+	}
 	if f.budgetRefused {
 		fields["no_repeat"] = "retry-budget"
 	}
