soak: workspaces with keys that are revoked while one of them floods

The configuration has two workspaces. Checked: status and server of each request by its key, the revocation bound of 5 s, the name that servers get, and that no key is in a log.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -91,7 +91,11 @@
 		random := rand.New(rand.NewPCG(seed, uint64(i)))
 		wg.Go(func() { c.runCaller(i, random, stop) })
 	}
-	for end := time.Now().Add(faultDuration); time.Now().Before(end); {
+	random := rand.New(rand.NewPCG(seed, callers))
+	wg.Go(func() { c.flood(random) })
+	began := time.Now()
+	for time.Since(began) < faultDuration {
+		w.rotateKeys(began)
 		w.inject()
 		time.Sleep(time.Duration(w.random.IntN(700)) * time.Millisecond)
 	}
@@ -104,6 +108,7 @@
 	wg.Wait()
 	c.finish()
 	limit.check(t)
+	w.finishKeys()
 }
 
 func (w *deployment) awaitReady() {
@@ -263,14 +268,19 @@
 		if random.IntN(2) == 0 {
 			method, path = http.MethodPost, "/write/x"
 		}
-		c.sendRequest(p, method, path, fmt.Sprintf("c%d-%d", caller, n))
+		id := fmt.Sprintf("c%d-%d", caller, n)
+		header, accepted := c.deployment.keys.choose(random, id)
+		if status := c.sendRequest(p, method, path, id, header); accepted {
+			c.countRecovery(status)
+		}
 	}
 }
 
-func (c *checker) sendRequest(p *process, method, path, id string) {
+// sendRequest sends a request and returns the status of its response; 0: none.
+func (c *checker) sendRequest(p *process, method, path, id, header string) int {
 	socket, err := net.DialTimeout("tcp4", p.settings.Listeners.Caller, callerTimeout)
 	if err != nil {
-		return // the daemon is down; a load balancer would choose another
+		return -1 // the daemon is down; a load balancer would choose another
 	}
 	defer func() { _ = socket.Close() }()
 	began := time.Now()
@@ -279,8 +289,8 @@
 	if method == http.MethodPost {
 		body = "payload"
 	}
-	fmt.Fprintf(socket, "%s %s HTTP/1.1\r\nHost: api.example\r\nAgateusher-Request-Id: %s\r\nAgateusher-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n%s",
-		method, path, id, callerTimeout.Milliseconds(), len(body), body)
+	fmt.Fprintf(socket, "%s %s HTTP/1.1\r\nHost: api.example\r\nAgateusher-Request-Id: %s\r\nAgateusher-Deadline-Ms: %d\r\n%sContent-Length: %d\r\n\r\n%s",
+		method, path, id, callerTimeout.Milliseconds(), header, len(body), body)
 	status, text, err := readAnswer(socket)
 	c.record(id, status)
 	switch {
@@ -297,6 +307,10 @@
 	case err == nil && status == http.StatusNotFound:
 		c.deployment.t.Errorf("request %s received status 404 although its route exists", id)
 	}
+	if err == nil {
+		c.deployment.keys.checkStatus(c.deployment.t, id, status)
+	}
+	return status
 }
 
 func readAnswer(socket net.Conn) (int, string, error) {
@@ -318,12 +332,18 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.statuses[id] = status
-	if c.countingRecovery {
-		if status == http.StatusOK {
-			c.recoveryAnswered++
-		} else {
-			c.recoveryFailed++
-		}
+}
+
+// countRecovery counts a request that has to be answered once service has recovered.
+func (c *checker) countRecovery(status int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case !c.countingRecovery || status < 0:
+	case status == http.StatusOK:
+		c.recoveryAnswered++
+	default:
+		c.recoveryFailed++
 	}
 }
 
@@ -340,6 +360,7 @@
 			if c.unread[x.ID] {
 				c.deployment.t.Errorf("request %s was forwarded, but a planned stop closed its connection", x.ID)
 			}
+			c.deployment.keys.checkReceived(c.deployment.t, x)
 			if x.Ran && x.Method == http.MethodPost {
 				runs[x.ID]++
 			}
@@ -349,7 +370,7 @@
 		if n > 1 {
 			c.deployment.t.Errorf("request %s ran %d times", id, n)
 		}
-		if status := c.statuses[id]; status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+		if status := c.statuses[id]; status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests || status == http.StatusUnauthorized {
 			c.deployment.t.Errorf("request %s received status %d but ran", id, status)
 		}
 	}
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -42,6 +42,7 @@
 	servers []*backend
 	daemons []*process
 	epoch   int
+	keys    keyring
 }
 
 // backend is a backend server behind a relay.
@@ -73,7 +74,7 @@
 
 func newDeployment(t *testing.T, program string, seed uint64) *deployment {
 	t.Helper()
-	w := &deployment{t: t, random: rand.New(rand.NewPCG(seed, seed)), program: program, dir: t.TempDir()}
+	w := &deployment{t: t, random: rand.New(rand.NewPCG(seed, seed)), program: program, dir: t.TempDir(), keys: keyring{sent: map[string]sentKey{}}}
 	store, err := consortium.NewStore()
 	w.must(err)
 	t.Cleanup(store.Close)
@@ -84,7 +85,7 @@
 		w.addServer(i, seed)
 	}
 	for i := range daemonCount {
-		w.addDaemon(i)
+		w.addDaemon(i, seed)
 	}
 	return w
 }
@@ -105,10 +106,15 @@
 
 func (w *deployment) configure() {
 	w.epoch += 1 + w.random.IntN(4)
+	w.putConfig()
+}
+
+// putConfig writes the configuration with the present version.
+func (w *deployment) putConfig() {
 	route := `{"host":"api.example","path_prefix":"/%s/","route_type":%q,"timeout_ms":%d,"target_latency_ms":400,"priority":1,"service":"registry","max_attempts":2}`
 	ms := routeTimeout.Milliseconds()
-	w.store.Put("config", "main", fmt.Sprintf(`{"version":%d,"routes":{"r":`+route+`,"w":`+route+`},"limits":{"max_header_bytes":8192,"max_body_bytes":65536,"header_timeout_ms":1000,"idle_timeout_ms":5000}}`,
-		w.epoch, "read", "idempotent", ms, "write", "non_idempotent", ms), "")
+	w.store.Put("config", "main", fmt.Sprintf(`{"version":%d,"tenants":%s,"routes":{"r":`+route+`,"w":`+route+`},"limits":{"max_header_bytes":8192,"max_body_bytes":65536,"header_timeout_ms":1000,"idle_timeout_ms":5000}}`,
+		w.epoch, w.keys.tenants(), "read", "idempotent", ms, "write", "non_idempotent", ms), "")
 }
 
 func (w *deployment) addServer(i int, seed uint64) {
@@ -126,7 +132,7 @@
 	w.store.Put("servers", b.ID, spec, fmt.Sprintf(`{"state":%q,"sequence":1,"warmup_left_ms":0}`, state))
 }
 
-func (w *deployment) addDaemon(i int) {
+func (w *deployment) addDaemon(i int, seed uint64) {
 	s := edge.DefaultSettings()
 	s.Host = edge.HostSettings{ID: model.HostID(fmt.Sprint("h", i)), DataCentre: dataCentre, Region: "r"}
 	for _, address := range []*string{&s.Listeners.Caller, &s.Listeners.Ready, &s.Listeners.Admin, &s.Listeners.Fleet} {
@@ -136,6 +142,7 @@
 	}
 	s.Store, s.Regions = w.link.Address(), map[model.DataCentre]model.Region{dataCentre: "r"}
 	s.Stop = edge.StopSettings{Grace: settings.Duration(grace), Notice: settings.Duration(800 * time.Millisecond)}
+	s.Workspaces.Revocation = edge.RevocationSettings{Within: settings.Duration(revokeBound), FailClosed: seed%2 == 1}
 	p := &process{settings: s, path: filepath.Join(w.dir, string(s.Host.ID)+".jsonc")}
 	data, err := json.Marshal(s)
 	w.must(err)
