--- a/cli/explain.go
+++ b/cli/explain.go
@@ -16,7 +16,7 @@
 about one request in the order of time. Before each, it prints the last lines of
 the same host before that time about the belief and the entry of each backend
 server that the request was sent to, the service's retry budget, the store, the
-configuration and the process. The API is not used.
+configuration, the keys of workspaces and the process. The API is not used.
 
 Examples:
   $ usherctl explain 9c41d07be2a35f68 host-a.log host-b.log
@@ -154,7 +154,8 @@
 // eventSubject returns the subject of a line's event if it affects a request that
 // was sent to servers of the service, and otherwise an empty text. The subjects are
 // the belief about a server, its rate limit, its entry, the service's retry budget, the
-// store, the configuration and the process.
+// store, the configuration, whether keys are accepted, workspaces that cannot be used, and
+// the process.
 func eventSubject(l logLine, servers map[string]bool, service string) string {
 	switch event := l.fields["event"]; event {
 	case "server_suspected", "server_trusted":
@@ -177,6 +178,10 @@
 		return "store"
 	case "config_applied":
 		return "configuration"
+	case "keys_refused", "keys_accepted", "process_frozen":
+		return "keys"
+	case "workspace_unreadable", "key_shared":
+		return "workspaces"
 	case "started", "stopping":
 		return "process"
 	}
--- a/edge/workspace_keys.go
+++ b/edge/workspace_keys.go
@@ -182,11 +182,11 @@
 		asked := n.keys.clock()
 		err := n.follower.AskConfig(ctx)
 		cancel()
-		if err == nil {
-			n.keys.confirm(asked)
-			return
+		if err != nil {
+			time.Sleep(storeAskPause)
+			continue
 		}
-		time.Sleep(storeAskPause)
+		n.keys.confirm(asked) // without effect if the process was frozen again since
 	}
 }
 
