--- a/edge/export_test.go
+++ b/edge/export_test.go
@@ -1,17 +1,13 @@
 package edge
 
 import (
-	"context"
+	"sync/atomic"
 	"time"
-
-	"github.com/agateusher/agateusher/core/model"
 )
 
-// AdmitQuota decides about a request of a workspace, without the rest of the request path.
-func (n *Node) AdmitQuota(ctx context.Context, w model.WorkspaceID, timeout time.Duration) (admitted bool, result string, wait time.Duration) {
-	d := n.quotas.admit(ctx, w, time.Now().Add(timeout))
-	return d.admitted(), d.result, d.wait
+// DelayClock adds a time, as if the host had been suspended for it, to the clock by which
+// freezes are noticed. It must be called before Run.
+func (n *Node) DelayClock(by *atomic.Int64) {
+	clock := n.keys.clock
+	n.keys.clock = func() time.Duration { return clock() + time.Duration(by.Load()) }
 }
-
-// QuotaShare returns the part of all limits that this host issues.
-func (n *Node) QuotaShare() float64 { return n.quotas.gauges()["quota_issuer_share"] }
