--- a/edge/node.go
+++ b/edge/node.go
@@ -70,6 +70,7 @@
 	serverState    *serverState
 	sizeEstimator  sizeEstimator
 	bodyMemory     *bodyMemory
+	quotas         *quotas
 	keys           *keyState
 	// seeds are the seeds in force.
 	seeds atomic.Pointer[[]string]
@@ -133,6 +134,7 @@
 		return nil, &StartError{Component: "metrics", Err: err}
 	}
 	n.serverState = newServerState(s, n.log)
+	n.quotas = newQuotas(s, n.metrics.Scope, n.log, n.contain)
 	n.cache = catalog.NewCache(n.apply)
 	if n.gossiper, err = gossip.Listen(s.localHost(), model.Incarnation(rand.Text()), gossipHandler{n}, n.log); err != nil {
 		return nil, &StartError{Component: "gossip", Err: err}
@@ -142,6 +144,8 @@
 	n.exchanger.observeSignals = func(server balance.Server, leaving bool, pause time.Duration) {
 		n.serverState.observeSignals(server, leaving, pause, n.gossiper.AnnounceLeaving)
 	}
+	n.quotas.gossiper = n.gossiper
+	n.gossiper.EnableQuotas(n.quotas)
 	n.follower = catalog.NewFollower(n.cache, n.platform.Source, n.role, s.bootstrapDelay(), n.log)
 	n.puller = newPuller(n)
 	n.content = newContentServer(s.Host.LinkMbps, n.metrics.Scope)
@@ -165,6 +169,7 @@
 	tasks = append(tasks,
 		kernel.Task{Name: "callers", Run: n.acceptConnections},
 		kernel.Task{Name: "evidence", Run: n.tick},
+		kernel.Task{Name: "quota", Run: n.quotas.run},
 		kernel.Task{Name: "registry", Run: n.runRegistration},
 		kernel.Task{Name: "gauges", Run: n.runGauges},
 		kernel.Task{Name: "pull", Run: n.puller.run},
@@ -185,6 +190,7 @@
 // apply makes a new view the current one.
 func (n *Node) apply(v *catalog.View) {
 	n.serverState.setServers(v)
+	n.quotas.apply(v.Config)
 	n.keys.replaceTable(n.view.Load(), v)
 	before := n.view.Swap(v)
 	if n.gossiper.Role().Rank == 0 {
--- a/gossip/member.go
+++ b/gossip/member.go
@@ -83,6 +83,9 @@
 	// leavingDiffered is set if its last message had another digest of them.
 	lastLeavingList time.Time
 	leavingDiffered bool
+	// noQuotaUntil and quotaFailures are the same for admissions.
+	noQuotaUntil  time.Time
+	quotaFailures int
 }
 
 // candidate returns the member as a possible relay.
--- a/gossip/region.go
+++ b/gossip/region.go
@@ -74,7 +74,7 @@
 		return
 	}
 	m := g.message()
-	m.Loads = loads
+	m.Loads, m.Quota = loads, nil
 	g.write(m, g.relaysElsewhere())
 }
 
@@ -86,7 +86,7 @@
 	if m.StoreFailing || !g.Role().RegionRelay {
 		return
 	}
-	m.Outstanding, m.RegionRelay, m.Reading = nil, true, g.handler.State().Reading
+	m.Outstanding, m.Quota, m.RegionRelay, m.Reading = nil, nil, true, g.handler.State().Reading
 	g.write(m, g.relaysElsewhere())
 }
 
