--- a/edge/signals_internal_test.go
+++ b/edge/signals_internal_test.go
@@ -63,3 +63,5 @@
 type noHeaders struct{ Headers }
 
 func (noHeaders) SetAttempt(http.Header, model.RequestID, model.ServerID, time.Duration) {}
+
+func (noHeaders) SetWorkspace(http.Header, model.WorkspaceID) {}
