edge: a panic while a body is read does not leave the connection open

The response to a request is queued before its body is read. After a panic in between the writing goroutine would wait for it for ever. By reading; no test.

--- a/edge/conn.go
+++ b/edge/conn.go
@@ -107,16 +107,7 @@
 			p.reserved.close()
 			return
 		}
-		if err == nil {
-			if err = c.readBody(p, q, limits); errors.Is(err, errNoMemory) {
-				p.close = true
-				p.response <- c.node.refuse(q, model.ReasonMemory)
-			} else if err != nil {
-				c.rejectMalformed(p, err)
-			}
-		}
-		c.finishReading()
-		if err == nil {
+		if err == nil && c.receive(p, q, limits) {
 			go c.answer(ctx, p, q)
 		}
 		if p.close {
@@ -126,6 +117,27 @@
 	}
 }
 
+// receive reads the body of a request. It returns false if the request has its response
+// already.
+func (c *conn) receive(p *pendingResponse, q *request, limits catalog.Limits) bool {
+	settled := false
+	defer func() {
+		if !settled {
+			close(p.response) // after a panic; the writing goroutine waits for the response
+		}
+	}()
+	err := c.readBody(p, q, limits)
+	if errors.Is(err, errNoMemory) {
+		p.close = true
+		p.response <- c.node.refuse(q, model.ReasonMemory)
+	} else if err != nil {
+		c.rejectMalformed(p, err)
+	}
+	c.finishReading()
+	settled = true
+	return err == nil
+}
+
 // answer sets the response to a request.
 func (c *conn) answer(ctx context.Context, p *pendingResponse, q *request) {
 	if !c.awaitTurn(ctx, p) {
