--- a/edge/workspace_failures_test.go
+++ b/edge/workspace_failures_test.go
@@ -108,15 +108,15 @@
 	}
 }
 
-// frozen starts usher-edge as a process, freezes it, and sends it a request meanwhile.
-// The response is received after it runs again.
-func (s *site) frozen(r edge.RevocationSettings, peers []string, meanwhile func()) response {
+// frozen starts usher-edge as a process that reaches the store at an address, freezes it,
+// and sends it a request meanwhile. The response is received after it runs again.
+func (s *site) frozen(r edge.RevocationSettings, store string, meanwhile func()) response {
 	dir := s.t.TempDir()
 	program, path := filepath.Join(dir, "usher-edge"), filepath.Join(dir, "settings.jsonc")
 	out, err := exec.Command("go", "build", "-o", program, "../cmd/usher-edge").CombinedOutput()
 	s.g.Expect(err).NotTo(HaveOccurred(), string(out))
 	set := keySettings(s, "frozen", r)
-	set.Seeds = peers
+	set.Store = store
 	text, err := json.Marshal(set)
 	s.g.Expect(err).NotTo(HaveOccurred())
 	s.g.Expect(os.WriteFile(path, text, 0o600)).To(Succeed())
@@ -142,17 +142,28 @@
 }
 
 // Guards against a host that accepts a revoked key just after a freeze, by what it knew
-// before or by what it finds in its sockets.
+// before or by what it finds in its sockets, with the store or only a peer to ask.
 func TestRevocationDuringFreeze(t *testing.T) {
-	s := newSite(t)
-	s.configureKeys(oneWorkspace("key-old"))
-	server := s.server("i-1", service)
-	a := s.frozen(revocation, nil, func() {
-		time.Sleep(1500 * time.Millisecond) // the watch ends and finds no change
-		s.configureKeys(oneWorkspace("key-new"))
-	})
-	s.g.Expect(a.status).To(Equal(http.StatusUnauthorized))
-	s.g.Expect(runCount("frozen", server)).To(BeZero())
+	for _, refused := range []bool{false, true} {
+		s := newSite(t)
+		s.configureKeys(oneWorkspace("key-old"))
+		server := s.server("i-1", service)
+		endpoint, err := s.store.NewEndpoint()
+		s.g.Expect(err).NotTo(HaveOccurred())
+		if refused {
+			s.ready(s.daemon(keySettings(s, "peer", revocation)))
+		}
+		a := s.frozen(revocation, endpoint.Address(), func() {
+			time.Sleep(1500 * time.Millisecond) // the watch ends and finds no change
+			s.configureKeys(oneWorkspace("key-new"))
+			if refused {
+				endpoint.SetFault(consortium.Silent)
+			}
+		})
+		s.g.Expect(a.status).To(Equal(http.StatusUnauthorized))
+		s.g.Expect(a.took).To(BeNumerically("<", time.Second))
+		s.g.Expect(runCount("frozen", server)).To(BeZero())
+	}
 }
 
 // Guards against a host that nobody confirms the configuration to after a freeze, and that
@@ -164,7 +175,7 @@
 		s.server("i-1", service)
 		r := failClosed(5 * time.Second)
 		r.FailClosed = closed
-		a := s.frozen(r, nil, func() { s.store.SetFault(consortium.Reset) })
+		a := s.frozen(r, s.store.Address(), func() { s.store.SetFault(consortium.Reset) })
 		s.g.Expect(a.status).To(Equal(status), fmt.Sprint(closed))
 		s.g.Expect(a.took).To(BeNumerically("<", 2*time.Second))
 	}
