gossip, core/quota: reports find another daemon when theirs is lost

After five without a reply another one gets them. Messages from other data centres go to the issuer that holds this host's vote, not to the one that gets it next. Votes last 2 s, so that gifts are also backed when a heartbeat goes through the hub.

--- a/core/quota/rule.go
+++ b/core/quota/rule.go
@@ -30,7 +30,7 @@
 	// voteLifetime, giftLifetime and grantLifetime end what a host holds for another.
 	// Each exceeds the next, because it must outlast what is passed on of it, by a
 	// round trip between regions and the interval between messages.
-	voteLifetime  = 1900 * time.Millisecond
+	voteLifetime  = 2000 * time.Millisecond
 	giftLifetime  = 1400 * time.Millisecond
 	grantLifetime = 700 * time.Millisecond
 	// reportInterval is the time between reports of an issuer to a coordinator. When
--- a/edge/quota_messages.go
+++ b/edge/quota_messages.go
@@ -51,7 +51,7 @@
 	q.mu.Lock()
 	q.host.Tick(now)
 	reports, solicits := q.host.Reports(now), q.host.Solicit(now)
-	local := q.host.Preferred() == model.HostID(q.self)
+	local := q.host.Issuer(now) == model.HostID(q.self)
 	q.mu.Unlock()
 	for dc, r := range reports {
 		if dc == model.DataCentre(q.dc) && local {
@@ -143,7 +143,7 @@
 func (q *quotas) QuotaIssuer() model.HostID {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.host.Preferred()
+	return q.host.Issuer(q.now())
 }
 
 // AnswerQuota implements gossip.QuotaHandler.
--- a/gossip/quota.go
+++ b/gossip/quota.go
@@ -20,6 +20,9 @@
 	quotaAvoidance    = 2 * time.Second
 	maxQuotaFailures  = 2
 	maxQuotaDoublings = 4
+	// maxUnansweredReports is the number of reports and solicitations without a reply
+	// after which another daemon of the data centre gets them.
+	maxUnansweredReports = 5
 	// answerLifetime is how long an answer is kept at least, for a request that is
 	// received twice.
 	answerLifetime = 200 * time.Millisecond
@@ -32,8 +35,8 @@
 	QuotaState() *gen.QuotaState
 	// PeerQuotaState is called with that of another daemon of the data centre.
 	PeerQuotaState(h model.HostID, s *gen.QuotaState)
-	// QuotaIssuer returns the daemon of the data centre that this daemon prefers as
-	// issuer. Messages from other data centres are passed on to it.
+	// QuotaIssuer returns the issuer of this daemon. Messages from other data centres are
+	// passed on to it.
 	QuotaIssuer() model.HostID
 	// AnswerQuota returns the answer to another daemon's request.
 	AnswerQuota(q *gen.QuotaAsk) *gen.QuotaAnswer
@@ -52,6 +55,9 @@
 	// twice gets the same; guarded by Gossiper.mu.
 	recent, older map[quotaRequest]*gen.QuotaAnswer
 	rotatedAt     time.Time
+	// unanswered has, by data centre, the number of reports and solicitations since
+	// the last message that could be a reply; guarded by Gossiper.mu.
+	unanswered map[model.DataCentre]int
 }
 
 // quotaRequest identifies a request for admissions.
@@ -82,7 +88,7 @@
 
 // EnableQuotas makes the daemon take part in the limits of workspaces.
 func (g *Gossiper) EnableQuotas(h QuotaHandler) {
-	g.quota.Store(&quotaExchange{handler: h, recent: map[quotaRequest]*gen.QuotaAnswer{}})
+	g.quota.Store(&quotaExchange{handler: h, recent: map[quotaRequest]*gen.QuotaAnswer{}, unanswered: map[model.DataCentre]int{}})
 }
 
 func (g *Gossiper) quotaState() *gen.QuotaState {
@@ -157,13 +163,19 @@
 		return reply.QuotaAnswer, nil
 	case errors.Is(err, context.DeadlineExceeded):
 		to.quotaFailures++
-		if doublings := to.quotaFailures - maxQuotaFailures; doublings >= 0 {
-			to.noQuotaUntil = time.Now().Add(quotaAvoidance << min(doublings, maxQuotaDoublings))
-		}
+		to.avoidQuota()
 	}
 	return nil, &QuotaError{Issuer: to.ID, Err: err}
 }
 
+// avoidQuota makes the member avoided if it did not reply too often. Gossiper.mu must be
+// held.
+func (m *member) avoidQuota() {
+	if doublings := m.quotaFailures - maxQuotaFailures; doublings >= 0 {
+		m.noQuotaUntil = time.Now().Add(quotaAvoidance << min(doublings, maxQuotaDoublings))
+	}
+}
+
 // quotaContact returns the daemon of another data centre to which messages about limits
 // are sent: most likely its issuer, otherwise one that passes them on. It returns nil if
 // none is known.
@@ -202,6 +214,14 @@
 	if to == nil {
 		return
 	}
+	g.mu.Lock()
+	unanswered := g.quota.Load().unanswered
+	if unanswered[dc]++; unanswered[dc] > maxUnansweredReports {
+		unanswered[dc] = 0
+		to.quotaFailures = max(to.quotaFailures+1, maxQuotaFailures)
+		to.avoidQuota()
+	}
+	g.mu.Unlock()
 	m.Host, m.DataCentre = string(g.self.ID), string(g.self.DataCentre)
 	g.write(m, []*net.UDPAddr{to.udpAddress})
 }
@@ -228,6 +248,9 @@
 			return true
 		}
 	}
+	g.mu.Lock()
+	x.unanswered[model.DataCentre(m.DataCentre)] = 0
+	g.mu.Unlock()
 	host, dc, reply := model.HostID(m.Host), model.DataCentre(m.DataCentre), &gen.Gossip{Host: string(g.self.ID), DataCentre: string(g.self.DataCentre)}
 	switch {
 	case m.QuotaAnswer != nil:
--- a/gossip/quota_test.go
+++ b/gossip/quota_test.go
@@ -100,6 +100,25 @@
 	}).WithTimeout(2 * time.Second).Should(Succeed())
 }
 
+// Guards against reports that go to a lost daemon for ever, because reports alone are sent to
+// the data centre.
+func TestReportsReachAnotherDaemon(t *testing.T) {
+	g := NewWithT(t)
+	x, y := quotaNodes(t)
+	issuer := x[0].PreferredIssuer()
+	for _, n := range x {
+		if n.self.ID == issuer {
+			n.stop()
+		}
+	}
+	g.Eventually(func() bool {
+		y[0].SendQuotaReport("x", &gen.QuotaReport{Stamp: 8})
+		received := false
+		y[0].with(func() { received = y[0].lease != nil })
+		return received
+	}).WithTimeout(3 * time.Second).WithPolling(100 * time.Millisecond).Should(BeTrue())
+}
+
 // Guards against a datagram that is received twice and issues admissions twice, and
 // against an answer that is used by another request.
 func TestDuplicateRequestIsAnsweredOnce(t *testing.T) {
