edge: held requests ask less and less often

After a restart of all hosts, each host asked its issuer 20 times a second for each workspace with a held request; with 131 hosts and a dozen workspaces a host that is 8,000 asks a second at an issuer (arithmetic). The time between asks now doubles up to 0.2 s.

--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -119,6 +119,7 @@
 		{"third cut off together", cut(func(i int) int { return max(0, i/4%3-1) }), 0.1, 0.05, 1},
 		{"third cut off one by one", cut(func(i int) int { return i * max(0, i/4%3-1) }), 0.25, 0.1, 1},
 		{"regions cut off", cut(func(i int) int { return i % 4 / 2 }), 0.05, 0.02, 1},
+		{"one issuer killed", func(f *fleet) { restart(f, f.byDC[dcs[0]][0], 5*time.Second) }, 0.05, 0.02, 1},
 		{"issuers killed", func(f *fleet) {
 			for _, dc := range dcs {
 				restart(f, f.byDC[dc][0], 5*time.Second)
--- a/edge/quota.go
+++ b/edge/quota.go
@@ -23,8 +23,11 @@
 	// maxQuotaHold is how long a request is held while no issuer can answer: after the
 	// start of this host, or after its issuer was lost. Votes end within that time.
 	maxQuotaHold = 2500 * time.Millisecond
-	// quotaRetryDelay is the time between the asks for held requests.
-	quotaRetryDelay = 50 * time.Millisecond
+	// quotaRetryDelay is the time between the first two asks for held requests. It doubles
+	// up to maxQuotaRetryDelay: after a restart of all hosts the issuers get such asks for
+	// many workspaces from each host.
+	quotaRetryDelay    = 50 * time.Millisecond
+	maxQuotaRetryDelay = 200 * time.Millisecond
 	// maxQuotaWaiting bounds the requests that wait for admission. Further ones are
 	// refused.
 	maxQuotaWaiting = 512
@@ -235,6 +238,7 @@
 		}
 	}()
 	var held []*quotaWaiter
+	delay := quotaRetryDelay
 	for {
 		q.mu.Lock()
 		batch := slices.DeleteFunc(append(held, a.waiting...), func(w *quotaWaiter) bool { return w.gone })
@@ -260,11 +264,12 @@
 		}
 		if answered && !answer.Starting {
 			q.refuseWaiting(k, batch, answer)
-			held = nil
+			held, delay = nil, quotaRetryDelay
 			continue
 		}
-		if held = q.hold(k, batch); len(held) > 0 {
-			time.Sleep(quotaRetryDelay)
+		if held = q.hold(k, batch, delay); len(held) > 0 {
+			time.Sleep(delay)
+			delay = min(2*delay, maxQuotaRetryDelay)
 		}
 	}
 }
@@ -344,13 +349,14 @@
 	}
 }
 
-// hold returns the requests that wait on until an issuer answers, and refuses the others.
-func (q *quotas) hold(k quota.Key, batch []*quotaWaiter) (held []*quotaWaiter) {
+// hold returns the requests that can wait for another delay until an issuer answers, and
+// refuses the others.
+func (q *quotas) hold(k quota.Key, batch []*quotaWaiter, delay time.Duration) (held []*quotaWaiter) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.now()
 	for _, w := range batch {
-		if now.Add(quotaRetryDelay).Before(w.holdTill) {
+		if now.Add(delay).Before(w.holdTill) {
 			held = append(held, w)
 		} else {
 			q.finish(w, quotaDecision{result: quotaUnavailable, key: k, wait: retryAfterDelay})
