--- a/gossip/gossiper.go
+++ b/gossip/gossiper.go
@@ -80,6 +80,8 @@
 	IssuePermit(q *gen.PermitRequest) *gen.PermitReply
 	// Leaving returns the servers that this daemon knows to be leaving.
 	Leaving() []*gen.LeavingServer
+	// LeavingDigest returns a number that is equal for equal sets of them; zero without any.
+	LeavingDigest() uint32
 	// PeerLeaving is called with those that another daemon knows. It returns those that
 	// this daemon did not know.
 	PeerLeaving(h model.HostID, list []*gen.LeavingServer) []*gen.LeavingServer
@@ -271,7 +273,7 @@
 		StoreFailing:   s.StoreFailing,
 		Reading:        s.Reading || g.remoteReading(),
 		ServedMs:       uint64(s.Served.Milliseconds()),
-		LeavingDigest:  leavingDigest(g.handler.Leaving()),
+		LeavingDigest:  g.handler.LeavingDigest(),
 		Quota:          g.quotaState(),
 	}
 }
