edge, gossip: only the relay of a data centre reads the list of hosts at intervals

Cause: each host read the whole registry 1, 4 and 10 s after its start and every 15 s. At 218 hosts that is about 44 KB for each read, 2.6 Mbit/s on the link of a region that is away from the store, and competes with the configuration after a restart of many hosts.

Change: other hosts get the list, compressed, from the relay of their data centre. A host that was not registered before reads the registry once more, as others may have registered at the same time.

--- a/catalog/cache.go
+++ b/catalog/cache.go
@@ -50,10 +50,10 @@
 	ConfigSince   model.Epoch       `json:"configSince,omitempty"`
 	RemovedRoutes []model.RouteName `json:"removedRoutes,omitempty"`
 	// ConfigFollows is set in the encoded form if Config is encoded behind the snapshot.
-	ConfigFollows bool `json:"configFollows,omitempty"`
-	Epoch        model.Epoch   `json:"epoch,omitempty"`
-	ConfigCursor Revision      `json:"configCursor"`
-	ConfigAge    time.Duration `json:"configAge"`
+	ConfigFollows bool          `json:"configFollows,omitempty"`
+	Epoch         model.Epoch   `json:"epoch,omitempty"`
+	ConfigCursor  Revision      `json:"configCursor"`
+	ConfigAge     time.Duration `json:"configAge"`
 	// Since is the revision that Servers and Removed are the changes to; zero:
 	// Servers is the whole set.
 	Since   Revision           `json:"since,omitempty"`
--- a/catalog/encode.go
+++ b/catalog/encode.go
@@ -55,7 +55,10 @@
 
 func compress(write func(io.Writer) error) ([]byte, error) {
 	var b bytes.Buffer
-	w := gzip.NewWriter(&b)
+	w, err := gzip.NewWriterLevel(&b, gzip.BestSpeed)
+	if err != nil {
+		return nil, err
+	}
 	if err := write(w); err != nil {
 		return nil, err
 	}
--- a/edge/link_test.go
+++ b/edge/link_test.go
@@ -112,7 +112,7 @@
 		set.Host.DataCentre, set.Host.Region, set.Host.Cores, set.Host.LinkMbps = dc, "far", 0.2, 100
 		set.Regions = map[model.DataCentre]model.Region{zone: "region", "far-a": "far", "far-b": "far"}
 		set.Store, set.Seeds = store, seeds
-		s.store.Put("usher-hosts", string(set.Host.ID), fmt.Sprintf(`{"id":%q,"dataCentre":%q,"region":"far","address":%q}`, set.Host.ID, dc, set.Listeners.Fleet), "")
+		s.store.Put("usher-hosts", string(set.Host.ID), fmt.Sprintf(`{"id":%q,"dataCentre":%q,"region":"far","address":%q,"weight":2000}`, set.Host.ID, dc, set.Listeners.Fleet), "")
 		list[i] = set
 	}
 	return list
@@ -184,6 +184,46 @@
 	}
 }
 
+// Guards against running hosts that are stale while more than half of the hosts of their
+// region restart (review/2): the restarted ones get the content from their data centre,
+// and the change passes the link between the regions once or, if the relay was among
+// them, twice.
+func TestChangeWhileMostHostsRestart(t *testing.T) {
+	s := newSite(t)
+	extra := wideRoutes(4000)
+	s.configure(2*time.Second, extra)
+	s.server("i-1", service)
+	link := newSlowLink(t, len(extra)*10/8)
+	settings := s.away(9, link.to(s.store.Address()), nil)
+	var daemons []*daemon
+	for _, set := range settings {
+		set.Seeds = []string{settings[0].Listeners.Admin}
+		daemons = append(daemons, s.daemon(set))
+	}
+	for _, d := range daemons {
+		s.ready(d)
+	}
+	time.Sleep(2 * time.Second) // the relay is settled
+	for i := range 5 {
+		daemons[i].stop()
+		s.g.Eventually(daemons[i].exited).WithTimeout(5 * time.Second).Should(Receive(BeNil()))
+		daemons[i].exited <- nil
+	}
+	link.passed()
+	s.configure(2*time.Second, extra)
+	began := time.Now()
+	for i := range 5 {
+		daemons[i] = s.daemon(daemons[i].settings)
+	}
+	for _, d := range daemons {
+		s.g.Eventually(d.log.String).WithTimeout(20 * time.Second).WithPolling(10 * time.Millisecond).Should(ContainSubstring(fmt.Sprintf("epoch=%d ", s.version)))
+	}
+	passed := link.passed()
+	s.t.Logf("in force after %v, %.2f configurations over the link", time.Since(began), float64(passed)/float64(len(extra)))
+	s.g.Expect(time.Since(began)).To(BeNumerically("<", 2500*time.Millisecond))
+	s.g.Expect(passed).To(BeNumerically("<", len(extra)*5/2))
+}
+
 // Guards against content being used that arrived damaged or cut, and against a daemon
 // that does not turn to another source then.
 func TestDamagedContentFromASeed(t *testing.T) {
@@ -243,3 +283,18 @@
 	d = s.ready(s.daemon(settings[0]))
 	s.g.Expect(d.log.String()).To(ContainSubstring("from=\"" + seed.Listeners.Admin))
 }
+
+// Guards against each host reading the registry of hosts at intervals: at the size of the
+// large deployments that is more than the configuration itself (review/2).
+func TestRelayReadsTheRegistry(t *testing.T) {
+	s := newSite(t)
+	s.configure(2*time.Second, "")
+	s.server("i-1", service)
+	settings := s.away(6, s.store.Address(), nil)
+	for _, set := range settings {
+		s.ready(s.daemon(set))
+	}
+	time.Sleep(2 * time.Second) // the first polls are after 1 s
+	// One read of each host at the start, and one poll of each relay.
+	s.g.Expect(s.store.StaleReads("usher-hosts")).To(BeNumerically("<=", len(settings)+2))
+}
--- a/edge/servers.go
+++ b/edge/servers.go
@@ -85,11 +85,14 @@
 const hostPollInterval = 15 * time.Second
 
 // runRegistration registers this daemon, unless it is in the registry from an
-// earlier start, and keeps the list of the other hosts up to date.
+// earlier start, and keeps the list of the other hosts up to date. A daemon that was not
+// registered reads the registry a second time, because others may have registered at
+// the same time.
 func (n *Node) runRegistration(ctx context.Context) error {
 	localHost := n.settings.localHost()
 	hosts, _ := n.discoverHosts(ctx)
 	registered := slices.Contains(hosts, localHost)
+	known := registered
 	for i := 0; ctx.Err() == nil; {
 		if !registered {
 			err := n.platform.Registry.Register(ctx, localHost)
@@ -110,13 +113,35 @@
 		case <-ctx.Done():
 			return nil
 		}
+		if known && n.askRelay(ctx) {
+			i++
+			continue
+		}
 		if _, ok := n.discoverHosts(ctx); ok {
+			known = true
 			i++
 		}
 	}
 	return nil
 }
 
+// askRelay gets the hosts from the relay of the data centre, so that only relays read the
+// registry at intervals: it is large and often in another region. It reports false if
+// this daemon is the relay or the relay does not respond.
+func (n *Node) askRelay(ctx context.Context) bool {
+	relay, ok := n.gossiper.LocalRelay()
+	if !ok {
+		return false
+	}
+	var hosts []gossip.Host
+	if err := n.puller.hosts(ctx, relay.Address, &hosts); err != nil {
+		n.log.WithFields(telemetry.Fields{"event": "relay_unreachable", "peer": relay.ID}).WithError(err).Info("cannot get the hosts from the relay; reading the registry")
+		return false
+	}
+	n.gossiper.AddHosts(hosts)
+	return true
+}
+
 // discoverHosts reads the hosts from the registry, or from the seeds while the store
 // is unavailable. fromRegistry is set, and hosts returned, only in the first case.
 func (n *Node) discoverHosts(ctx context.Context) (hosts []gossip.Host, fromRegistry bool) {
--- a/gossip/neighbours.go
+++ b/gossip/neighbours.go
@@ -82,3 +82,18 @@
 		m.contentAge = time.Duration(h.ConfirmedAgeMs) * time.Millisecond
 	}
 }
+
+// LocalRelay returns the live daemon of the data centre that is preferred to all others as
+// relay; false if it is this one.
+func (g *Gossiper) LocalRelay() (Host, bool) {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	best, found := newCandidate(g.self), Host{}
+	for _, m := range g.localMembers() {
+		if m.live(now) && !m.storeFailing && m.candidate().precedes(best) {
+			best, found = m.candidate(), m.Host
+		}
+	}
+	return found, found.ID != ""
+}
