edge, gossip: restarted hosts get the list of hosts from a seed

Each restarted host read the registry: 44 KB at 218 hosts, so that after a restart of all of them the lists are several times the configuration on the link between the regions. A host that a seed lists has been registered and uses the seed's compressed list. Seeds that do not respond delay the read of the registry by 0.3 s at most. TestRestartedHostsAskASeed: 2 reads or fewer of 7 hosts; 6 of them read before.

Claims and digests for a data centre whose relay is not heard go to the six hosts that are listed first instead of two, and to the relay that was last heard: after the loss of the first two the data centre followed the store by itself. TestClaimsReachDataCentresWithDeadHosts failed before.

--- a/edge/link_test.go
+++ b/edge/link_test.go
@@ -298,3 +298,26 @@
 	// One read of each host at the start, and one poll of each relay.
 	s.g.Expect(s.store.StaleReads("usher-hosts")).To(BeNumerically("<=", len(settings)+2))
 }
+
+// Guards against each restarted host reading the registry, which after a restart of all
+// hosts is several times the configuration, and against a host that a seed does not know
+// and that is never registered.
+func TestRestartedHostsAskASeed(t *testing.T) {
+	s := newSite(t)
+	s.configure(2*time.Second, "")
+	s.server("i-1", service)
+	seed := s.settings("h0")
+	seed.Seeds = []string{seed.Listeners.Admin}
+	settings := s.away(5, s.store.Address(), seed.Seeds)
+	s.ready(s.daemon(seed))
+	before := s.store.StaleReads("usher-hosts")
+	for _, set := range settings {
+		s.daemon(set)
+	}
+	unknown := s.settings("h1")
+	unknown.Seeds = seed.Seeds
+	s.daemon(unknown)
+	s.g.Eventually(func() int { return s.store.Changes("usher-hosts") }).WithTimeout(2 * time.Second).Should(Equal(2)) // of h0 and h1
+	time.Sleep(500 * time.Millisecond)
+	s.g.Expect(s.store.StaleReads("usher-hosts") - before).To(BeNumerically("<=", 2))
+}
--- a/edge/servers.go
+++ b/edge/servers.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-chi/chi/v5"
 
+	"github.com/agateusher/agateusher/core/ranking"
 	"github.com/agateusher/agateusher/gossip"
 	"github.com/agateusher/agateusher/kernel"
 	"github.com/agateusher/agateusher/telemetry"
@@ -90,8 +91,11 @@
 // the same time.
 func (n *Node) runRegistration(ctx context.Context) error {
 	localHost := n.settings.localHost()
-	hosts, _ := n.discoverHosts(ctx)
-	registered := slices.Contains(hosts, localHost)
+	registered := n.hostsFromSeeds(ctx)
+	if !registered {
+		hosts, _ := n.discoverHosts(ctx)
+		registered = slices.Contains(hosts, localHost)
+	}
 	known := registered
 	for i := 0; ctx.Err() == nil; {
 		if !registered {
@@ -125,6 +129,43 @@
 	return nil
 }
 
+const (
+	// seedHostsTimeout bounds the request for the list of hosts to the seeds, before the
+	// registry is read. Two round trips to another region take 120 ms.
+	seedHostsTimeout = 300 * time.Millisecond
+	// seedHostsRetries is how long seeds without a list are asked again, and
+	// seedHostsPause the interval. After a restart of all hosts the seeds have read the
+	// registry by then.
+	seedHostsRetries = 120 * time.Millisecond
+	seedHostsPause   = 40 * time.Millisecond
+)
+
+// hostsFromSeeds gets the list of hosts from a seed and reports whether it has this
+// daemon. Then the daemon started before and is registered, and need not read the
+// registry, which is ten times as large as a seed's response.
+func (n *Node) hostsFromSeeds(ctx context.Context) bool {
+	seeds := *n.seeds.Load()
+	if len(seeds) == 0 || n.settings.isSeed() {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, seedHostsTimeout)
+	defer cancel()
+	first := int(ranking.Score("hosts", n.settings.Host.ID) % uint64(len(seeds)))
+	for i, began := first, time.Now(); time.Since(began) < seedHostsRetries; i++ {
+		var hosts []gossip.Host
+		if n.puller.hosts(ctx, seeds[i%len(seeds)], &hosts) == nil && slices.Contains(hosts, n.settings.localHost()) {
+			n.gossiper.AddHosts(hosts)
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(seedHostsPause):
+		}
+	}
+	return false
+}
+
 // askRelay gets the hosts from the relay of the data centre, so that only relays read the
 // registry at intervals: it is large and often in another region. It reports false if
 // this daemon is the relay or the relay does not respond.
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -202,6 +202,27 @@
 	g.Eventually(one(stopped)).WithTimeout(2500 * time.Millisecond).Should(BeTrue())
 }
 
+// Guards against a data centre that hears nothing of the region's relay, and follows the
+// store by itself, because the hosts that are listed first as its relay do not run.
+func TestClaimsReachDataCentresWithDeadHosts(t *testing.T) {
+	g := NewWithT(t)
+	var nodes []*node
+	var hosts []Host
+	for _, dc := range []model.DataCentre{"x", "y"} {
+		n := start(t, "live-"+string(dc), dc)
+		nodes, hosts = append(nodes, n), append(hosts, n.self)
+		for i := range 3 {
+			hosts = append(hosts, Host{ID: model.HostID(fmt.Sprint("dead-", dc, i)), DataCentre: dc, Region: "r", Address: "127.0.0.1:9", Weight: 9})
+		}
+	}
+	for _, n := range nodes {
+		n.AddHosts(hosts)
+	}
+	one := func() bool { return nodes[0].Role().RegionRelay != nodes[1].Role().RegionRelay }
+	g.Eventually(one).WithTimeout(3 * time.Second).Should(BeTrue())
+	g.Consistently(one).WithTimeout(2 * time.Second).Should(BeTrue())
+}
+
 // Guards against an address in an old list that replaces the one a live daemon sends
 // from, and against a restart under another address that is not noticed.
 func TestAddressChanges(t *testing.T) {
--- a/gossip/gossiper.go
+++ b/gossip/gossiper.go
@@ -99,6 +99,8 @@
 	// claims has, by data centre, the last claim of its relay to follow the store for
 	// the whole region.
 	claims map[model.DataCentre]claim
+	// remoteRelays has the relays of other data centres.
+	remoteRelays map[model.DataCentre]remoteRelay
 	// listed is set once a list of hosts was received.
 	listed bool
 	// permitRequests are the requests for permits without a reply yet.
@@ -137,7 +139,7 @@
 		self: self, incarnation: string(incarnation), handler: h, socket: socket, log: log,
 		pending: kernel.NewRing[*gen.Observation]("observations", observationQueueSize, kernel.DropNewest),
 		bundle:  kernel.NewRing[*gen.Gossip]("bundle", bundleQueueSize, kernel.DropNewest), starThreshold: starThreshold,
-		members: newMemberTable(), claims: map[model.DataCentre]claim{}, reportedGone: map[model.HostID]bool{},
+		members: newMemberTable(), claims: map[model.DataCentre]claim{}, remoteRelays: map[model.DataCentre]remoteRelay{}, reportedGone: map[model.HostID]bool{},
 		permitRequests: map[uint64]chan *gen.PermitReply{},
 	}, nil
 }
@@ -428,15 +430,15 @@
 	return h, restarted
 }
 
-// Hosts returns this daemon, the live daemons of its data centre, and all known
-// daemons of other data centres.
+// Hosts returns this daemon, the daemons of its data centre that were listed or heard
+// lately, and all known daemons of other data centres.
 func (g *Gossiper) Hosts() []Host {
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	hosts := []Host{g.self}
 	for _, m := range g.members.byID {
-		if m.DataCentre != g.self.DataCentre || m.live(now) {
+		if m.DataCentre != g.self.DataCentre || m.current(now) {
 			hosts = append(hosts, m.Host)
 		}
 	}
--- a/gossip/member.go
+++ b/gossip/member.go
@@ -96,11 +96,16 @@
 	if m.live(now) {
 		return now.Sub(m.lastSent) >= heartbeatInterval
 	}
+	return m.current(now) && now.Sub(m.lastSent) >= idleInterval
+}
+
+// current reports whether the member was listed or heard from lately.
+func (m *member) current(now time.Time) bool {
 	last := m.lastAdded
 	if m.lastReceived.After(last) {
 		last = m.lastReceived
 	}
-	return now.Sub(last) < stopSendingAfter && now.Sub(m.lastSent) >= idleInterval
+	return now.Sub(last) < stopSendingAfter
 }
 
 // memberTable holds the members; guarded by Gossiper.mu. The members of one data centre
--- a/gossip/neighbours.go
+++ b/gossip/neighbours.go
@@ -1,9 +1,11 @@
 package gossip
 
 import (
+	"net"
 	"time"
 
 	"github.com/agateusher/agateusher/core/fetch"
+	"github.com/agateusher/agateusher/core/model"
 	gen "github.com/agateusher/agateusher/gen/agateusher/v1"
 )
 
@@ -15,6 +17,35 @@
 	reading bool
 }
 
+// remoteRelay is the relay of another data centre, as last heard.
+type remoteRelay struct {
+	address *net.UDPAddr
+	at      time.Time
+}
+
+func (g *Gossiper) recordRemoteRelay(dc model.DataCentre, from *net.UDPAddr) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.remoteRelays[dc] = remoteRelay{address: from, at: time.Now()}
+}
+
+// relaysOf returns the addresses of the likely relays of another data centre: the one
+// that was heard and those that are listed first. g.mu must be held.
+func (g *Gossiper) relaysOf(dc model.DataCentre, now time.Time) (to []*net.UDPAddr) {
+	n := digestRelaysSilent
+	heard := g.remoteRelays[dc]
+	if now.Sub(heard.at) < claimLifetime {
+		n = digestRelays
+		to = append(to, heard.address)
+	}
+	for _, r := range g.members.relays(dc, n) {
+		if len(to) == 0 || r.udpAddress.String() != to[0].String() {
+			to = append(to, r.udpAddress)
+		}
+	}
+	return to
+}
+
 func (c claim) readingAt(now time.Time) bool { return c.reading && now.Sub(c.at) < claimLifetime }
 
 // remoteReading reports whether the relay of another data centre of the region receives
--- a/gossip/region.go
+++ b/gossip/region.go
@@ -14,8 +14,10 @@
 	// said so. It covers the loss of two messages in a row.
 	claimLifetime = 950 * time.Millisecond
 	// digestRelays is how many daemons of each other data centre a digest is
-	// sent to.
-	digestRelays = 2
+	// sent to, and digestRelaysSilent how many while its relay is not heard, because
+	// those that are listed first may not run.
+	digestRelays       = 2
+	digestRelaysSilent = 6
 )
 
 // Role is this daemon's part in following the store.
@@ -93,14 +95,12 @@
 // relaysElsewhere returns the addresses of the likely relays of each other data
 // centre of the region.
 func (g *Gossiper) relaysElsewhere() (to []*net.UDPAddr) {
+	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, dc := range g.members.dataCentres(g.self.Region) {
-		if dc == g.self.DataCentre {
-			continue
-		}
-		for _, r := range g.members.relays(dc, digestRelays) {
-			to = append(to, r.udpAddress)
+		if dc != g.self.DataCentre {
+			to = append(to, g.relaysOf(dc, now)...)
 		}
 	}
 	return to
@@ -109,6 +109,9 @@
 // handleRemote handles a message from another data centre.
 func (g *Gossiper) handleRemote(m *gen.Gossip, from *net.UDPAddr) {
 	dc := model.DataCentre(m.DataCentre)
+	if len(m.Loads) > 0 || m.RegionRelay {
+		g.recordRemoteRelay(dc, from)
+	}
 	if len(m.Loads) > 0 {
 		g.handler.RemoteLoads(dc, m.Loads)
 		// A digest is sent to only some daemons of a data centre.
