catalog, core/fetch: daemons take over a read in turn

When the reader of a region was killed, all daemons that had relied on it read at once. The stagger now counts from the last sign of a reader. A read is announced when it begins, and a daemon that becomes the relay does not watch the configuration while another one receives a change. A seed counts as settled only if it read the store by itself.

--- a/catalog/follower.go
+++ b/catalog/follower.go
@@ -67,6 +67,8 @@
 	log    telemetry.Logger
 	loops  []*syncLoop
 
+	// onRead is called when a read of the whole content begins; it may be nil.
+	onRead  func()
 	started time.Time
 	// bootstrapDelay is this daemon's part in the spread of first reads.
 	bootstrapDelay time.Duration
@@ -74,6 +76,11 @@
 	mu sync.Mutex
 	// demanded is set if a request waits for the first content.
 	demanded bool
+	// quietSince is when another daemon was last known to read or to have content; the
+	// start if none ever was.
+	quietSince time.Time
+	// hasRead is set once the whole configuration was read from the store.
+	hasRead bool
 	// receivedAt is when bytes of the content last arrived from the store.
 	receivedAt time.Time
 	// failedAt is when a call of the store last failed; zero if one has succeeded
@@ -87,9 +94,10 @@
 // daemon's present role. bootstrapDelay is this daemon's part in the spread of first
 // reads; see package fetch.
 func NewFollower(cache *Cache, source Source, role func() Role, bootstrapDelay time.Duration, log telemetry.Logger) *Follower {
-	f := &Follower{cache: cache, source: source, role: role, started: time.Now(), bootstrapDelay: bootstrapDelay, log: log}
+	now := time.Now()
+	f := &Follower{cache: cache, source: source, role: role, started: now, quietSince: now, bootstrapDelay: bootstrapDelay, log: log}
 	f.loops = []*syncLoop{
-		{follower: f, kind: "configuration", sync: f.syncConfig, confirm: f.cache.confirmConfig, age: func(now time.Time) time.Duration {
+		{follower: f, kind: "configuration", large: true, sync: f.syncConfig, confirm: f.cache.confirmConfig, age: func(now time.Time) time.Duration {
 			a, _ := f.cache.Ages(now)
 			return a
 		}},
@@ -120,15 +128,31 @@
 // MayStart reports whether this daemon, without content, may read it over the link
 // between the regions.
 func (f *Follower) MayStart() bool {
-	r := f.role()
+	r, now := f.role(), time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if r.PeerReading || r.PeerContent {
+		f.quietSince = now
+	}
 	return fetch.MayStart(fetch.Situation{
-		Waited: time.Since(f.started), Delay: f.bootstrapDelay, Listed: r.Listed, Alone: r.Alone, Rank: r.Rank, Order: r.Order,
+		Waited: now.Sub(f.started), Delay: f.bootstrapDelay, Quiet: now.Sub(f.quietSince), Listed: r.Listed, Alone: r.Alone, Rank: r.Rank, Order: r.Order,
 		First: r.First, Demanded: f.demanded, PeerReading: r.PeerReading, PeerContent: r.PeerContent,
 	})
 }
 
+// HasRead reports whether this daemon has read the whole configuration from the store.
+func (f *Follower) HasRead() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.hasRead
+}
+
+func (f *Follower) recordRead() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.hasRead = true
+}
+
 // StoreFailing reports whether calls of the store failed lately. Another daemon is
 // preferred as the relay then.
 func (f *Follower) StoreFailing() bool {
@@ -171,7 +195,7 @@
 	role := l.follower.role()
 	l.logRoleChange(role.Relay)
 	if role.Relay {
-		return true
+		return !l.large || fetch.MayWatch(l.age(now), role.PeerReading)
 	}
 	return fetch.MayRefresh(l.age(now), role.Rank, role.PeerReading)
 }
@@ -247,6 +271,7 @@
 		c, r, err := f.source.Config(ctx)
 		if err = end(err); err == nil {
 			f.applyConfig(c, r, began)
+			f.recordRead()
 		}
 		return err
 	}
--- a/catalog/loop.go
+++ b/catalog/loop.go
@@ -21,7 +21,7 @@
 	// fetchNotice is how long others are told of a call that has received nothing yet.
 	// It is shorter than readFirst, so that a store that is silent to this daemon only
 	// does not hold up the others.
-	fetchNotice = 600 * time.Millisecond
+	fetchNotice = 400 * time.Millisecond
 )
 
 var (
@@ -37,6 +37,8 @@
 type syncLoop struct {
 	follower *Follower
 	kind     string
+	// large is set if a change brings the whole content.
+	large bool
 	// sync calls the store once and applies the result.
 	sync func(ctx context.Context, l *syncLoop) error
 	// confirm records that the store confirmed the content.
@@ -71,9 +73,17 @@
 // startRead returns the context of a read of the whole content, and a function to be
 // called with its error at its end, which returns the error to report.
 func (l *syncLoop) startRead(ctx context.Context) (context.Context, func(error) error) {
-	return l.start(ctx, readFirst, false)
+	ctx, end := l.start(ctx, readFirst, false)
+	if l.follower.onRead != nil {
+		l.follower.onRead()
+	}
+	return ctx, end
 }
 
+// OnRead sets a function that is called when a read of the whole content begins. It must
+// be called before the tasks run.
+func (f *Follower) OnRead(announce func()) { f.onRead = announce }
+
 // startWatch is startRead for a watch that waits for the given time.
 func (l *syncLoop) startWatch(ctx context.Context, wait time.Duration) (context.Context, func(error) error) {
 	return l.start(ctx, max(minWatchFirst, wait+watchMargin), wait >= watchWait)
--- a/core/fetch/fetch.go
+++ b/core/fetch/fetch.go
@@ -36,6 +36,10 @@
 	// Waited is the time since the start, and Delay this daemon's own part in the
 	// spread of reads.
 	Waited, Delay time.Duration
+	// Quiet is the time since another daemon was last known to read or to have content;
+	// Waited if none ever was. Daemons that relied on one that is killed take over in
+	// turn, not all at once.
+	Quiet time.Duration
 	// Listed is the number of listed daemons of the region that are preferred to this
 	// one; Unlisted if the hosts are not known.
 	Listed int
@@ -56,17 +60,18 @@
 
 // MayStart reports whether the daemon reads the store now.
 func MayStart(s Situation) bool {
+	stagger := min(staggerMax, time.Duration(s.Rank)*rankStagger+time.Duration(s.Order)*orderStagger)
 	switch {
 	case s.PeerReading || s.PeerContent:
-		return s.Waited >= s.Delay+peerPatience
+		return s.Waited >= s.Delay+peerPatience+stagger
 	case s.Listed != Unlisted && s.Alone && s.Demanded:
 		return true
-	case s.Listed != Unlisted && s.Listed < listedMax && s.Waited >= listedDelay+time.Duration(s.Listed)*listedStagger && !s.Alone:
+	case s.Listed != Unlisted && s.Listed < listedMax && s.Quiet >= listedDelay+time.Duration(s.Listed)*listedStagger && !s.Alone:
 		return true
 	case s.First:
 		return s.Waited >= s.Delay
 	}
-	return s.Waited >= s.Delay+takeover+min(staggerMax, time.Duration(s.Rank)*rankStagger+time.Duration(s.Order)*orderStagger)
+	return min(s.Quiet, s.Waited-s.Delay) >= takeover+stagger
 }
 
 const (
@@ -83,6 +88,13 @@
 // Stale reports whether content of an age is stale.
 func Stale(age time.Duration) bool { return age > staleAfter }
 
+// MayWatch reports whether the relay watches the configuration, given the age of its
+// content. A new relay does not while another daemon receives a change: its watch would
+// bring the same change again.
+func MayWatch(age time.Duration, peerReading bool) bool {
+	return !peerReading || age >= staleAfter+peerPatience
+}
+
 // MayRefresh reports whether a daemon other than the relay calls the store, given the
 // age of its content.
 func MayRefresh(age time.Duration, rank int, peerReading bool) bool {
--- a/edge/node.go
+++ b/edge/node.go
@@ -132,6 +132,7 @@
 	}
 	n.serverState.publish = n.gossiper.Publish
 	n.follower = catalog.NewFollower(n.cache, n.platform.Source, n.role, s.bootstrapDelay(), n.log)
+	n.follower.OnRead(n.gossiper.Announce)
 	n.puller = newPuller(n)
 	n.content = newContentServer(s.Host.LinkMbps, n.metrics.Scope)
 	if n.callerListener, err = net.Listen("tcp4", s.Listeners.Caller); err != nil {
@@ -200,10 +201,11 @@
 }
 
 // role returns this daemon's part in following the store. A daemon that has just
-// started does not know yet whether another one is the relay.
+// started does not know yet whether another one is the relay, unless it is a seed that
+// found nobody with content and read the store.
 func (n *Node) role() catalog.Role {
 	r := n.gossiper.Role()
-	settled := n.settings.isSeed() || time.Since(n.started) >= settleTime
+	settled := (n.settings.isSeed() && n.follower.HasRead()) || time.Since(n.started) >= settleTime
 	return catalog.Role{
 		Rank: r.Rank, Order: r.Order, Relay: r.RegionRelay && settled, First: r.RegionRelay,
 		Listed: r.Listed, Alone: r.Alone, PeerReading: r.PeerReading, PeerContent: r.PeerContent,
--- a/edge/pull.go
+++ b/edge/pull.go
@@ -91,8 +91,9 @@
 	return old && time.Since(n.started) < firstContentWait
 }
 
-// bootstrapInterval is the interval between the first requests for content to the seeds;
-// it doubles up to bootstrapIntervalMax.
+// bootstrapInterval is the interval between the requests for content to the seeds. After
+// bootstrapDelayMax, when others may read the store, it doubles up to
+// bootstrapIntervalMax.
 const (
 	bootstrapInterval    = 80 * time.Millisecond
 	bootstrapIntervalMax = 640 * time.Millisecond
@@ -123,7 +124,9 @@
 			return nil
 		case <-time.After(interval):
 		}
-		interval = min(bootstrapIntervalMax, 2*interval)
+		if time.Since(n.started) > bootstrapDelayMax {
+			interval = min(bootstrapIntervalMax, 2*interval)
+		}
 	}
 	<-ctx.Done()
 	return nil
