catalog: a difference of configurations names its changes

A daemon that received a difference compared all routes with the previous configuration again, to know what to send others.

--- a/catalog/cache.go
+++ b/catalog/cache.go
@@ -160,20 +160,26 @@
 // putConfig applies a configuration that the store confirmed, if its epoch is
 // newer. A nil config means that the store has no change.
 func (c *Cache) putConfig(config *Config, cursor Revision, confirmedAt time.Time) bool {
-	applied := c.replaceConfig(config, cursor, confirmedAt)
+	return c.putConfigChange(config, nil, cursor, confirmedAt)
+}
+
+// putConfigChange is putConfig for a configuration that differs from the present one in
+// the routes of a change; nil: the routes are compared.
+func (c *Cache) putConfigChange(config *Config, change *epochChange, cursor Revision, confirmedAt time.Time) bool {
+	applied := c.replaceConfig(config, change, cursor, confirmedAt)
 	if applied {
 		c.publish()
 	}
 	return applied
 }
 
-// replaceConfig is putConfig without the publication.
-func (c *Cache) replaceConfig(config *Config, cursor Revision, confirmedAt time.Time) (applied bool) {
+// replaceConfig is putConfigChange without the publication.
+func (c *Cache) replaceConfig(config *Config, change *epochChange, cursor Revision, confirmedAt time.Time) (applied bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if config != nil && (c.config == nil || config.Epoch > c.config.Epoch) {
 		invariant.Check(c.config == nil || config.Epoch > c.config.Epoch, invariant.EpochUpward, "epoch %s", config.Epoch)
-		c.recordConfigChange(config)
+		c.recordConfigChange(config, change)
 		c.config, c.routes, applied = config, NewRouteTable(config), true
 	}
 	c.configCursor = max(c.configCursor, cursor)
@@ -332,11 +338,11 @@
 func (c *Cache) Merge(now time.Time, e Snapshot) bool {
 	switch {
 	case e.Config != nil:
-		config, ok := c.patchedConfig(e)
+		config, change, ok := c.patchedConfig(e)
 		if !ok {
 			return false
 		}
-		c.putConfig(config, e.ConfigCursor, now.Add(-e.ConfigAge))
+		c.putConfigChange(config, change, e.ConfigCursor, now.Add(-e.ConfigAge))
 	case e.Epoch != 0:
 		c.Confirm(Versions{Epoch: e.Epoch}, now.Add(-e.ConfigAge))
 	}
--- a/catalog/delta.go
+++ b/catalog/delta.go
@@ -1,7 +1,9 @@
 package catalog
 
 import (
+	"maps"
 	"reflect"
+	"slices"
 
 	"github.com/agateusher/agateusher/core/model"
 )
@@ -14,15 +16,18 @@
 }
 
 // recordConfigChange adds the step from the present configuration to next to the
-// history. c.mu must be held.
-func (c *Cache) recordConfigChange(next *Config) {
+// history. The routes are compared unless change is the step. c.mu must be held.
+func (c *Cache) recordConfigChange(next *Config, change *epochChange) {
 	if c.config == nil {
 		return
 	}
+	if change == nil || change.from != c.config.Epoch {
+		change = &epochChange{from: c.config.Epoch, names: changedRoutes(c.config, next)}
+	}
 	if len(c.configHistory) == maxHistory {
 		c.configHistory = append(c.configHistory[:0], c.configHistory[1:]...)
 	}
-	c.configHistory = append(c.configHistory, epochChange{from: c.config.Epoch, names: changedRoutes(c.config, next)})
+	c.configHistory = append(c.configHistory, *change)
 }
 
 // changedRoutes returns the names of the routes in which two configurations differ.
@@ -81,18 +86,19 @@
 }
 
 // patchedConfig returns the whole configuration of a snapshot that may hold only the
-// changes to this daemon's; nil if this daemon's is not older, false if it is another.
-func (c *Cache) patchedConfig(e Snapshot) (*Config, bool) {
+// changes to this daemon's, and these changes; nil if this daemon's is not older, false if
+// it is another.
+func (c *Cache) patchedConfig(e Snapshot) (*Config, *epochChange, bool) {
 	c.mu.Lock()
 	own := c.config
 	c.mu.Unlock()
 	switch {
 	case e.ConfigSince == 0:
-		return e.Config, true
+		return e.Config, nil, true
 	case own != nil && own.Epoch >= e.Config.Epoch:
-		return nil, true
+		return nil, nil, true
 	case own == nil || own.Epoch != e.ConfigSince:
-		return nil, false
+		return nil, nil, false
 	}
 	whole := *e.Config
 	whole.Routes = make([]Route, 0, len(own.Routes)+len(e.Config.Routes))
@@ -100,11 +106,12 @@
 	for _, name := range e.RemovedRoutes {
 		replaced[name] = nil
 	}
+	change := &epochChange{from: own.Epoch, names: slices.Collect(maps.Keys(replaced))}
 	for i := range own.Routes {
 		if _, ok := replaced[own.Routes[i].Name]; !ok {
 			whole.Routes = append(whole.Routes, own.Routes[i])
 		}
 	}
 	whole.Routes = append(whole.Routes, e.Config.Routes...)
-	return &whole, true
+	return &whole, change, true
 }
--- a/catalog/encode_test.go
+++ b/catalog/encode_test.go
@@ -80,3 +80,23 @@
 		}
 	}
 }
+
+func BenchmarkMergeDifference(b *testing.B) {
+	cache, peer := NewCache(nil), NewCache(nil)
+	now := time.Now()
+	peer.putConfig(wideConfig(1, 4440), 9, now)
+	cache.Merge(now, peer.Snapshot(now, Versions{}))
+	epoch := model.Epoch(1)
+	for b.Loop() {
+		b.StopTimer()
+		epoch++
+		next := wideConfig(epoch, 4440)
+		next.Routes[7].Priority = int(epoch)
+		peer.putConfig(next, 9, now)
+		s := peer.Snapshot(now, cache.Versions())
+		b.StartTimer()
+		if s.ConfigSince == 0 || !cache.Merge(now, s) {
+			b.Fatal("no difference")
+		}
+	}
+}
