--- a/gossip/gossiper.go
+++ b/gossip/gossiper.go
@@ -112,8 +112,10 @@
 	// claims has, by data centre, the last claim of its relay to follow the store for
 	// the whole region.
 	claims map[model.DataCentre]claim
-	// listed is set once a list of hosts was received.
-	listed bool
+	// remoteRelays has the relays of other data centres.
+	remoteRelays map[model.DataCentre]remoteRelay
+	// listedAt is when the first list of hosts was received.
+	listedAt time.Time
 	// permitRequests are the requests for permits and admissions without a reply yet.
 	// Identifiers start at a random number, because answers to an earlier process may
 	// be kept.
@@ -157,7 +159,7 @@
 		self: self, incarnation: string(incarnation), handler: h, socket: socket, log: log,
 		pending: kernel.NewRing[*gen.Observation]("observations", observationQueueSize, kernel.DropNewest),
 		bundle:  kernel.NewRing[*gen.Gossip]("bundle", bundleQueueSize, kernel.DropNewest), starThreshold: starThreshold,
-		members: newMemberTable(), claims: map[model.DataCentre]claim{}, reportedGone: map[model.HostID]bool{},
+		members: newMemberTable(), claims: map[model.DataCentre]claim{}, remoteRelays: map[model.DataCentre]remoteRelay{}, reportedGone: map[model.HostID]bool{},
 		permitRequests: map[uint64]chan *gen.Gossip{}, lastPermitRequest: uint64(rand.Uint32()),
 	}, nil
 }
@@ -176,7 +178,9 @@
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.listed = true
+	if g.listedAt.IsZero() {
+		g.listedAt = now
+	}
 	for _, h := range hosts {
 		if h.ID == g.self.ID {
 			continue
@@ -457,15 +461,15 @@
 	return h, restarted
 }
 
-// Hosts returns this daemon, the live daemons of its data centre, and all known
-// daemons of other data centres.
+// Hosts returns this daemon, the daemons of its data centre that were listed or heard
+// lately, and all known daemons of other data centres.
 func (g *Gossiper) Hosts() []Host {
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	hosts := []Host{g.self}
 	for _, m := range g.members.byID {
-		if m.DataCentre != g.self.DataCentre || m.live(now) {
+		if m.DataCentre != g.self.DataCentre || m.current(now) {
 			hosts = append(hosts, m.Host)
 		}
 	}
--- a/gossip/neighbours.go
+++ b/gossip/neighbours.go
@@ -1,9 +1,11 @@
 package gossip
 
 import (
+	"net"
 	"time"
 
 	"github.com/agateusher/agateusher/core/fetch"
+	"github.com/agateusher/agateusher/core/model"
 	gen "github.com/agateusher/agateusher/gen/agateusher/v1"
 )
 
@@ -15,6 +17,35 @@
 	reading bool
 }
 
+// remoteRelay is the relay of another data centre, as last heard.
+type remoteRelay struct {
+	address *net.UDPAddr
+	at      time.Time
+}
+
+func (g *Gossiper) recordRemoteRelay(dc model.DataCentre, from *net.UDPAddr) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.remoteRelays[dc] = remoteRelay{address: from, at: time.Now()}
+}
+
+// relaysOf returns the addresses of the likely relays of another data centre: the one
+// that was heard and those that are listed first. g.mu must be held.
+func (g *Gossiper) relaysOf(dc model.DataCentre, now time.Time) (to []*net.UDPAddr) {
+	n := digestRelaysSilent
+	heard := g.remoteRelays[dc]
+	if now.Sub(heard.at) < claimLifetime {
+		n = digestRelays
+		to = append(to, heard.address)
+	}
+	for _, r := range g.members.relays(dc, n) {
+		if len(to) == 0 || r.udpAddress.String() != to[0].String() {
+			to = append(to, r.udpAddress)
+		}
+	}
+	return to
+}
+
 func (c claim) readingAt(now time.Time) bool { return c.reading && now.Sub(c.at) < claimLifetime }
 
 // remoteReading reports whether the relay of another data centre of the region receives
@@ -36,8 +67,10 @@
 // whether to read the store.
 type Neighbours struct {
 	// Listed is the number of listed daemons of the region that are preferred to this
-	// one as relay; fetch.Unlisted if no list of hosts was received.
+	// one as relay; fetch.Unlisted if no list of hosts was received. Known is the time
+	// since the first list.
 	Listed int
+	Known  time.Duration
 	// Alone is set if no other daemon of the region is known.
 	Alone bool
 	// PeerReading is set while another daemon of the region receives content from the
@@ -69,8 +102,8 @@
 			}
 		}
 	}
-	if g.listed {
-		n.Listed = preferred
+	if !g.listedAt.IsZero() {
+		n.Listed, n.Known = preferred, now.Sub(g.listedAt)
 	}
 	return n
 }
@@ -82,3 +115,18 @@
 		m.contentAge = time.Duration(h.ConfirmedAgeMs) * time.Millisecond
 	}
 }
+
+// LocalRelay returns the live daemon of the data centre that is preferred to all others as
+// relay; false if it is this one.
+func (g *Gossiper) LocalRelay() (Host, bool) {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	best, found := newCandidate(g.self), Host{}
+	for _, m := range g.localMembers() {
+		if m.live(now) && !m.storeFailing && m.candidate().precedes(best) {
+			best, found = m.candidate(), m.Host
+		}
+	}
+	return found, found.ID != ""
+}
