gossip, catalog: a daemon that returns announces itself to all members

After a cut nobody counts as live, and heartbeats pass only once a second, so that a daemon of an island retained entries for up to a second before others told it that the store had not been away. When the store responds again, and when a read of the whole content begins, the heartbeat goes to all members of the data centre that were listed or heard lately. TestAnnounceReachesMembersThatAreNotLive failed before.

--- a/catalog/follower.go
+++ b/catalog/follower.go
@@ -68,9 +68,9 @@
 	log    telemetry.Logger
 	loops  []*syncLoop
 
-	// onRead is called when a read of the whole content begins; it may be nil.
-	onRead  func()
-	started time.Time
+	// announce tells other daemons this one's state.
+	announce func()
+	started  time.Time
 	// bootstrapDelay is this daemon's part in the spread of first reads.
 	bootstrapDelay time.Duration
 
@@ -96,7 +96,7 @@
 // reads; see package fetch.
 func NewFollower(cache *Cache, source Source, role func() Role, bootstrapDelay time.Duration, log telemetry.Logger) *Follower {
 	now := time.Now()
-	f := &Follower{cache: cache, source: source, role: role, started: now, quietSince: now, bootstrapDelay: bootstrapDelay, log: log}
+	f := &Follower{cache: cache, source: source, role: role, announce: func() {}, started: now, quietSince: now, bootstrapDelay: bootstrapDelay, log: log}
 	f.loops = []*syncLoop{
 		{follower: f, kind: "configuration", large: true, sync: f.syncConfig, confirm: f.cache.confirmConfig, age: func(now time.Time) time.Duration {
 			a, _ := f.cache.Ages(now)
@@ -226,6 +226,7 @@
 		if !l.failingSince.IsZero() {
 			l.follower.log.WithFields(telemetry.Fields{"event": "store_regained", "kind": l.kind, "away": now.Sub(l.failingSince).Round(time.Millisecond)}).Info("the store responds again")
 			l.failingSince = time.Time{}
+			l.follower.announce()
 		}
 		l.fullRead, l.failures = false, 0
 		return 0
--- a/catalog/loop.go
+++ b/catalog/loop.go
@@ -74,15 +74,15 @@
 // called with its error at its end, which returns the error to report.
 func (l *syncLoop) startRead(ctx context.Context) (context.Context, func(error) error) {
 	ctx, end := l.start(ctx, readFirst, false)
-	if l.follower.onRead != nil {
-		l.follower.onRead()
-	}
+	l.follower.announce()
 	return ctx, end
 }
 
-// OnRead sets a function that is called when a read of the whole content begins. It must
-// be called before the tasks run.
-func (f *Follower) OnRead(announce func()) { f.onRead = announce }
+// OnEvent sets a function that announces this daemon's state to others. It is called when
+// a read of the whole content begins, so that others wait for it, and when the store
+// responds again, so that others tell at once whether it was away. It must be set before
+// the tasks run.
+func (f *Follower) OnEvent(announce func()) { f.announce = announce }
 
 // startWatch is startRead for a watch that waits for the given time.
 func (l *syncLoop) startWatch(ctx context.Context, wait time.Duration) (context.Context, func(error) error) {
--- a/edge/node.go
+++ b/edge/node.go
@@ -132,7 +132,7 @@
 	}
 	n.serverState.publish = n.gossiper.Publish
 	n.follower = catalog.NewFollower(n.cache, n.platform.Source, n.role, s.bootstrapDelay(), n.log)
-	n.follower.OnRead(n.gossiper.Announce)
+	n.follower.OnEvent(n.gossiper.AnnounceAll)
 	n.puller = newPuller(n)
 	n.content = newContentServer(s.Host.LinkMbps, n.metrics.Scope)
 	if n.callerListener, err = net.Listen("tcp4", s.Listeners.Caller); err != nil {
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -202,6 +202,25 @@
 	g.Eventually(one(stopped)).WithTimeout(2500 * time.Millisecond).Should(BeTrue())
 }
 
+// Guards against a daemon that was cut off and is told only up to a second after its
+// return whether the store was away: nobody counts as live by then.
+func TestAnnounceReachesMembersThatAreNotLive(t *testing.T) {
+	g := NewWithT(t)
+	a, b := start(t, "a", "x"), start(t, "b", "x")
+	a.AddHosts([]Host{b.self})
+	g.Eventually(func() int { return a.LiveCount() + b.LiveCount() }).WithTimeout(2 * time.Second).Should(Equal(4))
+	silence := time.Now().Add(-time.Second)
+	for _, n := range []*node{a, b} {
+		n.mu().Lock()
+		for _, m := range n.members.byID {
+			m.lastReceived, m.lastSent = silence, time.Now()
+		}
+		n.mu().Unlock()
+	}
+	a.AnnounceAll()
+	g.Eventually(func() int { return a.LiveCount() + b.LiveCount() }).WithTimeout(500 * time.Millisecond).Should(Equal(4))
+}
+
 // Guards against a data centre that hears nothing of the region's relay, and follows the
 // store by itself, because the hosts that are listed first as its relay do not run.
 func TestClaimsReachDataCentresWithDeadHosts(t *testing.T) {
--- a/gossip/gossiper.go
+++ b/gossip/gossiper.go
@@ -197,7 +197,14 @@
 // Announce sends a heartbeat at once, also to other data centres if this daemon is
 // the region's relay. It is called after a change of this daemon's state.
 func (g *Gossiper) Announce() {
-	g.broadcast(g.message(), true)
+	g.broadcast(g.message(), toLive)
+	g.sendClaim()
+}
+
+// AnnounceAll is Announce to all members of the data centre that were listed or heard
+// lately. It is called when others may not know that this daemon is live.
+func (g *Gossiper) AnnounceAll() {
+	g.broadcast(g.message(), toCurrent)
 	g.sendClaim()
 }
 
@@ -210,10 +217,10 @@
 		case <-ctx.Done():
 			return nil
 		case first := <-g.pending.Items():
-			g.broadcast(g.batch(first), true)
+			g.broadcast(g.batch(first), toLive)
 		case now := <-ticker.C:
 			g.expire(now)
-			g.broadcast(g.message(), false)
+			g.broadcast(g.message(), toDue)
 			if now.Sub(lastDigest) >= digestInterval {
 				lastDigest = now
 				g.sendDigest()
@@ -262,9 +269,18 @@
 // localMembers returns the members of this daemon's data centre. g.mu must be held.
 func (g *Gossiper) localMembers() []*member { return g.members.byDataCentre[g.self.DataCentre] }
 
-// broadcast sends a message to the members of the data centre that are due. An
-// urgent message is sent to all live members.
-func (g *Gossiper) broadcast(m *gen.Gossip, urgent bool) {
+// audience selects members of the data centre: those that are due for a message, also
+// all live ones, or also those that were listed or heard lately.
+type audience uint8
+
+const (
+	toDue audience = iota
+	toLive
+	toCurrent
+)
+
+// broadcast sends a message to members of the data centre.
+func (g *Gossiper) broadcast(m *gen.Gossip, a audience) {
 	now := time.Now()
 	g.mu.Lock()
 	hub, star := g.chooseHub(now)
@@ -273,12 +289,12 @@
 		if star && x.live(now) && x != hub {
 			continue
 		}
-		if x.due(now) || (urgent && x.live(now)) {
+		if x.due(now) || (a >= toLive && x.live(now)) || (a == toCurrent && x.current(now)) {
 			x.lastSent = now
 			to = append(to, x.udpAddress)
 		}
 	}
-	selfIsHub := star && hub == nil && (urgent || now.Sub(g.hub.lastOwn) >= heartbeatInterval)
+	selfIsHub := star && hub == nil && (a >= toLive || now.Sub(g.hub.lastOwn) >= heartbeatInterval)
 	if selfIsHub {
 		g.hub.lastOwn = now
 	}
