--- a/edge/node.go
+++ b/edge/node.go
@@ -147,7 +147,7 @@
 	n.quotas.gossiper = n.gossiper
 	n.gossiper.EnableQuotas(n.quotas)
 	n.follower = catalog.NewFollower(n.cache, n.platform.Source, n.role, s.bootstrapDelay(), n.log)
-	n.follower.OnRead(n.gossiper.Announce)
+	n.follower.OnEvent(n.gossiper.AnnounceAll)
 	n.puller = newPuller(n)
 	n.content = newContentServer(s.Host.LinkMbps, n.metrics.Scope)
 	if n.callerListener, err = net.Listen("tcp4", s.Listeners.Caller); err != nil {
--- a/gossip/leaving.go
+++ b/gossip/leaving.go
@@ -38,7 +38,7 @@
 func (g *Gossiper) announceLeavingHere(list []*gen.LeavingServer) {
 	m := g.message()
 	m.LeavingServers = list
-	g.broadcast(m, true)
+	g.broadcast(m, toLive)
 }
 
 // remoteLeaving returns a message for another data centre. It carries nothing else,
