core/balance: requests that must not repeat explore servers without evidence

In a service without idempotent requests nothing renewed the evidence about a server that failed once or was idle for a moment: it cost more than the load of the others until its belief had decayed, after 5 to 9 s.

--- a/core/balance/choose.go
+++ b/core/balance/choose.go
@@ -78,6 +78,8 @@
 	EvidenceAge time.Duration
 	// Probe is set if the server was chosen to renew the evidence about it.
 	Probe bool
+	// Explore is set if the server was chosen because it has been without a request.
+	Explore bool
 	// QueueFull is set if the server has no free slot and the expected latency
 	// exceeds the query's limit.
 	QueueFull bool
@@ -92,7 +94,7 @@
 	// because they asked for one; zero if there are none.
 	PauseWait time.Duration
 	// NextCost is the cost of the second-best server; zero if there is none or
-	// for a probe.
+	// for a probe and for exploration.
 	NextCost float64
 }
 
@@ -141,6 +143,13 @@
 			return c, true
 		}
 	}
+	if !q.Idempotent {
+		if s := t.explore(now, svc, q); s != nil {
+			c := t.evaluate(now, svc, s, q)
+			c.Explore, c.QueueFull = true, false
+			return c, true
+		}
+	}
 	var best Choice
 	var permitWait, pauseWait time.Duration
 	found := false
--- a/edge/requestlog.go
+++ b/edge/requestlog.go
@@ -42,6 +42,9 @@
 	if c.Probe {
 		text += ":probe"
 	}
+	if c.Explore {
+		text += ":explore"
+	}
 	if c.Limit.InForce {
 		text += ":server-limit=" + strconv.FormatFloat(round3(c.Limit.PerSecond), 'f', -1, 64)
 	}
