core/admission: hold requests that a shedding service rejected

Cause: while a whole service sheds, a rejected request is sent to two servers and again to the same two within 0.15 s. That spends the retry budget in the first seconds, at the acceptance rate of the shedding, and the request is refused although its caller waits for seconds.

Change: while at least a quarter of the results of the last second, at more than half of the servers, are rejections, a rejected request is held. First attempts go out at once. Each daemon spends its share of the sustained rate of the budget on held requests: by priority, those that can meet their target first, then by the time at which they lose value. After the shedding, the rest is released at the rate of the free slots. What the budget cannot cover by its deadline is refused at once. Retry-After is spread in the order of refusal.

Comparison in virtual time: TestHoldingServesMoreThanImmediateRepeats.

--- /dev/null
+++ b/core/admission/compare_test.go
@@ -0,0 +1,270 @@
+package admission_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/agateusher/agateusher/core/admission"
+	"github.com/agateusher/agateusher/core/balance"
+	"github.com/agateusher/agateusher/core/model"
+)
+
+const (
+	hosts, servers, slots, serverQueue = 20, 24, 6, 24
+	meanService                        = 400 * time.Millisecond
+	timeout, target                    = 5 * time.Second, 2 * time.Second
+	sheddingAt, runTime                = 12 * time.Second, 32 * time.Second
+	service                            = model.ServiceName("s")
+)
+
+// shedding is a time in which each server rejects a share of the attempts at random.
+type shedding struct {
+	share, load float64
+	duration    time.Duration
+}
+
+// result is the outcome of the requests that arrive from the start of the shedding on.
+type result struct {
+	served, late, refused, repeats int
+	// value counts an answer 1, a late one 0.5.
+	value float64
+	// overBudget is by how much the repeats of any 10 s exceeded the rule.
+	overBudget float64
+	// normal is the time from the end of the shedding until the last request is refused
+	// or late.
+	normal time.Duration
+}
+
+type call struct {
+	admission.Request
+	host             int
+	arrived          time.Time
+	tried, refusedBy []balance.ServerKey
+	sends            int
+	held             *admission.Held
+}
+
+type event struct {
+	at  time.Time
+	run func()
+}
+type events []event
+
+func (e events) Len() int           { return len(e) }
+func (e events) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
+func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
+func (e *events) Pop() any          { o := *e; x := o[len(o)-1]; *e = o[:len(o)-1]; return x }
+
+// plant is one data centre in virtual time.
+type plant struct {
+	shedding
+	hold     bool
+	now      time.Time
+	start    time.Time
+	pending  events
+	random   *rand.Rand
+	table    *balance.Table
+	hosts    [hosts]admission.Controller
+	waiting  map[*admission.Held]*call
+	running  [servers + 1]int
+	queues   [servers + 1][]func()
+	attempts uint64
+	repeatAt []time.Time
+	firstAt  []time.Time
+	result   result
+}
+
+func (p *plant) after(d time.Duration, run func()) { heap.Push(&p.pending, event{p.now.Add(d), run}) }
+
+func run(s shedding, hold bool, seed uint64) result {
+	start := time.Unix(1000, 0)
+	p := &plant{shedding: s, hold: hold, now: start, start: start, random: rand.New(rand.NewPCG(seed, 1)), waiting: map[*admission.Held]*call{}}
+	p.table = balance.NewTable(balance.Options{
+		DataCentre: "a", Region: "r", Model: balance.Model{FailWhenServing: 0.015, FailWhenFailing: 0.75, OnsetRate: 0.04, RecoveryRate: 0.25},
+		Costs:  balance.Costs{IdempotentFailure: 1, NonIdempotentFailure: 2, RetriableFailure: 0.3, LateResponse: 0.4, UnreachablePath: 0.6, SheddingServer: 0.3},
+		Budget: balance.Budget{Ratio: 0.2, Slack: 35, Window: 10 * time.Second},
+	})
+	var list []balance.Server
+	for i := range servers {
+		list = append(list, balance.Server{Key: balance.ServerKey(i + 1), Service: service, DataCentre: "a", Region: "r", Slots: slots})
+	}
+	p.table.SetServers(start, list, 1)
+	rate := s.load * servers * slots / meanService.Seconds()
+	arrivals := rand.New(rand.NewPCG(seed, 2))
+	for at := time.Duration(0); at < runTime; at += time.Duration(arrivals.ExpFloat64() / rate * float64(time.Second)) {
+		h := arrivals.IntN(hosts)
+		p.after(at, func() { p.arrive(h) })
+	}
+	for at := time.Duration(0); at < runTime+timeout; at += 50 * time.Millisecond {
+		p.after(at, p.tick)
+	}
+	for len(p.pending) > 0 {
+		e := heap.Pop(&p.pending).(event)
+		p.now = e.at
+		e.run()
+	}
+	for i := range p.repeatAt {
+		p.result.overBudget = max(p.result.overBudget, float64(within(p.repeatAt[i:]))-35-0.2*float64(within(p.firstAt[sort.Search(len(p.firstAt), func(j int) bool { return !p.firstAt[j].Before(p.repeatAt[i]) }):])))
+	}
+	return p.result
+}
+
+// within counts the times in the 10 s from the first on.
+func within(times []time.Time) int {
+	return sort.Search(len(times), func(i int) bool { return times[i].Sub(times[0]) >= 10*time.Second })
+}
+
+func (p *plant) state() admission.State {
+	c := p.table.Capacity(p.now, service)
+	return admission.State{
+		BudgetRate: c.BudgetRate, BudgetLeft: c.BudgetLeft, NonIdempotentBudgetLeft: c.NonIdempotentBudgetLeft,
+		Slots: c.Slots, FreeSlots: c.FreeSlots, ServiceTime: p.table.MeanServiceTime(service),
+	}
+}
+
+func (p *plant) arrive(host int) {
+	c := &call{host: host, arrived: p.now, Request: admission.Request{Idempotent: true, Target: p.now.Add(target), Deadline: p.now.Add(timeout)}}
+	p.send(c, p.query(c))
+}
+
+func (p *plant) query(c *call) balance.Query {
+	return balance.Query{Service: service, Idempotent: true, CanRetry: len(c.tried) == 0, TargetLatency: target, Excluded: c.tried, TieBreak: p.random.Uint64()}
+}
+
+// again sends a rejected request to a second server, or to one of those that rejected it.
+func (p *plant) again(c *call) {
+	q := p.query(c)
+	if len(c.tried) >= 2 {
+		q.Allowed, q.Excluded = c.tried, c.tried[len(c.tried)-1:]
+	}
+	p.send(c, q)
+}
+
+func (p *plant) tick() {
+	for h := range p.hosts {
+		p.hosts[h].SampleServiceTime(p.table.MeanServiceTime(service))
+		for _, r := range p.hosts[h].Release(p.now, p.state()) {
+			c := p.waiting[r.Held]
+			delete(p.waiting, r.Held)
+			if r.Refuse || !p.table.AllowRetry(p.now, service, true) {
+				p.finish(c, false)
+				continue
+			}
+			p.again(c)
+		}
+	}
+}
+
+func (p *plant) send(c *call, q balance.Query) {
+	choice, ok := p.table.Choose(p.now, q)
+	if !ok {
+		p.finish(c, false)
+		return
+	}
+	k := choice.Server.Key
+	c.tried = append(c.tried, k)
+	c.sends++
+	p.attempts++
+	a := balance.AttemptKey{Host: model.HostID(fmt.Sprint(c.host)), Number: p.attempts}
+	p.table.AttemptStarted(p.now, k, a, c.sends > 1)
+	if c.sends > 1 {
+		p.repeatAt = append(p.repeatAt, p.now)
+		p.result.repeats++
+	} else {
+		p.firstAt = append(p.firstAt, p.now)
+	}
+	for h := range p.hosts {
+		p.hosts[h].Started(p.now, h == c.host, c.sends > 1)
+	}
+	sentAt, since := p.now, p.now.Sub(p.start)-sheddingAt
+	end := func(r balance.Result) {
+		p.table.AttemptFinished(p.now, k, a, r, p.now.Sub(sentAt))
+		for h := range p.hosts {
+			p.hosts[h].Ended(p.now, k, r == balance.Shed)
+		}
+	}
+	if (since >= 0 && since < p.duration && p.random.Float64() < p.share) || p.random.Float64() < 0.01 || len(p.queues[k]) >= serverQueue {
+		p.after(2*time.Millisecond, func() { end(balance.Shed); p.rejected(c) })
+		return
+	}
+	work := func() {
+		p.running[k]++
+		p.after(time.Duration(p.random.ExpFloat64()*float64(meanService)), func() {
+			p.running[k]--
+			if len(p.queues[k]) > 0 {
+				next := p.queues[k][0]
+				p.queues[k] = p.queues[k][1:]
+				next()
+			}
+			end(balance.Succeeded)
+			p.finish(c, true)
+		})
+	}
+	if p.running[k] < slots {
+		work()
+	} else {
+		p.queues[k] = append(p.queues[k], work)
+	}
+}
+
+func (p *plant) rejected(c *call) {
+	if p.hold {
+		if held := p.hosts[c.host].Hold(p.now, c.Request, p.state()); held != nil {
+			p.waiting[held] = c
+			return
+		}
+	}
+	if c.sends < 2 && p.table.AllowRetry(p.now, service, true) {
+		p.again(c)
+	} else if c.sends < 5 && p.table.AllowRetry(p.now, service, true) {
+		p.after(50*time.Millisecond, func() { p.again(c) })
+	} else {
+		p.finish(c, false)
+	}
+}
+
+func (p *plant) finish(c *call, answered bool) {
+	if c.arrived.Sub(p.start) < sheddingAt {
+		return
+	}
+	took, r := p.now.Sub(c.arrived), &p.result
+	switch {
+	case !answered || took > timeout:
+		r.refused++
+	case took > target:
+		r.late++
+		r.value += 0.5
+	default:
+		r.served++
+		r.value++
+		return
+	}
+	r.normal = max(r.normal, p.now.Sub(p.start)-sheddingAt-p.duration)
+}
+
+// Guards against holding that serves less than immediate repeats, and against repeats
+// beyond the budget: each server rejects a share of the attempts at random for a time.
+func TestHoldingServesMoreThanImmediateRepeats(t *testing.T) {
+	for _, load := range []float64{0.3, 0.7, 1} {
+		for _, share := range []float64{0.5, 0.7, 0.9, 1} {
+			for _, d := range []time.Duration{time.Second, 4 * time.Second, 8500 * time.Millisecond} {
+				t.Run(fmt.Sprintf("shed %.1f load %.1f time %s", share, load, d), func(t *testing.T) {
+					t.Parallel()
+					g := NewWithT(t)
+					now, held := run(shedding{share, load, d}, false, 1), run(shedding{share, load, d}, true, 1)
+					t.Logf("now:  %+v", now)
+					t.Logf("hold: %+v", held)
+					g.Expect(held.value).To(BeNumerically(">=", 0.985*now.value))
+					g.Expect(held.overBudget).To(BeNumerically("<=", 0))
+				})
+			}
+		}
+	}
+}
--- a/core/balance/budget.go
+++ b/core/balance/budget.go
@@ -102,14 +102,20 @@
 // budgetUsed returns the share of the usable retry budget in use once one more
 // retry is added. It returns 1 if the budget is below one retry.
 func (t *Table) budgetUsed(now time.Time, svc *service) float64 {
+	allowed := t.budgetAllowed(now, svc)
+	if allowed < 1 {
+		return 1
+	}
+	return float64(svc.retries.count(now)+1) / allowed
+}
+
+// budgetAllowed returns the number of retries within the window that the service may
+// use in this data centre.
+func (t *Table) budgetAllowed(now time.Time, svc *service) float64 {
 	b := t.opts.Budget
 	// Retries from before this daemon's start are not known, and those of other
 	// daemons are not received until this one has discovered them.
 	slackShare := min(1, max(initialSlackShare, now.Sub(t.countingSince).Seconds()/b.Window.Seconds()))
 	slack := slackShare * b.Slack / float64(t.dataCentres)
-	allowed := usableBudgetShare * (b.Ratio*float64(svc.arrivals.count(now)) + slack)
-	if allowed < 1 {
-		return 1
-	}
-	return float64(svc.retries.count(now)+1) / allowed
+	return usableBudgetShare * (b.Ratio*float64(svc.arrivals.count(now)) + slack)
 }
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -72,6 +72,7 @@
 	permitWait time.Duration
 	// budgetRefused is set if the retry budget refused another attempt.
 	budgetRefused bool
+	hold          hold
 	serverFailure *response // the last response of a server that failed
 	reason        model.Reason
 	attemptNotes  []string
@@ -167,6 +168,7 @@
 // run makes attempts until there is a response.
 func (f *forwarding) run(ctx context.Context) *response {
 	defer f.cancelAll()
+	defer f.removeHeld()
 	if !f.sendNext(ctx) {
 		return f.failureResponse()
 	}
@@ -180,6 +182,10 @@
 			if resp, done := f.handleResult(ctx, r); done {
 				return resp
 			}
+		case r := <-f.hold.released:
+			if resp, done := f.handleRelease(ctx, r); done {
+				return resp
+			}
 		case <-hedgeTimer.C:
 			hedgeTimer.Reset(f.hedge(ctx))
 		case <-deadline.C:
@@ -265,6 +271,12 @@
 	case <-ctx.Done():
 		return false
 	}
+	return f.sendRefused(ctx, lastRefused)
+}
+
+// sendRefused sends the request again to one of the servers that refused it, another
+// than lastRefused if there are several.
+func (f *forwarding) sendRefused(ctx context.Context, lastRefused balance.ServerKey) bool {
 	q := f.query()
 	q.Allowed, q.Excluded, q.CanRetry = f.refusedBy, nil, false
 	if len(f.refusedBy) > 1 {
@@ -282,6 +294,7 @@
 		f.reason, f.permitWait = reason, choice.PermitWait
 		if reason == model.ReasonQueueFull {
 			f.recordQueueFull(choice, q.LatencyLimit)
+			f.hold.queueWait = choice.ExpectedLatency - q.LatencyLimit
 		}
 		return false
 	}
@@ -346,6 +359,9 @@
 		f.serverFailure = r.resp
 	case Refused:
 		f.refusedBy = append(f.refusedBy, r.choice.Server.Key)
+		if f.holdRejected() {
+			return nil, false
+		}
 	}
 	if f.mayRetry(r.verdict) && f.sendNext(ctx) {
 		return nil, false
@@ -414,6 +430,8 @@
 		resp := f.node.refuse(f.request, f.reason)
 		if f.reason == model.ReasonServerLimit && f.permitWait > retryAfterDelay {
 			setRetryAfter(resp, f.permitWait)
+		} else {
+			setRetryAfter(resp, f.retryAfter())
 		}
 		return resp
 	case f.reason == model.ReasonTimeout:
--- a/edge/gauges.go
+++ b/edge/gauges.go
@@ -37,6 +37,8 @@
 		"log_lines_dropped":      float64(n.logWriter.ring.Dropped()),
 		"request_lines_left_out": float64(n.requestLog.skippedTotal.Load()),
 		"limited_servers":        float64(n.serverState.limitedServers()),
+		"requests_held_now":      float64(n.serverState.heldCount()),
+		"shedding_services":      float64(n.serverState.sheddingServices()),
 		"observations_dropped":   float64(n.gossiper.Dropped()),
 	} {
 		n.metrics.Scope.Gauge(name).Update(value)
--- a/edge/node.go
+++ b/edge/node.go
@@ -63,6 +63,7 @@
 	attempts       *telemetry.CounterVec
 	permitRequests *telemetry.CounterVec
 	permitsIssued  *telemetry.CounterVec
+	held           *telemetry.CounterVec
 	headers        Headers
 	platform       Platform
 	exchanger      *exchanger
@@ -118,6 +119,7 @@
 	n.attempts = telemetry.NewCounterVec(n.metrics.Scope, "attempts", "verdict", "")
 	n.permitRequests = telemetry.NewCounterVec(n.metrics.Scope, "permit_requests", "result", "")
 	n.permitsIssued = telemetry.NewCounterVec(n.metrics.Scope, "permits_issued", "result", "")
+	n.held = telemetry.NewCounterVec(n.metrics.Scope, "held_requests", "result", "")
 	n.panics = telemetry.NewCounterVec(n.metrics.Scope, "panics", "unit", "")
 	n.platform = connect(n.metrics.Scope, n.log)
 	n.headers = n.platform.Headers
@@ -252,6 +254,7 @@
 
 func (n *Node) runTick(now time.Time) {
 	n.serverState.tick()
+	n.serverState.releaseHeld(n.draining.Load())
 	for _, id := range n.cache.ExpireLapsed(now) {
 		n.log.WithFields(telemetry.Fields{"event": "server_lapsed", "server": id}).Info("removed a backend server whose entry did not come back")
 	}
--- a/edge/requestlog.go
+++ b/edge/requestlog.go
@@ -73,6 +73,9 @@
 	if f.reason != "" {
 		fields["reason"] = f.reason
 	}
+	if f.hold.notes != "" {
+		fields["held"] = f.hold.notes
+	}
 	if f.budgetRefused {
 		fields["no_repeat"] = "retry-budget"
 	}
--- a/edge/state.go
+++ b/edge/state.go
@@ -29,6 +29,7 @@
 	// budgetExhausted is set for services whose retry budget has refused a retry
 	// and has not been regained since.
 	budgetExhausted map[model.ServiceName]bool
+	admissions      admissions
 }
 
 func newServerState(s Settings, log telemetry.Logger) *serverState {
@@ -112,6 +113,7 @@
 	s.lastAttempt++
 	s.localAttempts[s.lastAttempt] = struct{}{}
 	s.table.AttemptStarted(now, key, balance.AttemptKey{Host: s.localHost, Number: s.lastAttempt}, retry)
+	s.admitStarted(now, key, true, retry)
 	return s.lastAttempt
 }
 
@@ -155,6 +157,7 @@
 		delete(s.localAttempts, r.number)
 		limitChange = s.observeLimit(now, key, o.result, r.latency, limit)
 		change = s.table.AttemptFinished(now, key, balance.AttemptKey{Host: s.localHost, Number: r.number}, o.result, r.latency)
+		s.admitEnded(now, key, o.result)
 		if r.verdict == ConnectFailed {
 			s.table.MarkUnreachable(now, key, unreachableDuration)
 		}
@@ -204,10 +207,12 @@
 	s.update(func(now time.Time) {
 		if o.Kind == gen.Observation_KIND_STARTED {
 			s.table.AttemptStarted(now, key, attempt, o.Repeat)
+			s.admitStarted(now, key, false, o.Repeat)
 			return
 		}
 		limitChange = s.observeLimit(now, key, result, latency, limit)
 		change = s.table.AttemptFinished(now, key, attempt, result, latency)
+		s.admitEnded(now, key, result)
 	})
 	s.logBeliefChange(change, "peer", h)
 	s.logLimitChange(limitChange, h)
@@ -335,7 +340,8 @@
 func (s *serverState) allowHedge(name model.ServiceName) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.table.AllowHedge(time.Now(), name)
+	now := time.Now()
+	return !s.sheds(now, name) && s.table.AllowHedge(now, name)
 }
 
 // perMille is the scale of the probabilities in load digests.
