core/admission: release all repeats after a shedding by free slots

Limits that did not change the compared value were removed: no holding at full load, and free slots for late requests during the shedding.

--- a/core/admission/controller.go
+++ b/core/admission/controller.go
@@ -10,12 +10,7 @@
 	// fullSpendingShare is the accepted share from which the budget is spent at the rate
 	// that it sustains. Below, it is spent more slowly in proportion: a repeat after the
 	// end of the shedding is more likely to be accepted.
-	fullSpendingShare = 0.5
-	// Rejected requests are not held if the offered load is at least fullLoad and the
-	// accepted share at least acceptedShareAtFullLoad: the servers have slots free for
-	// repeats only during the shedding.
-	fullLoad                = 0.9
-	acceptedShareAtFullLoad = 0.2
+	fullSpendingShare = 0.3
 	// recoveredShare is the accepted share from which held requests are released at
 	// the rate that free slots and the remaining budget allow.
 	recoveredShare = 0.8
@@ -24,10 +19,9 @@
 	// maxTokens bounds the repeats that a daemon may save up, so that daemons with few
 	// requests do not spend the budget in bursts.
 	maxTokens = 2
-	// slotsPeriod is the time in which held requests would fill the free slots, beyond
-	// the rate that the servers can run in addition to new requests. A shorter one
-	// makes new requests late where the servers are nearly fully loaded.
-	slotsPeriod = 200 * time.Millisecond
+	// slotsPeriod is the time in which held requests would fill the free slots. Other
+	// daemons' attempts are known within it.
+	slotsPeriod = 100 * time.Millisecond
 	// serviceTimeWeight is the weight of the mean service time at one call of SampleServiceTime.
 	serviceTimeWeight = 0.02
 	// starvationPeriod is the number of releases of which one goes to a request that
@@ -133,17 +127,10 @@
 	return min(1, (c.localArrivals.perSecond(now)+minRate)/(c.arrivals.perSecond(now)+minRate))
 }
 
-// noRoomLater reports whether a repeat serves no more if it is held: a part of the
-// attempts is accepted, and after the shedding new requests will need nearly all slots.
-func (c *Controller) noRoomLater(now time.Time, s State) bool {
-	busy := c.arrivals.perSecond(now) * c.serviceTime.Seconds()
-	return c.results.acceptedShare() >= acceptedShareAtFullLoad && busy >= fullLoad*float64(s.Slots)
-}
-
 // Hold holds a request that a server has just rejected, until Release returns it. It
 // returns nil if the request is not held: it is to be repeated by the usual rules.
 func (c *Controller) Hold(now time.Time, r Request, s State) *Held {
-	if !c.Sheds(now) || r.Deadline.Sub(now) <= s.ServiceTime || len(c.held) >= maxHeld || c.noRoomLater(now, s) {
+	if !c.Sheds(now) || r.Deadline.Sub(now) <= s.ServiceTime || len(c.held) >= maxHeld {
 		return nil
 	}
 	if len(c.held) == 0 {
--- a/core/admission/release.go
+++ b/core/admission/release.go
@@ -90,10 +90,8 @@
 	if !h.Idempotent {
 		budget = &a.state.NonIdempotentBudgetLeft
 	}
-	// A late request, or one of the many after the shedding, must not make new requests
-	// late.
-	needsSlot := a.recovered || h.late(now, a.state)
-	if a.repeats < 1 || *budget < 1 || h.Deadline.Sub(now) <= a.state.ServiceTime || (needsSlot && a.slots < 1) {
+	// The many that wait at the end of the shedding must not make new requests late.
+	if a.repeats < 1 || *budget < 1 || h.Deadline.Sub(now) <= a.state.ServiceTime || (a.recovered && a.slots < 1) {
 		return false
 	}
 	a.slots--
