--- a/core/admission/controller.go
+++ b/core/admission/controller.go
@@ -74,6 +74,7 @@
 // Controller decides about the requests of one service. The zero value is ready to use.
 type Controller struct {
 	results results
+	room    room
 	// localArrivals and arrivals count the first attempts of this daemon and of all
 	// daemons of the data centre.
 	localArrivals, arrivals rate
--- a/edge/admission.go
+++ b/edge/admission.go
@@ -154,14 +154,10 @@
 	if f.mayHaveRun || len(f.active) > 0 || f.dials >= maxDials || f.node.draining.Load() {
 		return false
 	}
-	r := admission.Request{Priority: f.route.Priority, Idempotent: f.route.Idempotent, Deadline: f.deadline}
-	if f.route.TargetLatency > 0 {
-		r.Target = f.request.received.Add(f.route.TargetLatency)
-	}
 	if f.hold.released == nil {
 		f.hold.released = make(chan admission.Release, 1)
 	}
-	if f.hold.request = f.node.serverState.holdRejected(f.service, r, f.hold.released); f.hold.request == nil {
+	if f.hold.request = f.node.serverState.holdRejected(f.service, f.admissionRequest(), f.hold.released); f.hold.request == nil {
 		return false
 	}
 	f.hold.since = time.Now()
@@ -169,6 +165,28 @@
 	return true
 }
 
+// admissionRequest describes the request for decisions of admission.
+func (f *forwarding) admissionRequest() admission.Request {
+	r := admission.Request{Priority: f.route.Priority, Idempotent: f.route.Idempotent, Deadline: f.deadline}
+	if f.route.TargetLatency > 0 {
+		r.Target = f.request.received.Add(f.route.TargetLatency)
+	}
+	return r
+}
+
+// roomFactor returns the factor of the latency limit up to which the request may queue.
+func (f *forwarding) roomFactor() (factor float64) {
+	s := f.node.serverState
+	s.update(func(now time.Time) { factor = s.controller(f.service).LimitFactor(now, f.admissionRequest()) })
+	return factor
+}
+
+// countRoom records whether the request found room at a server.
+func (f *forwarding) countRoom(admitted bool) {
+	s := f.node.serverState
+	s.update(func(now time.Time) { s.controller(f.service).CountRoom(now, f.admissionRequest(), admitted) })
+}
+
 // noteHold counts what happened to the held request and adds it to its log line.
 func (f *forwarding) noteHold(note string) {
 	f.node.held.Inc(note, "")
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -233,7 +233,7 @@
 	if f.route.Idempotent {
 		factor = idempotentQueueFactor
 	}
-	return time.Duration(factor * float64(f.route.TargetLatency))
+	return time.Duration(factor * f.roomFactor() * float64(f.route.TargetLatency))
 }
 
 // attemptsLeft reports whether the limits of attempts and time allow another
@@ -293,11 +293,15 @@
 	if reason != model.ReasonNone {
 		f.reason, f.permitWait = reason, choice.PermitWait
 		if reason == model.ReasonQueueFull {
+			f.countRoom(false)
 			f.recordQueueFull(choice, q.LatencyLimit)
 			f.hold.queueWait = choice.ExpectedLatency - q.LatencyLimit
 		}
 		return false
 	}
+	if f.dials == 0 {
+		f.countRoom(true)
+	}
 	f.dials++
 	f.excluded = append(f.excluded, choice.Server.Key)
 	attemptCtx, cancel := context.WithDeadline(f.attemptContext(ctx), f.deadline)
