core/admission: recognise a shedding where each server has few results

Cause: a service counted as shedding if more than half of its servers rejected an attempt within a second. With one result for each of 230 servers and half of the attempts rejected, that is a matter of chance. Change: the number of rejecting servers is compared with the number expected if the rejections were spread evenly, from 8 rejections on.

--- a/core/admission/shedding.go
+++ b/core/admission/shedding.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"time"
 
 	"github.com/agateusher/agateusher/core/balance"
@@ -12,9 +13,9 @@
 	sheddingWindow = time.Second
 	// resultBuckets is the number of buckets of the window.
 	resultBuckets = 10
-	// minResults is the least number of results in the window from which a service can
-	// count as shedding. Below it, a few rejections are repeated at once.
-	minResults = 8
+	// minRejected is the least number of rejections in the window from which a service
+	// can count as shedding. Fewer do not show whether other servers accept.
+	minRejected = 8
 	// recentResults is the number of newest results that the accepted share is
 	// estimated from, so that the end of a shedding is noticed early.
 	recentResults = 24
@@ -25,9 +26,11 @@
 	sheddingEnd   = 0.12
 	// sheddingMemory is how long after its last result a service still counts as shedding.
 	sheddingMemory = 3 * time.Second
-	// sheddingServerShare is the share of the servers with results that must have
-	// rejected an attempt. Fewer shed on their own account, and another server accepts.
-	sheddingServerShare = 0.5
+	// sheddingSpread is the least number of servers that rejected attempts, as a share of
+	// the number expected if the rejections were spread evenly. If fewer servers
+	// reject, others accept. A share of all servers would miss a shedding where each
+	// server has about one result in the window.
+	sheddingSpread = 0.6
 )
 
 // results counts the results of attempts of a service in a sliding window.
@@ -88,7 +91,7 @@
 		r.sheds = share >= sheddingEnd || (accepted+rejected == 0 && now.Sub(r.lastAt) < sheddingMemory)
 		return
 	}
-	if accepted+rejected < minResults || share < sheddingStart {
+	if rejected < minRejected || share < sheddingStart {
 		return
 	}
 	shedding := 0
@@ -97,7 +100,9 @@
 			shedding++
 		}
 	}
-	r.sheds = shedding > 1 && float64(shedding) > sheddingServerShare*float64(len(r.servers))
+	servers := float64(len(r.servers))
+	expected := servers * (1 - math.Pow(1-1/servers, float64(rejected)))
+	r.sheds = shedding > 1 && float64(shedding) >= sheddingSpread*expected
 }
 
 // acceptedShare estimates the probability that an attempt is accepted, from the
