--- a/cmd/usher-edge/main.go
+++ b/cmd/usher-edge/main.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -14,6 +15,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"github.com/agateusher/agateusher/edge"
+	"github.com/agateusher/agateusher/internal/hangup"
 	"github.com/agateusher/agateusher/platform"
 	"github.com/agateusher/agateusher/telemetry"
 )
@@ -53,8 +55,9 @@
 		return 0
 	}
 	debug.SetMemoryLimit(s.HeapLimit())
-	node, err := edge.New(s, os.Stdout, func(scope telemetry.Scope, log telemetry.Logger) edge.Platform {
-		store := platform.NewStore(s.Store, scope, log)
+	log.SetOutput(edge.LibraryLog{Writer: os.Stderr})
+	node, err := edge.New(s, os.Stdout, func(scope telemetry.Scope, logger telemetry.Logger) edge.Platform {
+		store := platform.NewStore(s.Store, scope, logger)
 		return edge.Platform{Source: store, Registry: store, Headers: platform.Headers{}, ReadinessPath: platform.ReadinessPath}
 	})
 	if err != nil {
@@ -72,15 +75,14 @@
 	return 0
 }
 
-// reload reloads the settings on each SIGHUP until ctx ends.
+// reload reloads the settings on each SIGHUP until ctx ends, also on one that arrived
+// while the daemon started.
 func reload(ctx context.Context, node *edge.Node, path string) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-hangups:
+		case <-hangup.Signals():
 			s, err := edge.LoadSettings(path)
 			if err == nil {
 				err = node.Reload(s)
--- a/core/balance/capacity.go
+++ b/core/balance/capacity.go
@@ -14,7 +14,7 @@
 	// NonIdempotentBudgetLeft that of requests that are not idempotent.
 	BudgetLeft, NonIdempotentBudgetLeft float64
 	// Slots and FreeSlots are the numbers of all and of free slots of the data centre's
-	// servers that are not suspects; of the whole service if the data centre has no
+	// servers that are not suspects and may be sent requests; of the whole service if the data centre has no
 	// server of it.
 	Slots, FreeSlots int
 }
@@ -32,6 +32,9 @@
 	local, hasLocal := c, false
 	for _, s := range svc.servers {
 		slots, free := 0, 0
+		if withheld, _ := t.signals.withheld(now, s.Key); withheld {
+			continue
+		}
 		if t.opts.Model.FailingProbability(s.belief, now) < suspectThreshold {
 			slots, free = s.Slots, max(0, s.Slots-s.totalOutstanding(now))
 		}
--- a/core/balance/choose.go
+++ b/core/balance/choose.go
@@ -25,6 +25,9 @@
 	// UnreachablePath is added for a server that could recently not be connected
 	// to, or whose address was recently found to belong to another server.
 	UnreachablePath float64
+	// NewConnection is added for a server that a new connection has to be opened to. It is
+	// low, so that it decides only among servers that are nearly equal.
+	NewConnection float64
 	// SheddingServer is added for a server that shed a request within its backoff.
 	SheddingServer float64
 }
@@ -52,6 +55,8 @@
 	// servers with a free slot that are not suspects and have no rate limit are
 	// chosen for it.
 	Hedge bool
+	// Warm lists servers that the attempt needs no new connection to.
+	Warm []ServerKey
 	// NoPermit leaves out servers with a rate limit.
 	NoPermit bool
 	// TieBreak selects among servers of equal cost. Any number is valid; random
@@ -83,6 +88,9 @@
 	// PermitWait is the time until a permit for one of the servers that were left out
 	// for want of permits may be available; zero if there are none.
 	PermitWait time.Duration
+	// PauseWait is the time until the first pause ends, of the servers that were left out
+	// because they asked for one; zero if there are none.
+	PauseWait time.Duration
 	// NextCost is the cost of the second-best server; zero if there is none or
 	// for a probe.
 	NextCost float64
@@ -114,7 +122,7 @@
 
 // Choose returns the server of least cost for an attempt, or one that is due for a
 // probe. It returns false if the query, or the lack of permits, rules out every server
-// of the service; only PermitWait is valid then.
+// of the service; only PermitWait and PauseWait are valid then.
 func (t *Table) Choose(now time.Time, q Query) (Choice, bool) {
 	svc, ok := t.services[q.Service]
 	if !ok {
@@ -134,13 +142,19 @@
 		}
 	}
 	var best Choice
-	var permitWait time.Duration
+	var permitWait, pauseWait time.Duration
 	found := false
 	for i := range svc.servers {
 		s := svc.servers[(i+int(q.TieBreak%uint64(len(svc.servers))))%len(svc.servers)]
 		if slices.Contains(q.Excluded, s.Key) || (len(q.Allowed) > 0 && !slices.Contains(q.Allowed, s.Key)) {
 			continue
 		}
+		if withheld, wait := t.signals.withheld(now, s.Key); withheld {
+			if wait > 0 && (pauseWait == 0 || wait < pauseWait) {
+				pauseWait = wait
+			}
+			continue
+		}
 		if wait := s.permitWait(now); wait > 0 || (s.limit.InForce && (q.Hedge || q.NoPermit)) {
 			if permitWait == 0 || wait < permitWait {
 				permitWait = max(1, wait)
@@ -161,7 +175,7 @@
 			best.NextCost = c.Cost
 		}
 	}
-	best.PermitWait = permitWait
+	best.PermitWait, best.PauseWait = permitWait, pauseWait
 	return best, found
 }
 
@@ -173,6 +187,9 @@
 	renew := svc.expectsNonIdempotent(now) && t.budgetUsed(now, svc) < probeBudgetShare
 	var oldest *server
 	for _, s := range svc.servers {
+		if withheld, _ := t.signals.withheld(now, s.Key); withheld {
+			continue
+		}
 		if s.DataCentre != t.opts.DataCentre || slices.Contains(q.Excluded, s.Key) || s.outstanding > 0 ||
 			now.Before(s.unreachableUntil) || now.Before(s.shedUntil) || !t.probeDue(now, s, renew) ||
 			s.permitWait(now) > 0 || (s.limit.InForce && q.NoPermit) {
@@ -181,13 +198,27 @@
 		if !q.CanRetry && t.opts.Model.FailingProbability(s.belief, now) >= suspectThreshold {
 			continue // the probe would probably cost the request
 		}
-		if oldest == nil || s.lastSent.Before(oldest.lastSent) {
+		if oldest == nil || probeBefore(now, s, oldest, q.Warm) {
 			oldest = s
 		}
 	}
 	return oldest
 }
 
+// probeBefore reports whether server a is probed before b: one that is idle for
+// maxIdleInterval, then one that no new connection has to be opened to, then the one
+// without a request for longest.
+func probeBefore(now time.Time, a, b *server, warm []ServerKey) bool {
+	aIdle, bIdle := now.Sub(a.lastSent) >= maxIdleInterval, now.Sub(b.lastSent) >= maxIdleInterval
+	if aIdle != bIdle {
+		return aIdle
+	}
+	if aWarm, bWarm := slices.Contains(warm, a.Key), slices.Contains(warm, b.Key); aWarm != bWarm && !aIdle {
+		return aWarm
+	}
+	return a.lastSent.Before(b.lastSent)
+}
+
 // probeDue reports whether the server has had no request for maxIdleInterval or,
 // if renew is set, its evidence is older than the probe interval.
 func (t *Table) probeDue(now time.Time, s *server, renew bool) bool {
@@ -223,6 +254,11 @@
 	if c.QueueFull {
 		c.Cost = refusalCostShare * t.requestFailureCost(q)
 	}
+	// A server that is half busy gets no preference, so that hosts do not gather at the
+	// servers that they used last.
+	if 2*c.Outstanding >= s.Slots || !slices.Contains(q.Warm, s.Key) {
+		c.Cost += t.opts.Costs.NewConnection
+	}
 	if now.Before(s.unreachableUntil) {
 		c.Cost += t.opts.Costs.UnreachablePath
 	}
--- a/edge/admission.go
+++ b/edge/admission.go
@@ -9,9 +9,17 @@
 	"github.com/agateusher/agateusher/core/model"
 )
 
-// callerPatienceShare is the share of the time left to a caller that Retry-After may
-// use: a caller that is told more does not return.
-const callerPatienceShare = 1.0 / 3
+const (
+	// callerPatienceShare is the share of the time left to a caller that Retry-After may
+	// use: a caller that is told more does not return.
+	callerPatienceShare = 1.0 / 3
+	// queueFactor times the target latency of a route is the longest expected
+	// latency at which a request may wait in a queue. idempotentQueueFactor
+	// applies to idempotent requests; it is lower, so that they are refused
+	// before others.
+	queueFactor           = 1.1
+	idempotentQueueFactor = 0.8
+)
 
 // Results of holding a request, as counted in metrics and noted in its log line.
 const (
@@ -167,13 +175,30 @@
 
 // admissionRequest describes the request for decisions of admission.
 func (f *forwarding) admissionRequest() admission.Request {
-	r := admission.Request{Priority: f.route.Priority, Idempotent: f.route.Idempotent, Deadline: f.deadline}
+	r := admission.Request{Priority: f.priority(), Idempotent: f.route.Idempotent, Deadline: f.deadline}
+	if f.workspace != nil {
+		r.Workspace = string(f.workspace.Name)
+	}
 	if f.route.TargetLatency > 0 {
 		r.Target = f.request.received.Add(f.route.TargetLatency)
 	}
 	return r
 }
 
+// latencyLimit returns the expected latency above which the request is refused
+// rather than queued; zero: unlimited. Queues at full servers make all requests
+// late, and servers that are nearly full work more slowly.
+func (f *forwarding) latencyLimit() time.Duration {
+	if f.route.TargetLatency <= 0 || f.reachedServer {
+		return 0
+	}
+	factor := queueFactor
+	if f.route.Idempotent {
+		factor = idempotentQueueFactor
+	}
+	return time.Duration(factor * f.roomFactor() * float64(f.route.TargetLatency))
+}
+
 // roomFactor returns the factor of the latency limit up to which the request may queue.
 func (f *forwarding) roomFactor() (factor float64) {
 	s := f.node.serverState
@@ -221,10 +246,11 @@
 	if !f.allowRetry() {
 		return f.holdRejected()
 	}
-	if f.attemptsLeft() && f.sendNext(ctx) {
+	if f.attemptsLeft() && f.sendNext(ctx) || f.sendRefused(ctx, f.refusedBy[len(f.refusedBy)-1]) {
 		return true
 	}
-	return f.sendRefused(ctx, f.refusedBy[len(f.refusedBy)-1])
+	// All servers that the request may be sent to have asked for a pause.
+	return f.reason == model.ReasonShed && f.holdRejected()
 }
 
 // removeHeld drops the request if it is answered while it is held: its caller
--- a/edge/body.go
+++ b/edge/body.go
@@ -4,10 +4,7 @@
 	"context"
 	"errors"
 	"io"
-	"net/http"
 	"sync"
-
-	"github.com/agateusher/agateusher/fleet"
 )
 
 const (
@@ -17,6 +14,10 @@
 	// unreservedBytes of a body are buffered without a reservation, so that small
 	// exchanges work while large ones use up the memory.
 	unreservedBytes = 8 << 10
+	// Request bodies of more than smallBodyBytes use at most largeBodyShare of the
+	// memory for bodies, so that many slow uploads leave room for other requests.
+	smallBodyBytes = 32 << 10
+	largeBodyShare = 0.75
 	// bodyChunkBytes is the unit in which memory for a body is reserved and read.
 	bodyChunkBytes = 16 << 10
 	// A response is buffered as long as the host's link takes responseBufferMillis
@@ -71,6 +72,13 @@
 	m.limit = int64(bodyMemoryShare * float64(processBytes))
 }
 
+// scarce reports whether more than half of the memory is in use.
+func (m *bodyMemory) scarce() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.used > m.limit/2
+}
+
 // inUse returns the bytes that are reserved.
 func (m *bodyMemory) inUse() int64 {
 	m.mu.Lock()
@@ -86,6 +94,9 @@
 	mu     sync.Mutex
 	bytes  int64
 	closed bool
+	// receiving is set while the body of the request is being read, and large if it is
+	// known to be large.
+	receiving, large bool
 }
 
 func (m *bodyMemory) newReservation() *reservation { return &reservation{memory: m} }
@@ -97,7 +108,11 @@
 	defer r.mu.Unlock()
 	r.memory.mu.Lock()
 	defer r.memory.mu.Unlock()
-	if r.closed || r.memory.used+int64(bytes) > r.memory.limit {
+	limit := r.memory.limit
+	if r.receiving && (r.large || r.bytes >= smallBodyBytes) {
+		limit = int64(largeBodyShare * float64(limit))
+	}
+	if r.closed || r.memory.used+int64(bytes) > limit {
 		return false
 	}
 	r.memory.used += int64(bytes)
@@ -120,7 +135,13 @@
 // is set if the body ended within the limit. errNoMemory means that a part was read
 // and the memory for more is not available.
 func readBody(body io.Reader, limit int, r *reservation, progress func()) (data []byte, whole bool, err error) {
-	reserved, reported := unreservedBytes, 0
+	return continueBody(nil, unreservedBytes, body, limit, r, progress)
+}
+
+// continueBody is like readBody for a body of which data was read already, with memory
+// for reserved bytes.
+func continueBody(data []byte, reserved int, body io.Reader, limit int, r *reservation, progress func()) (_ []byte, whole bool, err error) {
+	reported := len(data)
 	for {
 		if len(data) == limit {
 			// The body may end here.
@@ -139,7 +160,7 @@
 			reserved += bodyChunkBytes
 			continue
 		}
-		data = growSlice(data, room)
+		data = growSlice(data, room, limit)
 		n, err := body.Read(data[len(data) : len(data)+room])
 		data = data[:len(data)+n]
 		if len(data)-reported >= progressBytes {
@@ -155,29 +176,17 @@
 	}
 }
 
-// growSlice returns data with room for more bytes; its capacity at least doubles.
-func growSlice(data []byte, room int) []byte {
+// growSlice returns data with room for more bytes. Its capacity at least doubles, up to
+// limit bytes.
+func growSlice(data []byte, room, limit int) []byte {
 	if cap(data)-len(data) >= room {
 		return data
 	}
-	grown := make([]byte, len(data), max(len(data)+room, 2*cap(data)))
+	grown := make([]byte, len(data), max(len(data)+room, min(2*cap(data), limit)))
 	copy(grown, data)
 	return grown
 }
 
-// readRequestBody reads the body of a caller's request. Errors are errNoMemory,
-// fleet.ErrTooLarge and those of the connection.
-func readRequestBody(q *http.Request, limit int64, r *reservation) ([]byte, error) {
-	if q.ContentLength > limit {
-		return nil, fleet.ErrTooLarge
-	}
-	data, whole, err := readBody(q.Body, int(limit), r, func() {})
-	if err == nil && !whole {
-		err = fleet.ErrTooLarge
-	}
-	return data, err
-}
-
 // bodyStream is the part of a response's body that was not buffered. Close ends the
 // attempt.
 type bodyStream struct {
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -12,6 +11,7 @@
 	"github.com/agateusher/agateusher/core/balance"
 	"github.com/agateusher/agateusher/core/invariant"
 	"github.com/agateusher/agateusher/core/model"
+	"github.com/agateusher/agateusher/core/workspace"
 	"github.com/agateusher/agateusher/telemetry"
 )
 
@@ -23,12 +23,6 @@
 	responseMargin = 10 * time.Millisecond
 	// minAttemptTime is the least remaining time in which an attempt is started.
 	minAttemptTime = 30 * time.Millisecond
-	// queueFactor times the target latency of a route is the longest expected
-	// latency at which a request may wait in a queue. idempotentQueueFactor
-	// applies to idempotent requests; it is lower, so that they are refused
-	// before others.
-	queueFactor           = 1.1
-	idempotentQueueFactor = 0.8
 	// An unanswered idempotent request is sent to a second server after
 	// hedgeFactor times the mean service time of its service, and after hedgeMin
 	// at the earliest.
@@ -55,11 +49,18 @@
 type forwarding struct {
 	node     *Node
 	request  *request
+	view     *catalog.View // the view that route is from
 	route    *catalog.Route
 	service  model.ServiceName
 	deadline time.Time
 	results  chan attemptResult
 
+	credentials workspace.Credentials
+	// workspace is that of the request's key; nil: none.
+	workspace *catalog.Workspace
+	// quota is the decision about the workspace's limit.
+	quota quotaDecision
+
 	active          map[uint64]activeAttempt
 	countedAttempts int                 // attempts that count towards max_attempts
 	excluded        []balance.ServerKey // servers that were tried already
@@ -67,15 +68,17 @@
 	dials           int                 // attempts, including those that opened no connection
 	reachedServer   bool                // an attempt opened a connection
 	mayHaveRun      bool                // a server may have run the request
-	// permitWait is the time until a server that limits its rate may take the request,
-	// if it was refused for that.
-	permitWait time.Duration
+	// wait is the time until a server that limits its rate or asked for a pause may take
+	// the request, if it was refused for that.
+	wait time.Duration
 	// budgetRefused is set if the retry budget refused another attempt.
 	budgetRefused bool
 	hold          hold
 	serverFailure *response // the last response of a server that failed
 	reason        model.Reason
 	attemptNotes  []string
+	// noReuse is set after an attempt failed on an idle connection.
+	noReuse bool
 }
 
 // activeAttempt is an attempt without a result yet.
@@ -109,8 +112,7 @@
 	if view == nil || view.Config == nil {
 		return n.logUnrouted(q, 0, n.refuse(q, model.ReasonNoConfiguration), model.ReasonNoConfiguration)
 	}
-	path, _, _ := strings.Cut(q.target, "?")
-	route, result := view.Routes.Match(q.host, path)
+	route, result := view.Routes.Match(q.host, q.path())
 	switch result {
 	case catalog.Unmatched:
 		return n.logUnrouted(q, view.Epoch(), n.localResponse(q, http.StatusNotFound, model.ReasonNoRoute), model.ReasonNoRoute)
@@ -125,10 +127,18 @@
 		timeout = min(timeout, q.callerTimeout)
 	}
 	f := &forwarding{
-		node: n, request: q, route: route, service: n.pickService(route), deadline: q.received.Add(timeout - responseMargin),
+		node: n, request: q, view: view, route: route, service: n.pickService(route), deadline: q.received.Add(timeout - responseMargin),
 		results: make(chan attemptResult, maxDials+1), active: map[uint64]activeAttempt{},
+		credentials: workspace.ParseCredentials(q.header[authorizationHeader]),
+	}
+	resp := f.refuseUnauthorized(ctx)
+	if resp == nil {
+		resp = f.admitQuota(ctx)
+	}
+	if resp == nil {
+		resp = f.run(ctx)
+		f.releaseQuota()
 	}
-	resp := f.run(ctx)
 	n.recordRequest(f, view, resp)
 	return resp
 }
@@ -169,6 +179,11 @@
 func (f *forwarding) run(ctx context.Context) *response {
 	defer f.cancelAll()
 	defer f.removeHeld()
+	if time.Until(f.deadline) <= 0 {
+		// It waited behind other requests of its connection, and has not run.
+		f.reason = model.ReasonTimeout
+		return f.failureResponse()
+	}
 	if !f.sendNext(ctx) {
 		return f.failureResponse()
 	}
@@ -222,20 +237,6 @@
 	return hedgeRecheck
 }
 
-// latencyLimit returns the expected latency above which the request is refused
-// rather than queued; zero: unlimited. Queues at full servers make all requests
-// late, and servers that are nearly full work more slowly.
-func (f *forwarding) latencyLimit() time.Duration {
-	if f.route.TargetLatency <= 0 || f.reachedServer {
-		return 0
-	}
-	factor := queueFactor
-	if f.route.Idempotent {
-		factor = idempotentQueueFactor
-	}
-	return time.Duration(factor * f.roomFactor() * float64(f.route.TargetLatency))
-}
-
 // attemptsLeft reports whether the limits of attempts and time allow another
 // attempt.
 func (f *forwarding) attemptsLeft() bool {
@@ -254,7 +255,7 @@
 		CanRetry:      f.route.Idempotent && f.countedAttempts+1 < f.route.MaxAttempts,
 		TargetLatency: f.route.TargetLatency, ExpectedBytes: f.node.sizeEstimator.estimate(f.route.Name, len(f.request.body)),
 		LatencyLimit: f.latencyLimit(),
-		Excluded:     f.excluded, TieBreak: rand.Uint64(),
+		Excluded:     f.excluded, Warm: f.node.exchanger.conns.warm(f.connReuse()), TieBreak: rand.Uint64(),
 	}
 }
 
@@ -282,16 +283,29 @@
 	if len(f.refusedBy) > 1 {
 		q.Excluded = []balance.ServerKey{lastRefused}
 	}
+	if !f.send(ctx, q) {
+		return false
+	}
+	// The server is counted already.
 	f.countedAttempts--
-	return f.send(ctx, q)
+	return true
 }
 
 // send starts an attempt at the server chosen for q. It returns false and sets
 // f.reason if no server is available.
 func (f *forwarding) send(ctx context.Context, q balance.Query) bool {
 	choice, number, reason := f.chooseServer(ctx, q, f.reachedServer || len(f.active) > 0)
+	var outgoing *request
+	if reason == model.ReasonNone {
+		if outgoing, reason = f.authorize(ctx); reason != model.ReasonNone {
+			f.node.serverState.finishAttempt(attemptResult{number: number, choice: choice, verdict: Cancelled})
+		}
+	}
 	if reason != model.ReasonNone {
-		f.reason, f.permitWait = reason, choice.PermitWait
+		f.reason, f.wait = reason, choice.PermitWait
+		if reason == model.ReasonShed {
+			f.wait = choice.PauseWait
+		}
 		if reason == model.ReasonQueueFull {
 			f.countRoom(false)
 			f.recordQueueFull(choice, q.LatencyLimit)
@@ -302,6 +316,7 @@
 	if f.dials == 0 {
 		f.countRoom(true)
 	}
+	reuse := f.connReuse()
 	f.dials++
 	f.excluded = append(f.excluded, choice.Server.Key)
 	attemptCtx, cancel := context.WithDeadline(f.attemptContext(ctx), f.deadline)
@@ -315,7 +330,7 @@
 		result := attemptResult{number: number, choice: choice, verdict: ConnectionLost}
 		f.node.contain("attempt", func() {
 			crossRegion := choice.Server.Region != f.node.settings.Host.Region
-			result.verdict, result.resp, result.err = f.node.exchanger.exchange(attemptCtx, f.request, choice.Server, crossRegion, remaining,
+			result.verdict, result.resp, result.err = f.node.exchanger.exchange(attemptCtx, outgoing, choice.Server, crossRegion, reuse, remaining,
 				func() { progressAt.Store(int64(time.Since(startedAt))) })
 		})
 		result.latency = time.Since(startedAt)
@@ -347,12 +362,12 @@
 		cancel()
 	}
 	f.recordAttempt(r)
-	// Attempts at a server that cannot be reached or whose address belongs to
-	// another server do not count towards max_attempts.
-	if r.verdict == ConnectFailed || r.verdict == Misdirected {
+	// Attempts at a server that cannot be reached, that wants no requests or whose
+	// address belongs to another server do not count towards max_attempts.
+	if r.verdict.nothingSent() || r.verdict == Misdirected {
 		f.countedAttempts--
 	}
-	f.reachedServer = f.reachedServer || r.verdict != ConnectFailed
+	f.reachedServer = f.reachedServer || !r.verdict.nothingSent()
 	f.mayHaveRun = f.mayHaveRun || r.verdict.mayHaveRun()
 	if r.verdict == Usable {
 		return r.resp, true
@@ -367,6 +382,9 @@
 			return nil, false
 		}
 	}
+	if r.verdict == StaleConnection && f.resend(ctx, r.choice.Server.Key) {
+		return nil, false
+	}
 	if f.mayRetry(r.verdict) && f.sendNext(ctx) {
 		return nil, false
 	}
@@ -380,14 +398,13 @@
 }
 
 // mayRetry reports whether the request may be sent to another server after an
-// attempt with verdict v. It charges the retry budget, except after a failed
-// connect.
+// attempt with verdict v. It charges the retry budget, unless nothing was sent.
 func (f *forwarding) mayRetry(v Verdict) bool {
 	if !f.attemptsLeft() || (!f.route.Idempotent && f.mayHaveRun) {
 		return false
 	}
 	invariant.Check(f.route.Idempotent || !v.mayHaveRun(), invariant.AtMostOnce, "request %s repeated after %s", f.request.id, v)
-	return v == ConnectFailed || f.allowRetry()
+	return v.nothingSent() || f.allowRetry()
 }
 
 // allowRetry reports whether the retry budget allows another attempt, and records
@@ -412,13 +429,13 @@
 
 func reasonOf(v Verdict) model.Reason {
 	switch v {
-	case Refused, Misdirected:
+	case Refused, Misdirected, Withheld:
 		return model.ReasonShed
 	case ConnectFailed:
 		return model.ReasonConnect
 	case Cancelled, TimedOut:
 		return model.ReasonTimeout
-	case InvalidResponse, MismatchedResponse, ConnectionLost:
+	case InvalidResponse, MismatchedResponse, ConnectionLost, StaleConnection:
 		return model.ReasonTruncated
 	}
 	return model.ReasonServerFailed
@@ -431,12 +448,12 @@
 	case f.serverFailure != nil:
 		return f.serverFailure
 	case !f.mayHaveRun && len(f.active) == 0:
-		resp := f.node.refuse(f.request, f.reason)
-		if f.reason == model.ReasonServerLimit && f.permitWait > retryAfterDelay {
-			setRetryAfter(resp, f.permitWait)
-		} else {
-			setRetryAfter(resp, f.retryAfter())
+		switch f.reason {
+		case model.ReasonUnauthorized, model.ReasonConfigUnconfirmed, model.ReasonWorkspaceUnreadable:
+			return f.node.refuseForKey(f.request, f.reason)
 		}
+		resp := f.node.refuse(f.request, f.reason)
+		setRetryAfter(resp, max(f.wait, f.retryAfter()))
 		return resp
 	case f.reason == model.ReasonTimeout:
 		return f.node.localResponse(f.request, http.StatusGatewayTimeout, f.reason)
--- a/edge/gauges.go
+++ b/edge/gauges.go
@@ -13,8 +13,13 @@
 func (n *Node) runGauges(ctx context.Context) error {
 	ticker := time.NewTicker(gaugeInterval)
 	defer ticker.Stop()
+	rebalancedAt := time.Now()
 	for {
 		n.updateGauges(time.Now())
+		if time.Since(rebalancedAt) >= usageInterval {
+			rebalancedAt = time.Now()
+			n.keys.rebalanceUsage()
+		}
 		select {
 		case <-ctx.Done():
 			return nil
@@ -26,6 +31,7 @@
 func (n *Node) updateGauges(now time.Time) {
 	versions := n.cache.Versions()
 	configAge, serverAge := n.cache.Ages(now)
+	leaving, paused := n.serverState.withheldServers()
 	for name, value := range map[string]float64{
 		"config_epoch":           float64(versions.Epoch),
 		"server_revision":        float64(versions.Revision),
@@ -39,8 +45,14 @@
 		"limited_servers":        float64(n.serverState.limitedServers()),
 		"requests_held_now":      float64(n.serverState.heldCount()),
 		"shedding_services":      float64(n.serverState.sheddingServices()),
+		"leaving_servers":        float64(leaving),
+		"idle_connections":       float64(n.exchanger.conns.count()),
+		"paused_servers":         float64(paused),
 		"observations_dropped":   float64(n.gossiper.Dropped()),
 	} {
 		n.metrics.Scope.Gauge(name).Update(value)
 	}
+	for name, value := range n.quotas.gauges() {
+		n.metrics.Scope.Gauge(name).Update(value)
+	}
 }
--- a/edge/internal_test.go
+++ b/edge/internal_test.go
@@ -12,7 +12,9 @@
 
 	"github.com/agateusher/agateusher/catalog"
 	"github.com/agateusher/agateusher/core/balance"
+	"github.com/agateusher/agateusher/core/workspace"
 	gen "github.com/agateusher/agateusher/gen/agateusher/v1"
+	"github.com/agateusher/agateusher/settings"
 	"github.com/agateusher/agateusher/telemetry"
 )
 
@@ -78,13 +80,16 @@
 	n := &Node{
 		settings: before, logger: log, log: log, requestLog: newRequestLog(log, 1),
 		serverState: newServerState(before, log), bodyMemory: newBodyMemory(before.memoryBytes()),
+		keys: newKeyState(before.Workspaces.Revocation),
 	}
 	after := before
 	after.MemoryMiB, after.Seeds = 2*before.MemoryMiB, []string{"127.0.0.1:9"}
+	after.Workspaces.Revocation = RevocationSettings{Within: settings.Duration(time.Second), FailClosed: true}
 	limit := n.bodyMemory.limit
 	g.Expect(n.Reload(after)).To(Succeed())
 	g.Expect(n.bodyMemory.limit).To(Equal(2 * limit))
 	g.Expect(*n.seeds.Load()).To(Equal(after.Seeds))
+	g.Expect(n.keys.limits).To(Equal(workspace.RevocationLimits{Within: time.Second, FailClosed: true}))
 }
 
 // Guards against bodies that use more memory together than the process has: without
@@ -115,6 +120,27 @@
 	g.Expect(m.inUse()).To(BeZero())
 }
 
+// Guards against slow uploads that use all the memory for bodies, so that small requests and
+// responses have none.
+func TestLargeBodiesLeaveMemory(t *testing.T) {
+	g := NewWithT(t)
+	m := newBodyMemory(4 << 20) // 1 MiB for bodies
+	body := func(size int) error {
+		_, err := readRequestBody(strings.NewReader(strings.Repeat("x", size)), int64(size), 1<<20, m.newReservation())
+		return err
+	}
+	for body(300<<10) == nil {
+	}
+	// Uploads of which only the first part has arrived count as large, too.
+	for range 100 {
+		_, _ = readRequestBody(strings.NewReader(strings.Repeat("x", 20<<10)), 300<<10, 1<<20, m.newReservation())
+	}
+	g.Expect(m.inUse()).To(BeNumerically("<=", 768<<10))
+	g.Expect(body(32 << 10)).To(Succeed())
+	_, _, err := readBody(strings.NewReader(strings.Repeat("x", 100<<10)), 200<<10, m.newReservation(), func() {})
+	g.Expect(err).NotTo(HaveOccurred())
+}
+
 // Guards against a daemon that acts on content whose confirmation has run out while its
 // host was suspended: the monotonic clock does not count that time.
 func TestSuspensionAgesContent(t *testing.T) {
@@ -130,7 +156,7 @@
 
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	n := &Node{log: log, cache: catalog.NewCache(nil), serverState: newServerState(DefaultSettings(), log)}
+	n := &Node{log: log, cache: catalog.NewCache(nil), serverState: newServerState(DefaultSettings(), log), exchanger: &exchanger{conns: newServerConns(64, nil)}}
 	n.cache.Merge(time.Now(), catalog.Snapshot{Config: &catalog.Config{Epoch: 1}, Servers: map[string]*catalog.Server{}, Revision: 5})
 	n.afterSuspension(gap)
 	config, servers := n.cache.Ages(time.Now())
--- a/edge/log.go
+++ b/edge/log.go
@@ -1,8 +1,10 @@
 package edge
 
 import (
+	"bytes"
 	"context"
 	"io"
+	"strings"
 	"sync/atomic"
 
 	"golang.org/x/time/rate"
@@ -91,3 +93,26 @@
 	}
 	r.log.WithFields(fields).Info(message)
 }
+
+// describeReadError returns the text of an error about a caller's request up to the
+// first part of the request that it quotes, which may be a key.
+func describeReadError(err error) string {
+	text := strings.TrimPrefix(err.Error(), "http: ")
+	if i := strings.IndexAny(text, "\":"); i >= 0 {
+		text = text[:i]
+	}
+	return strings.TrimSpace(text)
+}
+
+// LibraryLog is the output of the standard library's log. It leaves out the lines of
+// net/http about bytes on idle connections, because they contain the bytes, which may be
+// part of a caller's response.
+type LibraryLog struct{ io.Writer }
+
+// Write implements io.Writer.
+func (l LibraryLog) Write(line []byte) (int, error) {
+	if bytes.Contains(line, []byte("Unsolicited response received on idle HTTP channel")) {
+		return len(line), nil
+	}
+	return l.Writer.Write(line)
+}
--- a/edge/node.go
+++ b/edge/node.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/agateusher/agateusher/catalog"
+	"github.com/agateusher/agateusher/core/balance"
 	"github.com/agateusher/agateusher/core/invariant"
 	"github.com/agateusher/agateusher/core/model"
 	"github.com/agateusher/agateusher/core/split"
@@ -70,6 +71,8 @@
 	serverState    *serverState
 	sizeEstimator  sizeEstimator
 	bodyMemory     *bodyMemory
+	quotas         *quotas
+	keys           *keyState
 	// seeds are the seeds in force.
 	seeds atomic.Pointer[[]string]
 	// splits distribute the requests of routes with several services.
@@ -78,6 +81,7 @@
 	follower *catalog.Follower
 	gossiper *gossip.Gossiper
 	puller   *puller
+	content  *contentServer
 	view     atomic.Pointer[catalog.View]
 	// viewComplete is closed once view has a configuration and a set of servers.
 	viewComplete chan struct{}
@@ -123,17 +127,30 @@
 	n.panics = telemetry.NewCounterVec(n.metrics.Scope, "panics", "unit", "")
 	n.platform = connect(n.metrics.Scope, n.log)
 	n.headers = n.platform.Headers
-	n.exchanger = newExchanger(n.headers, responseBufferBytes(s.Host.LinkMbps))
+	n.exchanger = newExchanger(n.headers, responseBufferBytes(s.Host.LinkMbps),
+		newServerConns(s.MemoryMiB, telemetry.NewCounterVec(n.metrics.Scope, "server_connections", "use", "")))
 	n.bodyMemory = newBodyMemory(s.memoryBytes())
 	n.seeds.Store(&s.Seeds)
+	n.keys = newKeyState(s.Workspaces.Revocation)
+	if err := n.metrics.Register(newWorkspaceCollector(n.keys)); err != nil {
+		return nil, &StartError{Component: "metrics", Err: err}
+	}
 	n.serverState = newServerState(s, n.log)
+	n.quotas = newQuotas(s, n.metrics.Scope, n.log, n.contain)
 	n.cache = catalog.NewCache(n.apply)
 	if n.gossiper, err = gossip.Listen(s.localHost(), model.Incarnation(rand.Text()), gossipHandler{n}, n.log); err != nil {
 		return nil, &StartError{Component: "gossip", Err: err}
 	}
 	n.serverState.publish = n.gossiper.Publish
+	n.exchanger.mayReceive = n.serverState.mayReceive
+	n.exchanger.observeSignals = func(server balance.Server, leaving bool, pause time.Duration) {
+		n.serverState.observeSignals(server, leaving, pause, n.gossiper.AnnounceLeaving)
+	}
+	n.quotas.gossiper = n.gossiper
+	n.gossiper.EnableQuotas(n.quotas)
 	n.follower = catalog.NewFollower(n.cache, n.platform.Source, n.role, s.bootstrapDelay(), n.log)
 	n.puller = newPuller(n)
+	n.content = newContentServer(s.Host.LinkMbps, n.metrics.Scope)
 	if n.callerListener, err = net.Listen("tcp4", s.Listeners.Caller); err != nil {
 		return nil, &StartError{Component: "caller listener", Err: err}
 	}
@@ -154,6 +171,7 @@
 	tasks = append(tasks,
 		kernel.Task{Name: "callers", Run: n.acceptConnections},
 		kernel.Task{Name: "evidence", Run: n.tick},
+		kernel.Task{Name: "quota", Run: n.quotas.run},
 		kernel.Task{Name: "registry", Run: n.runRegistration},
 		kernel.Task{Name: "gauges", Run: n.runGauges},
 		kernel.Task{Name: "pull", Run: n.puller.run},
@@ -174,6 +192,8 @@
 // apply makes a new view the current one.
 func (n *Node) apply(v *catalog.View) {
 	n.serverState.setServers(v)
+	n.quotas.apply(v.Config)
+	n.keys.replaceTable(n.view.Load(), v)
 	before := n.view.Swap(v)
 	if n.gossiper.Role().Rank == 0 {
 		n.gossiper.Announce()
@@ -204,7 +224,10 @@
 func (n *Node) role() catalog.Role {
 	r := n.gossiper.Role()
 	settled := n.settings.isSeed() || time.Since(n.started) >= settleTime
-	return catalog.Role{Rank: r.Rank, Order: r.Order, Relay: r.RegionRelay && settled}
+	return catalog.Role{
+		Rank: r.Rank, Order: r.Order, Relay: r.RegionRelay && settled, First: r.RegionRelay,
+		Listed: r.Listed, Alone: r.Alone, PeerReading: r.PeerReading, PeerContent: r.PeerContent,
+	}
 }
 
 func (n *Node) limits() catalog.Limits {
@@ -253,8 +276,10 @@
 }
 
 func (n *Node) runTick(now time.Time) {
+	n.tickKeys()
 	n.serverState.tick()
 	n.serverState.releaseHeld(n.draining.Load())
+	n.exchanger.conns.expire(now)
 	for _, id := range n.cache.ExpireLapsed(now) {
 		n.log.WithFields(telemetry.Fields{"event": "server_lapsed", "server": id}).Info("removed a backend server whose entry did not come back")
 	}
@@ -285,8 +310,11 @@
 // State implements gossip.Handler.
 func (p gossipHandler) State() gossip.State {
 	v := p.cache.Versions()
-	config, servers := p.cache.Ages(time.Now())
-	return gossip.State{Leaving: p.draining.Load(), Epoch: v.Epoch, Revision: uint64(v.Revision), ConfirmedAge: max(config, servers), StoreFailing: p.follower.StoreFailing()}
+	r := p.cache.Report(time.Now())
+	return gossip.State{
+		Leaving: p.draining.Load(), Epoch: v.Epoch, Revision: uint64(v.Revision), ConfirmedAge: p.exportedAge(r.Age), Served: r.Served,
+		Reading: p.follower.Fetching() || p.puller.crossing.Load(), StoreFailing: p.follower.StoreFailing(),
+	}
 }
 
 // heartbeatTransitTime is added to the age in a heartbeat, to account for the time
@@ -295,6 +323,9 @@
 
 // PeerState implements gossip.Handler.
 func (p gossipHandler) PeerState(h gossip.Host, s gossip.State) {
+	if s.Revision != 0 {
+		p.cache.ObservePeer(time.Now(), catalog.PeerReport{Age: s.ConfirmedAge, Served: s.Served}, h.DataCentre == p.settings.Host.DataCentre)
+	}
 	own, peer := p.cache.Versions(), catalog.Versions{Epoch: s.Epoch, Revision: catalog.Revision(s.Revision)}
 	if peer.Epoch > own.Epoch || peer.Revision > own.Revision {
 		p.puller.enqueue(h.Address)
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -28,8 +28,9 @@
 	Retries RetrySettings                     `json:"retries"`
 	Stop    StopSettings                      `json:"stop"`
 	// MemoryMiB is the memory that the process may use, in MiB.
-	MemoryMiB int         `json:"memoryMiB" validate:"min=32"`
-	Log       LogSettings `json:"log"`
+	MemoryMiB  int               `json:"memoryMiB" validate:"min=32"`
+	Log        LogSettings       `json:"log"`
+	Workspaces WorkspaceSettings `json:"workspaces"`
 }
 
 // HostSettings identify this daemon and its location.
@@ -90,6 +91,31 @@
 	RequestsPerSecond float64 `json:"requestsPerSecond" validate:"gte=0"`
 }
 
+// WorkspaceSettings apply where the configuration has workspaces.
+type WorkspaceSettings struct {
+	Revocation RevocationSettings `json:"revocation"`
+	Quota      QuotaSettings      `json:"quota"`
+}
+
+// RevocationSettings bound the time for which a revoked key is accepted.
+type RevocationSettings struct {
+	// Within is the time in which a revoked key stops working on every host; zero: the
+	// deployment has no workspaces.
+	Within settings.Duration `json:"within" validate:"gte=0"`
+	// FailClosed makes a host refuse requests that need a key once the store has not
+	// confirmed its configuration for Within. Otherwise the host continues with the
+	// configuration that it has.
+	FailClosed bool `json:"failClosed"`
+}
+
+// QuotaSettings bound the requests of a workspace that run in a window, over all
+// hosts: (rate x window + burst) x (1 + overage) + slack.
+type QuotaSettings struct {
+	Window  settings.Duration `json:"window" validate:"gt=0"`
+	Overage float64           `json:"overage" validate:"gte=0"`
+	Slack   float64           `json:"slack" validate:"gte=0"`
+}
+
 // DefaultSettings returns the defaults.
 func DefaultSettings() Settings {
 	return Settings{
@@ -97,6 +123,9 @@
 		Stop:      StopSettings{Grace: settings.Duration(6 * time.Second), Notice: settings.Duration(2600 * time.Millisecond)},
 		MemoryMiB: 256,
 		Log:       LogSettings{Level: "info", RequestsPerSecond: 40},
+		Workspaces: WorkspaceSettings{
+			Quota: QuotaSettings{Window: settings.Duration(5 * time.Second), Overage: 0.1, Slack: 20},
+		},
 	}
 }
 
@@ -123,6 +152,7 @@
 	LateResponse:         0.4,
 	UnreachablePath:      0.6,
 	SheddingServer:       0.3,
+	NewConnection:        0.02,
 }
 
 // requestValue is the mean value of a request, in the currency of the platform's
@@ -138,10 +168,14 @@
 }
 
 const (
-	// A daemon without content calls the store between bootstrapDelayMin and
-	// bootstrapDelayMax after its start; at once if it is a seed.
+	// A daemon without content reads the store between bootstrapDelayMin and
+	// bootstrapDelayMax after its start, if no other daemon has the content or reads it.
 	bootstrapDelayMin = 300 * time.Millisecond
 	bootstrapDelayMax = 700 * time.Millisecond
+	// A seed waits for seedDelay, so that it hears the heartbeats of daemons that have
+	// the content, and for seedStagger for each seed before it.
+	seedDelay   = 200 * time.Millisecond
+	seedStagger = 250 * time.Millisecond
 )
 
 // isSeed reports whether this daemon is one of the seeds.
@@ -161,9 +195,12 @@
 // of another one before it calls the store. The delays of daemons differ, so that the
 // first to call can pass its content on.
 func (s Settings) bootstrapDelay() time.Duration {
-	if len(s.Seeds) == 0 || s.isSeed() {
+	if len(s.Seeds) == 0 {
 		return 0
 	}
+	if i := slices.Index(s.Seeds, s.Listeners.Admin); i >= 0 {
+		return seedDelay + time.Duration(i)*seedStagger
+	}
 	spread := uint64(bootstrapDelayMax - bootstrapDelayMin)
 	return bootstrapDelayMin + time.Duration(ranking.Score("bootstrap", s.Host.ID)%spread)
 }
@@ -187,6 +224,7 @@
 		{"listeners", s.Listeners != next.Listeners},
 		{"store", s.Store != next.Store},
 		{"regions", !maps.Equal(s.Regions, next.Regions)},
+		{"workspaces.quota", s.Workspaces.Quota != next.Workspaces.Quota},
 	} {
 		if x.changed {
 			return &RestartError{Key: x.key}
--- a/gossip/gossiper.go
+++ b/gossip/gossiper.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -32,6 +34,9 @@
 	digestInterval = 300 * time.Millisecond
 )
 
+// maxServedMs bounds the time in a heartbeat, so that a damaged one does not overflow.
+const maxServedMs = 1 << 40
+
 // State is the sender's state in a heartbeat.
 type State struct {
 	// Leaving is set if the sender is shutting down.
@@ -40,6 +45,11 @@
 	Revision uint64
 	// ConfirmedAge is how long ago the store last confirmed the sender's content.
 	ConfirmedAge time.Duration
+	// Served is for how long the store is known to have confirmed content to some
+	// daemon without a gap; zero if it does not do so now.
+	Served time.Duration
+	// Reading is set while the sender receives content from the store.
+	Reading bool
 	// StoreFailing is set while the sender's calls of the store fail.
 	StoreFailing bool
 }
@@ -68,6 +78,15 @@
 	LocalLoads() []*gen.ServerLoad
 	// IssuePermit returns the reply to another daemon's request for a permit.
 	IssuePermit(q *gen.PermitRequest) *gen.PermitReply
+	// Leaving returns the servers that this daemon knows to be leaving.
+	Leaving() []*gen.LeavingServer
+	// PeerLeaving is called with those that another daemon knows. It returns those that
+	// this daemon did not know.
+	PeerLeaving(h model.HostID, list []*gen.LeavingServer) []*gen.LeavingServer
+	// PausesOf returns the pauses that servers asked another daemon of the data centre for.
+	PausesOf(h model.HostID) []*gen.ServerPause
+	// OwnPauses is called with those that servers asked this daemon for before its start.
+	OwnPauses(pauses []*gen.ServerPause)
 	// RemoteLoads is called with the digest of another data centre.
 	RemoteLoads(from model.DataCentre, loads []*gen.ServerLoad)
 }
@@ -88,13 +107,22 @@
 
 	mu      sync.Mutex
 	members memberTable
-	// claims has, by data centre, when its relay last said that it follows the
-	// store for the whole region.
-	claims map[model.DataCentre]time.Time
-	// permitRequests are the requests for permits without a reply yet.
-	permitRequests    map[uint64]chan *gen.PermitReply
+	// claims has, by data centre, the last claim of its relay to follow the store for
+	// the whole region.
+	claims map[model.DataCentre]claim
+	// listed is set once a list of hosts was received.
+	listed bool
+	// permitRequests are the requests for permits and admissions without a reply yet.
+	// Identifiers start at a random number, because answers to an earlier process may
+	// be kept.
+	permitRequests    map[uint64]chan *gen.Gossip
 	lastPermitRequest uint64
-	hub               hubChoice
+	// lastLeavingProbe is when the leaving servers were last compared with those known
+	// in other regions.
+	lastLeavingProbe time.Time
+	// quota is nil if the deployment has no limits of workspaces.
+	quota atomic.Pointer[quotaExchange]
+	hub   hubChoice
 	// reportedGone holds the members that were reported as gone and have not been
 	// heard from since.
 	reportedGone map[model.HostID]bool
@@ -127,8 +155,8 @@
 		self: self, incarnation: string(incarnation), handler: h, socket: socket, log: log,
 		pending: kernel.NewRing[*gen.Observation]("observations", observationQueueSize, kernel.DropNewest),
 		bundle:  kernel.NewRing[*gen.Gossip]("bundle", bundleQueueSize, kernel.DropNewest), starThreshold: starThreshold,
-		members: newMemberTable(), claims: map[model.DataCentre]time.Time{}, reportedGone: map[model.HostID]bool{},
-		permitRequests: map[uint64]chan *gen.PermitReply{},
+		members: newMemberTable(), claims: map[model.DataCentre]claim{}, reportedGone: map[model.HostID]bool{},
+		permitRequests: map[uint64]chan *gen.Gossip{}, lastPermitRequest: uint64(rand.Uint32()),
 	}, nil
 }
 
@@ -146,6 +174,7 @@
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.listed = true
 	for _, h := range hosts {
 		if h.ID == g.self.ID {
 			continue
@@ -203,6 +232,7 @@
 				lastDigest = now
 				g.sendDigest()
 				g.sendClaim()
+				g.probeLeaving(now)
 			}
 		}
 	}
@@ -239,6 +269,10 @@
 		Outstanding:    g.handler.Outstanding(),
 		Weight:         g.self.Weight,
 		StoreFailing:   s.StoreFailing,
+		Reading:        s.Reading || g.remoteReading(),
+		ServedMs:       uint64(s.Served.Milliseconds()),
+		LeavingDigest:  leavingDigest(g.handler.Leaving()),
+		Quota:          g.quotaState(),
 	}
 }
 
@@ -331,7 +365,7 @@
 }
 
 func (g *Gossiper) handle(m *gen.Gossip, from *net.UDPAddr) {
-	if model.HostID(m.Host) == g.self.ID || g.handlePermit(m, from) {
+	if model.HostID(m.Host) == g.self.ID || g.handlePermit(m, from) || g.handleQuota(m, from) {
 		return
 	}
 	if model.DataCentre(m.DataCentre) != g.self.DataCentre {
@@ -361,18 +395,25 @@
 	h, restarted := g.recordHeartbeat(m, from)
 	if restarted {
 		g.handler.PeerGone(h.ID)
+		g.sendPauses(h.ID, from)
+	}
+	if len(m.Pauses) > 0 {
+		g.handler.OwnPauses(m.Pauses)
 	}
 	g.handler.PeerState(h, stateOf(m))
+	g.handleQuotaState(h.ID, m.Quota)
 	for _, o := range m.Observations {
 		g.handler.PeerObservation(h.ID, o)
 	}
 	g.handler.PeerOutstanding(h.ID, m.Outstanding)
+	g.handleLeaving(m, from)
 }
 
 func stateOf(m *gen.Gossip) State {
 	return State{
 		Leaving: m.Leaving, Epoch: model.Epoch(m.Epoch), Revision: m.Revision,
 		ConfirmedAge: time.Duration(m.ConfirmedAgeMs) * time.Millisecond, StoreFailing: m.StoreFailing,
+		Reading: m.Reading, Served: time.Duration(min(m.ServedMs, maxServedMs)) * time.Millisecond,
 	}
 }
 
@@ -410,6 +451,7 @@
 	}
 	delete(g.reportedGone, h.ID)
 	x.incarnation, x.leaving, x.storeFailing, x.lastReceived = m.Incarnation, m.Leaving, m.StoreFailing, now
+	x.recordContent(m)
 	return h, restarted
 }
 
--- a/gossip/member.go
+++ b/gossip/member.go
@@ -65,6 +65,10 @@
 	incarnation  string
 	leaving      bool
 	storeFailing bool
+	// reading is set while the member receives content from the store.
+	reading bool
+	// contentAge is the age of the member's content at lastReceived; negative without.
+	contentAge   time.Duration
 	lastReceived time.Time
 	// lastDirect is when a datagram last came from the member itself rather than from
 	// the hub.
@@ -75,6 +79,13 @@
 	// not reply to the last permitFailures requests.
 	noPermitsUntil time.Time
 	permitFailures int
+	// lastLeavingList is when the member was last sent the list of leaving servers.
+	// leavingDiffered is set if its last message had another digest of them.
+	lastLeavingList time.Time
+	leavingDiffered bool
+	// noQuotaUntil and quotaFailures are the same for admissions.
+	noQuotaUntil  time.Time
+	quotaFailures int
 }
 
 // candidate returns the member as a possible relay.
