--- a/core/admission/controller.go
+++ b/core/admission/controller.go
@@ -43,16 +43,9 @@
 	Deadline time.Time
 }
 
-// State describes the service and its retry budget in this data centre.
+// State is what the service and its retry budget have left in this data centre.
 type State struct {
-	// BudgetRate is the number of repeats per second that the budget sustains.
-	BudgetRate float64
-	// BudgetLeft is the number of repeats that may be spent now; the second value
-	// applies to requests that are not idempotent.
-	BudgetLeft, NonIdempotentBudgetLeft float64
-	// Slots and FreeSlots are the numbers of all and of free slots of the servers in
-	// this data centre.
-	Slots, FreeSlots int
+	balance.Capacity
 	// ServiceTime is the mean service time; zero if not known.
 	ServiceTime time.Duration
 }
--- a/edge/admission.go
+++ b/edge/admission.go
@@ -82,11 +82,7 @@
 // admissionState returns what the decisions about a service's requests depend on. s.mu
 // must be held.
 func (s *serverState) admissionState(now time.Time, name model.ServiceName) admission.State {
-	c := s.table.Capacity(now, name)
-	return admission.State{
-		BudgetRate: c.BudgetRate, BudgetLeft: c.BudgetLeft, NonIdempotentBudgetLeft: c.NonIdempotentBudgetLeft,
-		Slots: c.Slots, FreeSlots: c.FreeSlots, ServiceTime: s.table.MeanServiceTime(name),
-	}
+	return admission.State{Capacity: s.table.Capacity(now, name), ServiceTime: s.table.MeanServiceTime(name)}
 }
 
 // holdRejected holds a request that a server rejected, if holding serves more callers
