--- a/edge/forward.go
+++ b/edge/forward.go
@@ -23,12 +23,6 @@
 	responseMargin = 10 * time.Millisecond
 	// minAttemptTime is the least remaining time in which an attempt is started.
 	minAttemptTime = 30 * time.Millisecond
-	// queueFactor times the target latency of a route is the longest expected
-	// latency at which a request may wait in a queue. idempotentQueueFactor
-	// applies to idempotent requests; it is lower, so that they are refused
-	// before others.
-	queueFactor           = 1.1
-	idempotentQueueFactor = 0.8
 	// An unanswered idempotent request is sent to a second server after
 	// hedgeFactor times the mean service time of its service, and after hedgeMin
 	// at the earliest.
@@ -79,6 +73,7 @@
 	wait time.Duration
 	// budgetRefused is set if the retry budget refused another attempt.
 	budgetRefused bool
+	hold          hold
 	serverFailure *response // the last response of a server that failed
 	reason        model.Reason
 	attemptNotes  []string
@@ -183,6 +178,7 @@
 // run makes attempts until there is a response.
 func (f *forwarding) run(ctx context.Context) *response {
 	defer f.cancelAll()
+	defer f.removeHeld()
 	if time.Until(f.deadline) <= 0 {
 		// It waited behind other requests of its connection, and has not run.
 		f.reason = model.ReasonTimeout
@@ -201,6 +197,10 @@
 			if resp, done := f.handleResult(ctx, r); done {
 				return resp
 			}
+		case r := <-f.hold.released:
+			if resp, done := f.handleRelease(ctx, r); done {
+				return resp
+			}
 		case <-hedgeTimer.C:
 			hedgeTimer.Reset(f.hedge(ctx))
 		case <-deadline.C:
@@ -237,20 +237,6 @@
 	return hedgeRecheck
 }
 
-// latencyLimit returns the expected latency above which the request is refused
-// rather than queued; zero: unlimited. Queues at full servers make all requests
-// late, and servers that are nearly full work more slowly.
-func (f *forwarding) latencyLimit() time.Duration {
-	if f.route.TargetLatency <= 0 || f.reachedServer {
-		return 0
-	}
-	factor := queueFactor
-	if f.route.Idempotent {
-		factor = idempotentQueueFactor
-	}
-	return time.Duration(factor * float64(f.route.TargetLatency))
-}
-
 // attemptsLeft reports whether the limits of attempts and time allow another
 // attempt.
 func (f *forwarding) attemptsLeft() bool {
@@ -286,13 +272,23 @@
 	case <-ctx.Done():
 		return false
 	}
+	return f.sendRefused(ctx, lastRefused)
+}
+
+// sendRefused sends the request again to one of the servers that refused it, another
+// than lastRefused if there are several.
+func (f *forwarding) sendRefused(ctx context.Context, lastRefused balance.ServerKey) bool {
 	q := f.query()
 	q.Allowed, q.Excluded, q.CanRetry = f.refusedBy, nil, false
 	if len(f.refusedBy) > 1 {
 		q.Excluded = []balance.ServerKey{lastRefused}
 	}
+	if !f.send(ctx, q) {
+		return false
+	}
+	// The server is counted already.
 	f.countedAttempts--
-	return f.send(ctx, q)
+	return true
 }
 
 // send starts an attempt at the server chosen for q. It returns false and sets
@@ -311,10 +307,15 @@
 			f.wait = choice.PauseWait
 		}
 		if reason == model.ReasonQueueFull {
+			f.countRoom(false)
 			f.recordQueueFull(choice, q.LatencyLimit)
+			f.hold.queueWait = choice.ExpectedLatency - q.LatencyLimit
 		}
 		return false
 	}
+	if f.dials == 0 {
+		f.countRoom(true)
+	}
 	reuse := f.connReuse()
 	f.dials++
 	f.excluded = append(f.excluded, choice.Server.Key)
@@ -377,6 +378,9 @@
 		f.serverFailure = r.resp
 	case Refused:
 		f.refusedBy = append(f.refusedBy, r.choice.Server.Key)
+		if f.holdRejected() {
+			return nil, false
+		}
 	}
 	if r.verdict == StaleConnection && f.resend(ctx, r.choice.Server.Key) {
 		return nil, false
@@ -449,9 +453,7 @@
 			return f.node.refuseForKey(f.request, f.reason)
 		}
 		resp := f.node.refuse(f.request, f.reason)
-		if f.wait > retryAfterDelay {
-			setRetryAfter(resp, f.wait)
-		}
+		setRetryAfter(resp, max(f.wait, f.retryAfter()))
 		return resp
 	case f.reason == model.ReasonTimeout:
 		return f.node.localResponse(f.request, http.StatusGatewayTimeout, f.reason)
--- a/edge/gauges.go
+++ b/edge/gauges.go
@@ -43,6 +43,8 @@
 		"log_lines_dropped":      float64(n.logWriter.ring.Dropped()),
 		"request_lines_left_out": float64(n.requestLog.skippedTotal.Load()),
 		"limited_servers":        float64(n.serverState.limitedServers()),
+		"requests_held_now":      float64(n.serverState.heldCount()),
+		"shedding_services":      float64(n.serverState.sheddingServices()),
 		"leaving_servers":        float64(leaving),
 		"idle_connections":       float64(n.exchanger.conns.count()),
 		"paused_servers":         float64(paused),
--- a/edge/requestlog.go
+++ b/edge/requestlog.go
@@ -77,6 +77,9 @@
 	if f.reason != "" {
 		fields["reason"] = f.reason
 	}
+	if f.hold.notes != "" {
+		fields["held"] = f.hold.notes
+	}
 	if f.workspace != nil {
 		fields["workspace"] = f.workspace.Name
 	}
