--- a/core/admission/controller.go
+++ b/core/admission/controller.go
@@ -11,6 +11,11 @@
 	// that it sustains. Below, it is spent more slowly in proportion: a repeat after the
 	// end of the shedding is more likely to be accepted.
 	fullSpendingShare = 0.3
+	// Rejected requests are not held if the offered load is at least fullLoad and the
+	// accepted share at least acceptedShareAtFullLoad: the servers have slots free for
+	// repeats only during the shedding.
+	fullLoad                = 0.9
+	acceptedShareAtFullLoad = 0.3
 	// recoveredShare is the accepted share from which held requests are released at
 	// the rate that free slots and the remaining budget allow.
 	recoveredShare = 0.8
@@ -121,10 +126,17 @@
 	return min(1, (c.localArrivals.perSecond(now)+minRate)/(c.arrivals.perSecond(now)+minRate))
 }
 
+// noRoomLater reports whether a repeat serves no more if it is held: many attempts are
+// accepted, and after the shedding new requests will need nearly all slots.
+func (c *Controller) noRoomLater(now time.Time, s State) bool {
+	busy := c.arrivals.perSecond(now) * c.serviceTime.Seconds()
+	return c.results.acceptedShare() >= acceptedShareAtFullLoad && busy >= fullLoad*float64(s.Slots)
+}
+
 // Hold holds a request that a server has just rejected, until Release returns it. It
 // returns nil if the request is not held: it is to be repeated by the usual rules.
 func (c *Controller) Hold(now time.Time, r Request, s State) *Held {
-	if !c.Sheds(now) || r.Deadline.Sub(now) <= s.ServiceTime || len(c.held) >= maxHeld {
+	if !c.Sheds(now) || r.Deadline.Sub(now) <= s.ServiceTime || len(c.held) >= maxHeld || c.noRoomLater(now, s) {
 		return nil
 	}
 	if len(c.held) == 0 {
