gossip, edge: a host that has just started does not displace the relay

Cause: a restarted host that is preferred as relay took the role with its first heartbeat, but follows the store only 1.5 s after its start. The region was followed by nobody meanwhile, and two relays read changes after it.

Change: heartbeats and claims say that the sender has just started (settling). Such hosts come after the others in the order of relays, in a data centre and between data centres. A host that found nobody with content and read the store counts as settled at once, whether it is a seed or not.

TestStartingHostsLeaveTheRole failed before.

--- a/edge/node.go
+++ b/edge/node.go
@@ -200,14 +200,18 @@
 	return telemetry.Contain(n.log, n.panics, unit, f)
 }
 
-// role returns this daemon's part in following the store. A daemon that has just
-// started does not know yet whether another one is the relay, unless it is a seed that
-// found nobody with content and read the store.
+// settled reports whether this daemon may follow the store as the relay. One that has
+// just started does not know yet whether another one does, unless it found nobody with
+// content and read the store.
+func (n *Node) settled() bool {
+	return n.follower.HasRead() || time.Since(n.started) >= settleTime
+}
+
+// role returns this daemon's part in following the store.
 func (n *Node) role() catalog.Role {
 	r := n.gossiper.Role()
-	settled := (n.settings.isSeed() && n.follower.HasRead()) || time.Since(n.started) >= settleTime
 	return catalog.Role{
-		Rank: r.Rank, Order: r.Order, Relay: r.RegionRelay && settled, First: r.RegionRelay,
+		Rank: r.Rank, Order: r.Order, Relay: r.RegionRelay && n.settled(), First: r.RegionRelay,
 		Listed: r.Listed, Known: r.Known, Alone: r.Alone, PeerReading: r.PeerReading, PeerContent: r.PeerContent,
 	}
 }
@@ -290,7 +294,7 @@
 func (p gossipHandler) State() gossip.State {
 	v := p.cache.Versions()
 	r := p.cache.Report(time.Now())
-	return gossip.State{Leaving: p.draining.Load(), Epoch: v.Epoch, Revision: uint64(v.Revision), ConfirmedAge: r.Age, Served: r.Served, Reading: p.follower.Fetching() || p.puller.crossing.Load(), StoreFailing: p.follower.StoreFailing()}
+	return gossip.State{Leaving: p.draining.Load(), Epoch: v.Epoch, Revision: uint64(v.Revision), ConfirmedAge: r.Age, Served: r.Served, Reading: p.follower.Fetching() || p.puller.crossing.Load(), Settling: !p.settled(), StoreFailing: p.follower.StoreFailing()}
 }
 
 // heartbeatTransitTime is added to the age in a heartbeat, to account for the time
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -202,6 +202,49 @@
 	g.Eventually(one(stopped)).WithTimeout(2500 * time.Millisecond).Should(BeTrue())
 }
 
+// Guards against a region that nobody follows for a while because a preferred host
+// restarts: it takes the role of relay although it has just started.
+func TestStartingHostsLeaveTheRole(t *testing.T) {
+	g := NewWithT(t)
+	var nodes []*node
+	var hosts []Host
+	for i, dc := range []model.DataCentre{"x", "x", "y", "y"} {
+		n := start(t, fmt.Sprint("h", i), dc)
+		nodes, hosts = append(nodes, n), append(hosts, n.self)
+	}
+	for _, n := range nodes {
+		n.AddHosts(hosts)
+	}
+	relays := func() (found []*node) {
+		for _, n := range nodes {
+			if n.Role().RegionRelay {
+				found = append(found, n)
+			}
+		}
+		return found
+	}
+	settling := func(x *node, on bool) { x.with(func() { x.state.Settling = on }) }
+	g.Eventually(func() int { return len(relays()) }).WithTimeout(3 * time.Second).Should(Equal(1))
+	preferred := relays()[0]
+	for _, n := range nodes {
+		settling(n, n != nodes[0] && n != nodes[2])
+	}
+	// In each data centre one host is settled; one of the two is the relay.
+	one := func() bool {
+		found := relays()
+		return len(found) == 1 && (found[0] == nodes[0] || found[0] == nodes[2])
+	}
+	g.Eventually(one).WithTimeout(2 * time.Second).Should(BeTrue())
+	settled := relays()[0]
+	settling(nodes[0], true)
+	settling(nodes[2], true)
+	settling(settled, false)
+	g.Eventually(relays).WithTimeout(2 * time.Second).Should(ConsistOf(settled))
+	g.Consistently(relays).WithTimeout(1500 * time.Millisecond).Should(ConsistOf(settled))
+	settling(settled, true)
+	g.Eventually(relays).WithTimeout(2*time.Second).Should(ConsistOf(preferred), "while all are starting one of them is first")
+}
+
 // Guards against a daemon that was cut off and is told only up to a second after its
 // return whether the store was away: nobody counts as live by then.
 func TestAnnounceReachesMembersThatAreNotLive(t *testing.T) {
--- a/gossip/gossiper.go
+++ b/gossip/gossiper.go
@@ -48,6 +48,8 @@
 	Served time.Duration
 	// Reading is set while the sender receives content from the store.
 	Reading bool
+	// Settling is set while the sender has just started and does not follow the store.
+	Settling bool
 	// StoreFailing is set while the sender's calls of the store fail.
 	StoreFailing bool
 }
@@ -262,6 +264,7 @@
 		Weight:         g.self.Weight,
 		StoreFailing:   s.StoreFailing,
 		Reading:        s.Reading || g.remoteReading(),
+		Settling:       s.Settling,
 		ServedMs:       uint64(s.Served.Milliseconds()),
 	}
 }
@@ -406,7 +409,7 @@
 	return State{
 		Leaving: m.Leaving, Epoch: model.Epoch(m.Epoch), Revision: m.Revision,
 		ConfirmedAge: time.Duration(m.ConfirmedAgeMs) * time.Millisecond, StoreFailing: m.StoreFailing,
-		Reading: m.Reading, Served: time.Duration(min(m.ServedMs, maxServedMs)) * time.Millisecond,
+		Reading: m.Reading, Settling: m.Settling, Served: time.Duration(min(m.ServedMs, maxServedMs)) * time.Millisecond,
 	}
 }
 
--- a/gossip/member.go
+++ b/gossip/member.go
@@ -65,8 +65,9 @@
 	incarnation  string
 	leaving      bool
 	storeFailing bool
-	// reading is set while the member receives content from the store.
-	reading bool
+	// reading is set while the member receives content from the store, settling while it
+	// has just started.
+	reading, settling bool
 	// contentAge is the age of the member's content at lastReceived; negative without.
 	contentAge   time.Duration
 	lastReceived time.Time
@@ -170,25 +171,32 @@
 	t.byDataCentre[m.DataCentre] = append(t.byDataCentre[m.DataCentre], m)
 }
 
-// rank returns the position of self among the live members of its data centre. A
-// daemon that is leaving comes after all others, and daemons whose calls of the
-// store fail come after those whose calls succeed.
+// followingClass orders daemons by whether they follow the store if they are the relay:
+// those whose calls of the store fail come last, those that have just started before
+// them.
+func followingClass(storeFailing, settling bool) int {
+	switch {
+	case storeFailing:
+		return 2
+	case settling:
+		return 1
+	}
+	return 0
+}
+
+// rank returns the position of self among the live members of its data centre, by
+// followingClass and then by precedence. A daemon that is leaving comes after all others.
 func (t memberTable) rank(self Host, state State, now time.Time) (rank int) {
 	if state.Leaving {
 		return len(t.byID)
 	}
-	own := newCandidate(self)
+	own, ownClass := newCandidate(self), followingClass(state.StoreFailing, state.Settling)
 	for _, m := range t.byDataCentre[self.DataCentre] {
 		if !m.live(now) {
 			continue
 		}
-		if m.storeFailing != state.StoreFailing {
-			if state.StoreFailing {
-				rank++
-			}
-			continue
-		}
-		if m.candidate().precedes(own) {
+		class := followingClass(m.storeFailing, m.settling)
+		if class < ownClass || (class == ownClass && m.candidate().precedes(own)) {
 			rank++
 		}
 	}
--- a/gossip/neighbours.go
+++ b/gossip/neighbours.go
@@ -13,8 +13,9 @@
 // region.
 type claim struct {
 	at time.Time
-	// reading is set if the relay was receiving content from the store.
-	reading bool
+	// reading is set if the relay was receiving content from the store, settling if it
+	// had just started.
+	reading, settling bool
 }
 
 // remoteRelay is the relay of another data centre, as last heard.
@@ -110,7 +111,7 @@
 
 // recordContent records what a heartbeat says about the member's content.
 func (m *member) recordContent(h *gen.Gossip) {
-	m.reading, m.contentAge = h.Reading, -1
+	m.reading, m.settling, m.contentAge = h.Reading, h.Settling, -1
 	if h.Epoch != 0 && h.Revision != 0 {
 		m.contentAge = time.Duration(h.ConfirmedAgeMs) * time.Millisecond
 	}
--- a/gossip/region.go
+++ b/gossip/region.go
@@ -48,9 +48,13 @@
 		if preferred {
 			r.Order++
 		}
-		if preferred || (state.StoreFailing && dc != g.self.DataCentre) {
-			claimed = claimed || now.Sub(g.claims[dc].at) < claimLifetime
+		c := g.claims[dc]
+		if dc == g.self.DataCentre || now.Sub(c.at) >= claimLifetime {
+			continue
 		}
+		// Only daemons that the store serves claim the role.
+		own, other := followingClass(state.StoreFailing, state.Settling), followingClass(false, c.settling)
+		claimed = claimed || other < own || (preferred && other == own)
 	}
 	r.RegionRelay = r.Rank == 0 && !claimed
 	return r
@@ -121,7 +125,7 @@
 		return
 	}
 	g.mu.Lock()
-	g.claims[dc] = claim{at: time.Now(), reading: m.Reading}
+	g.claims[dc] = claim{at: time.Now(), reading: m.Reading, settling: m.Settling}
 	g.mu.Unlock()
 	g.handler.PeerState(Host{ID: model.HostID(m.Host), DataCentre: dc, Region: model.Region(m.Region), Address: from.String()}, stateOf(m))
 }
