core/quota, edge: restarted hosts vote at once; restarts during an exchange

A host that was in the registry before votes at once when all other hosts of its data centre but its issuer say that they hold no votes.

--- a/core/quota/fleet_test.go
+++ b/core/quota/fleet_test.go
@@ -157,6 +157,13 @@
 	} else if n.lost.IsZero() {
 		n.lost = f.now
 	}
+	alone := true
+	for _, x := range f.byDC[n.dc] {
+		alone = alone && (x == n || x == first || (reaches(n, x) && !x.HoldsVotes(f.now)))
+	}
+	if alone && n.Preferred() == first.id {
+		n.EarlierVote(first.id)
+	}
 	s := n.Stamp(f.now)
 	for _, x := range f.byDC[n.dc] {
 		if x != n && x.Preferred() == n.id {
@@ -294,7 +301,7 @@
 func (f *fleet) parts() (sum float64) {
 	for _, n := range f.nodes {
 		if !n.down {
-			sum += n.accounts[KeyOf("w")].usable(f.now, n.Share(f.now))
+			sum += n.accounts[KeyOf("w")].usable(f.now, n.own(f.now, n.accounts[KeyOf("w")]))
 		}
 	}
 	return sum
--- a/core/quota/host.go
+++ b/core/quota/host.go
@@ -34,7 +34,8 @@
 	// other regions in the order in which this host asks them.
 	dcs, near, far []model.DataCentre
 	// denied has until when the issuer of another data centre is not asked again.
-	denied map[deniedAt]time.Time
+	denied    map[deniedAt]time.Time
+	startedAt time.Time
 
 	voter        voter
 	electorate   electorate
@@ -65,7 +66,7 @@
 // data centres, which all hosts must list alike.
 func NewHost(now time.Time, self model.HostID, dc model.DataCentre, regions map[model.DataCentre]model.Region, r Rule) *Host {
 	h := &Host{
-		self: self, rule: r, voter: newVoter(now, self), denied: map[deniedAt]time.Time{},
+		self: self, rule: r, startedAt: now, voter: newVoter(now, self), denied: map[deniedAt]time.Time{},
 		electorate: electorate{expires: map[model.HostID]time.Time{}}, accounts: map[Key]*account{},
 		coordinators: map[Key]model.DataCentre{}, coordinator: coordinator{pools: map[Key]*pool{}},
 		leases: map[model.HostID]heard{}, peers: map[model.DataCentre]model.HostID{}, reportedAt: map[model.DataCentre]time.Time{},
@@ -111,7 +112,6 @@
 
 // SetLimits sets the limits by the names of the workspaces.
 func (h *Host) SetLimits(now time.Time, limits map[string]Limit) {
-	own := h.electorate.share(now)
 	present := map[Key]bool{}
 	for name, l := range limits {
 		k := KeyOf(name)
@@ -123,7 +123,7 @@
 			h.coordinators[k] = h.coordinatorOf(name)
 		}
 		a.setLimit(now, l, h.rule.capacity(l))
-		a.refresh(now, own)
+		a.refresh(now, h.own(now, a))
 	}
 	maps.DeleteFunc(h.accounts, func(k Key, _ *account) bool { return !present[k] })
 	maps.DeleteFunc(h.coordinators, func(k Key, _ model.DataCentre) bool { return !present[k] })
@@ -143,6 +143,20 @@
 // Prefer sets the issuer that this host votes for, once its last vote has ended.
 func (h *Host) Prefer(issuer model.HostID) { h.voter.prefer(issuer) }
 
+// EarlierVote records that an issuer is the only one that can hold a vote of an earlier
+// process of this host, so that this process may vote for it at once.
+func (h *Host) EarlierVote(issuer model.HostID) { h.voter.earlierVote(issuer) }
+
+// HoldsVotes reports whether votes of other hosts are with this one.
+func (h *Host) HoldsVotes(now time.Time) bool {
+	for from, expiry := range h.electorate.expires {
+		if from != h.self && now.Before(expiry) {
+			return true
+		}
+	}
+	return false
+}
+
 // Preferred returns the issuer that this host prefers.
 func (h *Host) Preferred() model.HostID { return h.voter.preferred }
 
@@ -170,6 +184,16 @@
 	h.electorate.hear(now, h.self, from, v)
 }
 
+// own returns the part of a limit that voters pass to this host. After the start of the
+// process that part may have been given away by an earlier one, for as long as a gift
+// lasts.
+func (h *Host) own(now time.Time, a *account) float64 {
+	if a.limit.PerSecond > smallLimit && now.Sub(h.startedAt) < giftLifetime {
+		return 0
+	}
+	return h.electorate.share(now)
+}
+
 // AdmissionLifetime returns how long an admission may be used after it was asked for.
 func (h *Host) AdmissionLifetime() time.Duration { return h.rule.admissionLifetime() }
 
@@ -223,9 +247,8 @@
 	h.tickedAt = now
 	h.Vote(now)
 	h.electorate.removeExpired(now)
-	own := h.electorate.share(now)
 	for _, a := range h.accounts {
-		a.refresh(now, own)
+		a.refresh(now, h.own(now, a))
 	}
 	maps.DeleteFunc(h.denied, func(_ deniedAt, until time.Time) bool { return !now.Before(until) })
 }
@@ -239,7 +262,7 @@
 		return Answer{Granted: q.Need}
 	}
 	h.catchUp(now)
-	a.refresh(now, h.electorate.share(now))
+	a.refresh(now, h.own(now, a))
 	return a.issue(now, q)
 }
 
@@ -253,15 +276,13 @@
 // Reports returns the reports that are due, by the data centre of the coordinator. An
 // issuer without voters has nothing to report.
 func (h *Host) Reports(now time.Time) map[model.DataCentre]Report {
-	own := h.electorate.share(now)
-	if own == 0 {
+	if h.electorate.share(now) == 0 {
 		return nil
 	}
-	lasting := h.electorate.share(now.Add(giftLifetime))
 	due := map[model.DataCentre][]Key{}
 	fast := map[model.DataCentre]bool{}
 	for k, a := range h.accounts {
-		if a.reporting(now, own) {
+		if a.reporting(now, h.own(now, a)) {
 			dc := h.coordinators[k]
 			due[dc] = append(due[dc], k)
 			fast[dc] = fast[dc] || now.Sub(a.reportingSince) < fastReportTime
@@ -277,17 +298,19 @@
 		to := h.peers[dc]
 		r := Report{Stamp: stampOf(now), Coordinator: to, Echo: h.leases[to].stamp}
 		for _, k := range keys {
-			r.Entries = append(r.Entries, h.report(now, k, own, lasting))
+			r.Entries = append(r.Entries, h.report(now, k))
 		}
 		reports[dc] = r
 	}
 	return reports
 }
 
-// report returns the entry of one workspace and records its gift. lasting is the part
-// whose votes outlast a gift.
-func (h *Host) report(now time.Time, k Key, own, lasting float64) ReportEntry {
+// report returns the entry of one workspace and records its gift.
+func (h *Host) report(now time.Time, k Key) ReportEntry {
 	a := h.accounts[k]
+	own := h.own(now, a)
+	// Only votes that outlast a gift can back it.
+	lasting := min(own, h.electorate.share(now.Add(giftLifetime)))
 	to := h.peers[h.coordinators[k]]
 	a.changeCoordinator(now, to)
 	a.gifts.prune(now, 0)
@@ -312,8 +335,12 @@
 	return e
 }
 
-// HandleReport replies to the report of an issuer.
+// HandleReport replies to the report of an issuer. After the start of the process, grants
+// of an earlier one may be in use: until they have ended, no gift is counted or confirmed.
 func (h *Host) HandleReport(now time.Time, from model.HostID, dc model.DataCentre, r Report) Lease {
+	if now.Sub(h.startedAt) < grantLifetime {
+		return Lease{Stamp: stampOf(now), Echo: r.Stamp}
+	}
 	return h.coordinator.handle(now, h.self, from, dc, r, func(k Key) float64 {
 		if a := h.accounts[k]; a != nil {
 			return minTokens / a.capacity
@@ -339,7 +366,6 @@
 	}
 	h.leases[from] = heard{l.Stamp, now}
 	h.peers[dc] = from
-	own := h.electorate.share(now)
 	for _, e := range l.Entries {
 		a := h.accounts[e.Workspace]
 		if a == nil || h.coordinators[e.Workspace] != dc {
@@ -356,6 +382,6 @@
 		if e.Continue {
 			a.reportUntil = now.Add(continueTime)
 		}
-		a.refresh(now, own)
+		a.refresh(now, h.own(now, a))
 	}
 }
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -202,6 +202,23 @@
 	g.Expect(float64(h.Issue(now, Ask{Workspace: KeyOf("w"), Need: 500}).Granted)).To(BeNumerically("<=", most))
 }
 
+// Guards against a restarted issuer that uses what its earlier process gave away, and against
+// a restarted coordinator that grants a gift which its earlier process granted to another.
+func TestRestartedHostWaitsForEarlierTransfers(t *testing.T) {
+	g := NewWithT(t)
+	h, now, k := issuerOf(limit(100)), began.Add(TickInterval), KeyOf("w")
+	h.EarlierVote("h")
+	h.Tick(now)
+	g.Expect(h.Issue(now, Ask{Workspace: k, Need: 1})).To(And(HaveField("Granted", 0), HaveField("Starting", true)))
+	report := Report{Stamp: h.Stamp(now), Coordinator: "h", Echo: h.Stamp(now), Entries: []ReportEntry{{Workspace: k, Gift: 0.5}}}
+	g.Expect(h.HandleReport(now, "other", "a2", report).Entries).To(BeEmpty())
+	now = began.Add(giftLifetime)
+	h.Tick(now)
+	g.Expect(h.Issue(now, Ask{Workspace: k, Need: 1}).Granted).To(Equal(1))
+	report.Stamp, report.Echo = h.Stamp(now), h.Stamp(now)
+	g.Expect(h.HandleReport(now, "other", "a2", report).Entries).To(HaveLen(1))
+}
+
 // Guards against refused callers that are told the same time, or an earlier one than
 // those refused before them, and against a wait without end.
 func TestWaitsFollowTheOrderOfRefusals(t *testing.T) {
--- a/core/quota/vote.go
+++ b/core/quota/vote.go
@@ -33,6 +33,14 @@
 	return voter{self: self, boundUntil: now.Add(voteLifetime)}
 }
 
+// earlierVote records that a vote of an earlier process of the host can only be with an
+// issuer. It has no effect once this process has voted.
+func (v *voter) earlierVote(issuer model.HostID) {
+	if v.bound == "" {
+		v.bound = issuer
+	}
+}
+
 func (v *voter) prefer(issuer model.HostID) {
 	if issuer != v.preferred {
 		v.preferred, v.stamp = issuer, 0
--- a/edge/quota.go
+++ b/edge/quota.go
@@ -66,6 +66,11 @@
 	store   *quota.Store
 	askers  map[quota.Key]*asker
 	waiting int
+	// mates are the other registered hosts of the data centre. voteless has what those
+	// that were heard last said about votes that they hold; nil once this host has voted.
+	mates    []model.HostID
+	voteless map[model.HostID]bool
+	started  time.Time
 	// fleet is the number of hosts in the registry as this daemon last read it, peerFleet
 	// the largest that others have said since peerFleetAt.
 	fleet, peerFleet int
@@ -102,7 +107,7 @@
 	now := newBootClock()
 	r := s.Workspaces.Quota
 	return &quotas{
-		self: string(s.Host.ID), dc: string(s.Host.DataCentre), log: log, contain: contain, now: now, askers: map[quota.Key]*asker{},
+		self: string(s.Host.ID), dc: string(s.Host.DataCentre), log: log, contain: contain, now: now, askers: map[quota.Key]*asker{}, voteless: map[model.HostID]bool{}, started: now(),
 		decisions: telemetry.NewCounterVec(scope, "quota_requests", "result", ""),
 		asked:     telemetry.NewCounterVec(scope, "quota_asks", "result", ""),
 		issued:    telemetry.NewCounterVec(scope, "quota_issued", "result", ""),
@@ -146,11 +151,24 @@
 	q.limited.Store(&keys)
 }
 
-// setFleet records the number of hosts in the registry, as read by this daemon.
-func (q *quotas) setFleet(hosts int) {
+// setFleet records the hosts in the registry, as read by this daemon.
+func (q *quotas) setFleet(hosts []gossip.Host) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.fleet = hosts
+	first, listed := q.fleet == 0, false
+	q.fleet, q.mates = len(hosts), nil
+	for _, h := range hosts {
+		switch {
+		case string(h.ID) == q.self:
+			listed = true
+		case string(h.DataCentre) == q.dc:
+			q.mates = append(q.mates, h.ID)
+		}
+	}
+	if first && !listed {
+		// The fleet is new, and the registry may not have all hosts yet.
+		q.voteless = nil
+	}
 	q.host.SetFleet(max(q.fleet, q.peerFleet))
 }
 
--- a/edge/quota_internal_test.go
+++ b/edge/quota_internal_test.go
@@ -14,6 +14,8 @@
 	"github.com/agateusher/agateusher/catalog"
 	"github.com/agateusher/agateusher/core/model"
 	"github.com/agateusher/agateusher/core/quota"
+	gen "github.com/agateusher/agateusher/gen/agateusher/v1"
+	"github.com/agateusher/agateusher/gossip"
 	"github.com/agateusher/agateusher/telemetry"
 )
 
@@ -34,7 +36,7 @@
 		return now
 	}
 	q.host = quota.NewHost(now, "h", "a", s.Regions, quota.Rule{Window: 5 * time.Second, Overage: 0.1, Slack: 20})
-	q.setFleet(1)
+	q.setFleet([]gossip.Host{{ID: "h", DataCentre: "a"}})
 	q.host.Prefer("h")
 	q.apply(&catalog.Config{Workspaces: []catalog.Workspace{{Name: "w", RatePerSecond: 10, Burst: 10}, {Name: "free"}}})
 	return q, func(d time.Duration) {
@@ -95,6 +97,30 @@
 	g.Eventually(done).Should(Receive(Equal(quotaIssued)))
 }
 
+// Guards against a restarted host that votes at once although another than its issuer may
+// hold the vote of its earlier process, and against one that waits although none can.
+func TestVoteAfterRestart(t *testing.T) {
+	g := NewWithT(t)
+	registry := []gossip.Host{{ID: "h", DataCentre: "a"}, {ID: "issuer", DataCentre: "a"}, {ID: "mate", DataCentre: "a"}, {ID: "far", DataCentre: "b"}}
+	votes := func(registry []gossip.Host, mate *gen.QuotaState) bool {
+		q, advance := loneQuotas()
+		q.fleet, q.started = 0, q.now()
+		q.setFleet(registry)
+		q.host.Prefer("issuer")
+		advance(votelessDelay)
+		q.PeerQuotaState("issuer", &gen.QuotaState{Stamp: 7, HoldsVotes: true})
+		if mate != nil {
+			q.PeerQuotaState("mate", mate)
+		}
+		q.checkEarlierVote("issuer")
+		return q.QuotaState().Echo == 7
+	}
+	g.Expect(votes(registry, nil)).To(BeFalse(), "a host that was not heard")
+	g.Expect(votes(registry, &gen.QuotaState{HoldsVotes: true})).To(BeFalse(), "a host that holds votes")
+	g.Expect(votes(registry[1:], &gen.QuotaState{})).To(BeFalse(), "a host that was not in the registry")
+	g.Expect(votes(registry, &gen.QuotaState{})).To(BeTrue())
+}
+
 // localHeaders sets no headers in responses made by the daemon.
 type localHeaders struct{ Headers }
 
--- a/edge/quota_messages.go
+++ b/edge/quota_messages.go
@@ -89,12 +89,33 @@
 	q.mu.Lock()
 	before := q.host.Preferred()
 	q.host.Prefer(issuer)
+	q.checkEarlierVote(issuer)
 	q.mu.Unlock()
 	if before != issuer {
 		q.log.WithFields(telemetry.Fields{"event": "quota_issuer", "issuer": issuer, "before": before}).Info("another daemon issues the admissions of limited workspaces for this one")
 	}
 }
 
+// votelessDelay is the time after the start of this daemon in which heartbeats may have
+// been sent before an earlier process of it ended.
+const votelessDelay = 200 * time.Millisecond
+
+// checkEarlierVote lets this daemon vote soon after its start, if all other hosts of the
+// data centre say that they hold no votes: one of an earlier process can then only be with
+// the issuer. q.mu must be held.
+func (q *quotas) checkEarlierVote(issuer model.HostID) {
+	if q.voteless == nil || q.fleet == 0 {
+		return
+	}
+	for _, h := range q.mates {
+		if h != issuer && !q.voteless[h] {
+			return
+		}
+	}
+	q.host.EarlierVote(issuer)
+	q.voteless = nil
+}
+
 // QuotaState implements gossip.QuotaHandler.
 func (q *quotas) QuotaState() *gen.QuotaState {
 	if q.limited.Load() == nil {
@@ -103,7 +124,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.now()
-	s := &gen.QuotaState{Fleet: uint32(q.fleet)}
+	s := &gen.QuotaState{Fleet: uint32(q.fleet), HoldsVotes: q.host.HoldsVotes(now)}
 	if v := q.host.Vote(now); v.Issuer != "" {
 		s.Issuer, s.Echo = hostHash(v.Issuer), uint64(v.Echo)
 	} else if preferred := q.host.Preferred(); preferred != "" {
@@ -129,6 +150,9 @@
 		q.peerFleet, q.peerFleetAt = 0, now
 	}
 	q.peerFleet = max(q.peerFleet, int(s.Fleet))
+	if q.voteless != nil && now.Sub(q.started) >= votelessDelay {
+		q.voteless[h] = !s.HoldsVotes
+	}
 	q.host.SetFleet(max(q.fleet, q.peerFleet))
 	if s.Stamp != 0 {
 		q.host.HearStamp(now, h, quota.Stamp(s.Stamp))
--- a/edge/servers.go
+++ b/edge/servers.go
@@ -161,7 +161,7 @@
 	hosts, err := n.platform.Registry.Hosts(ctx)
 	if err == nil {
 		n.gossiper.AddHosts(hosts)
-		n.quotas.setFleet(len(hosts))
+		n.quotas.setFleet(hosts)
 		return hosts, true
 	}
 	n.log.WithField("event", "registry_unreadable").WithError(err).Warn("cannot read the registry; asking the seeds")
