edge: tests of freezes wait until the process has stopped

TestFreezeWithoutStore failed now and then on a busy machine. SIGSTOP takes effect when a thread of the process handles it; until then the others run on. A request that is read before a freeze may be answered.

The test now waits for the stop by wait4 with WUNTRACED, so that the request is always sent during the freeze. The log of the process is printed on a failure.

--- a/edge/workspace_failures_test.go
+++ b/edge/workspace_failures_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"os"
@@ -120,18 +121,22 @@
 	text, err := json.Marshal(set)
 	s.g.Expect(err).NotTo(HaveOccurred())
 	s.g.Expect(os.WriteFile(path, text, 0o600)).To(Succeed())
-	p := exec.Command(program, "--settings", path)
+	p, log := exec.Command(program, "--settings", path), &syncBuffer{}
+	p.Stdout, p.Stderr = log, log
 	s.g.Expect(p.Start()).To(Succeed())
 	s.t.Cleanup(func() {
 		_ = p.Process.Kill()
 		_ = p.Wait()
+		if s.t.Failed() {
+			s.t.Log(log.String())
+		}
 	})
 	d := s.ready(&daemon{settings: set})
 	c := s.dial(d)
 	c.send(get("/read/x", "before", bearer("key-old")))
 	s.g.Expect(c.receive().status).To(Equal(http.StatusOK))
 	time.Sleep(2 * time.Second) // until it may be the relay, which a watch keeps up to date
-	s.g.Expect(p.Process.Signal(syscall.SIGSTOP)).To(Succeed())
+	s.stop(p.Process)
 	meanwhile()
 	c.send(get("/read/x", "frozen", bearer("key-old")))
 	time.Sleep(2 * time.Second)
@@ -141,6 +146,22 @@
 	return a
 }
 
+// stop stops a process and waits until all of its threads have stopped. On a busy machine
+// they run on for a while after the signal, and could respond before the freeze.
+func (s *site) stop(p *os.Process) {
+	s.g.Expect(p.Signal(syscall.SIGSTOP)).To(Succeed())
+	var status syscall.WaitStatus
+	for {
+		_, err := syscall.Wait4(p.Pid, &status, syscall.WUNTRACED, nil)
+		if errors.Is(err, syscall.EINTR) {
+			continue
+		}
+		s.g.Expect(err).NotTo(HaveOccurred())
+		s.g.Expect(status.Stopped()).To(BeTrue())
+		return
+	}
+}
+
 // Guards against a host that accepts a revoked key just after a freeze, by what it knew
 // before or by what it finds in its sockets, with the store or only a peer to ask.
 func TestRevocationDuringFreeze(t *testing.T) {
