edge: the number of hosts that others read is kept between periods

A daemon that could not read the registry since its start uses the largest number of hosts that others say. Every 5 s it began anew with the next heartbeat. If that came from a daemon that does not know the number either, its share and the capacities of its buckets were zero until the next heartbeat, and all tokens were lost; one from a daemon that had read too few hosts made the share too large. The largest of the previous period now counts as well. The test failed first (0 hosts instead of 40).

--- a/edge/quota.go
+++ b/edge/quota.go
@@ -71,10 +71,9 @@
 	mates    []model.HostID
 	voteless map[model.HostID]bool
 	started  time.Time
-	// fleet is the number of hosts in the registry as this daemon last read it, peerFleet
-	// the largest that others have said since peerFleetAt.
-	fleet, peerFleet int
-	peerFleetAt      time.Time
+	// fleet is the number of hosts in the registry as this daemon last read it.
+	fleet     int
+	peerFleet peerFleet
 	// stampUntil is until when heartbeats carry a stamp, because another host named this
 	// one as its issuer.
 	stampUntil time.Time
@@ -169,7 +168,7 @@
 		// The fleet is new, and the registry may not have all hosts yet.
 		q.voteless = nil
 	}
-	q.host.SetFleet(max(q.fleet, q.peerFleet))
+	q.host.SetFleet(max(q.fleet, q.peerFleet.hosts()))
 }
 
 // admit decides about a request of a workspace. It returns as soon as an issuer has
--- a/edge/quota_messages.go
+++ b/edge/quota_messages.go
@@ -16,10 +16,26 @@
 // and what a coordinator holds is rounded up, so that no part is counted twice.
 const parts = 1e6
 
-// fleetPeriod is the period over which the largest number of hosts that other daemons have
-// read in the registry is used. A daemon that starts may have read it too early.
+// fleetPeriod is the shortest time for which the largest number of hosts that other daemons
+// have read in the registry is used. A daemon that starts may have read it too early.
 const fleetPeriod = 5 * time.Second
 
+// peerFleet is the largest number of hosts that other daemons have said in the current
+// period of fleetPeriod, which began at since, and in the one before.
+type peerFleet struct {
+	current, previous int
+	since             time.Time
+}
+
+func (p *peerFleet) hear(now time.Time, hosts int) {
+	if now.Sub(p.since) >= fleetPeriod {
+		p.previous, p.current, p.since = p.current, 0, now
+	}
+	p.current = max(p.current, hosts)
+}
+
+func (p *peerFleet) hosts() int { return max(p.current, p.previous) }
+
 // hostHash identifies a host of a data centre in messages. With equal hashes, a vote
 // could count for the wrong host; it would also need the right stamp.
 func hostHash(h model.HostID) uint32 {
@@ -146,14 +162,11 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.now()
-	if now.Sub(q.peerFleetAt) >= fleetPeriod {
-		q.peerFleet, q.peerFleetAt = 0, now
-	}
-	q.peerFleet = max(q.peerFleet, int(s.Fleet))
+	q.peerFleet.hear(now, int(s.Fleet))
 	if q.voteless != nil && now.Sub(q.started) >= votelessDelay {
 		q.voteless[h] = !s.HoldsVotes
 	}
-	q.host.SetFleet(max(q.fleet, q.peerFleet))
+	q.host.SetFleet(max(q.fleet, q.peerFleet.hosts()))
 	if s.Stamp != 0 {
 		q.host.HearStamp(now, h, quota.Stamp(s.Stamp))
 	}
@@ -250,7 +263,7 @@
 	defer q.mu.Unlock()
 	s := q.host.Status(q.now())
 	return map[string]float64{
-		"quota_issuer_share": s.Share, "quota_fleet_hosts": float64(max(q.fleet, q.peerFleet)), "quota_granted_workspaces": float64(s.Granted),
+		"quota_issuer_share": s.Share, "quota_fleet_hosts": float64(max(q.fleet, q.peerFleet.hosts())), "quota_granted_workspaces": float64(s.Granted),
 		"quota_given_workspaces": float64(s.Given), "quota_lease_age_seconds": s.LeaseAge.Seconds(), "quota_waiting": float64(q.waiting),
 	}
 }
