core/quota: a new issuer gets its first token while votes arrive

A new issuer was to start with one token for each workspace, but got the capacity of its first vote: with 131 hosts 0.1 tokens at a limit of 1/s. After a loss of issuers such workspaces had no token for 4 s, longer than requests are held. The rest of the token now comes with the votes that follow within startTime.

--- a/core/quota/issuer.go
+++ b/core/quota/issuer.go
@@ -56,8 +56,10 @@
 	bucket   ratelimit.Bucket
 	// part is the part of the limit that the bucket's rate was set from.
 	part float64
-	// startedAt is when the bucket got its first token.
-	startedAt time.Time
+	// startedAt is when the bucket got its first rate, and startTokens what it may still
+	// get of its first token.
+	startedAt   time.Time
+	startTokens float64
 	demand    meter
 	// lastSlot is the time that the last refused caller was told.
 	lastSlot time.Time
@@ -130,13 +132,22 @@
 	if part == a.part {
 		return
 	}
+	capacity := part * a.capacity
+	room := capacity - a.part*a.capacity
 	a.part = part
-	a.bucket.SetRate(now, part*a.limit.PerSecond, part*a.capacity)
+	a.bucket.SetRate(now, part*a.limit.PerSecond, capacity)
 	if a.startedAt.IsZero() {
 		// A new issuer has one token, because that of a small limit may be replaced
-		// before it has earned one.
-		a.startedAt = now
-		a.bucket = ratelimit.NewBucket(now, part*a.limit.PerSecond, part*a.capacity, min(1, part*a.capacity))
+		// before it has earned one. Its capacity grows while votes arrive.
+		a.startedAt, a.startTokens = now, 1
+		a.bucket = ratelimit.NewBucket(now, part*a.limit.PerSecond, capacity, 0)
+	}
+	if now.Sub(a.startedAt) >= startTime {
+		a.startTokens = 0
+	}
+	if tokens := min(a.startTokens, room); tokens > 0 {
+		a.startTokens -= tokens
+		a.bucket.Add(now, tokens)
 	}
 }
 
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -111,7 +111,7 @@
 		name string
 		fail func(*fleet)
 		// refused is the largest part of the usual demand of a limit of 5/s and of 300/s
-		// that may be refused.
+		// that may be refused. That of 5/s also counts for 1/s.
 		small, large float64
 		// factor is the factor by which the limit is changed, if it is.
 		factor float64
@@ -145,12 +145,12 @@
 		{"limit lowered", func(f *fleet) { f.scaleLimit(0.8) }, 0.05, 0.02, 0.8},
 		{"limit raised", func(f *fleet) { f.scaleLimit(2) }, 0.05, 0.02, 2},
 	} {
-		for _, rate := range []float64{5, 300} {
+		for _, rate := range []float64{1, 5, 300} {
 			t.Run(fmt.Sprint(c.name, "/", rate), func(t *testing.T) {
 				g := NewWithT(t)
 				bound := rule.Bound(limit(rate * max(1, c.factor)))
 				allowed := c.large
-				if rate == 5 {
+				if rate < 300 {
 					allowed = c.small
 				}
 				for _, demand := range []float64{usual, 8 * usual} {
--- a/core/ratelimit/bucket.go
+++ b/core/ratelimit/bucket.go
@@ -46,6 +46,12 @@
 	b.tokens--
 }
 
+// Add adds tokens, up to the capacity.
+func (b *Bucket) Add(now time.Time, tokens float64) {
+	b.refill(now)
+	b.tokens = min(b.tokens+tokens, b.burst)
+}
+
 // FullAt returns when the bucket is full if no token is taken.
 func (b *Bucket) FullAt() time.Time {
 	return b.updated.Add(time.Duration((b.burst - b.tokens) / b.rate * float64(time.Second)))
--- a/edge/quota_fleet_test.go
+++ b/edge/quota_fleet_test.go
@@ -15,7 +15,7 @@
 func TestNumberOfHostsFromOthersIsKept(t *testing.T) {
 	g := NewWithT(t)
 	q, advance := loneQuotas()
-	q.setFleet(0)
+	q.setFleet(nil)
 	hosts := func() float64 { return q.gauges()["quota_fleet_hosts"] }
 	for range 100 {
 		q.PeerQuotaState("b", &gen.QuotaState{Fleet: 40})
