core/admission: requests that must not repeat have their own part of the budget's rate

Cause: all held requests were paced at the rate of the part of the budget that idempotent requests may use, which is half of it where a service has others. Change: two paces. The case in TestRepeatsAreSpreadOverTheShedding fails with one pace.

--- a/core/admission/admission_test.go
+++ b/core/admission/admission_test.go
@@ -13,7 +13,7 @@
 var began = time.Unix(1000, 0)
 
 // full is the state of a service with budget and free slots.
-var full = admission.State{Capacity: balance.Capacity{BudgetRate: 10, BudgetLeft: 100, NonIdempotentBudgetLeft: 100, Slots: 60, FreeSlots: 40}, ServiceTime: 100 * time.Millisecond}
+var full = admission.State{Capacity: balance.Capacity{BudgetRate: 10, IdempotentBudgetRate: 10, BudgetLeft: 100, NonIdempotentBudgetLeft: 100, Slots: 60, FreeSlots: 40}, ServiceTime: 100 * time.Millisecond}
 
 // rejecting returns a controller of which the given number of 10 servers rejected each
 // of 10 attempts just before began.
@@ -69,6 +69,23 @@
 	}
 	sent, _ := sentAfter(c, full, time.Second)
 	g.Expect(len(sent)).To(And(BeNumerically(">=", 6), BeNumerically("<=", 12)))
+
+	// Idempotent requests use half of the budget, and do not slow the others down.
+	half, others := full, 0
+	half.BudgetRate = 20
+	c = rejecting(7)
+	for i := range 60 {
+		r := request(0, "")
+		r.Idempotent = i%2 == 0
+		c.Hold(began, r, half)
+	}
+	sent, _ = sentAfter(c, half, time.Second)
+	for _, r := range sent {
+		if !r.Idempotent {
+			others++
+		}
+	}
+	g.Expect(others).To(BeNumerically(">=", 7))
 }
 
 // Guards against requests that wait until their deadline although the budget cannot
@@ -80,7 +97,7 @@
 		c.Hold(began, request(i%2, ""), full)
 	}
 	poor := full
-	poor.BudgetRate, poor.BudgetLeft, poor.NonIdempotentBudgetLeft = 1, 5, 5
+	poor.BudgetRate, poor.IdempotentBudgetRate, poor.BudgetLeft, poor.NonIdempotentBudgetLeft = 1, 1, 5, 5
 	_, refused := sentAfter(c, poor, 50*time.Millisecond)
 	g.Expect(len(refused)).To(BeNumerically(">=", 48))
 	urgent := 0
--- a/core/admission/controller.go
+++ b/core/admission/controller.go
@@ -77,12 +77,13 @@
 	// daemons of the data centre.
 	localArrivals, arrivals rate
 	held                    []*Held
-	// tokens is the number of repeats that this daemon may send now, and slots the
-	// number of free slots that it may fill; both are of refilledAt.
-	tokens, slots float64
-	refilledAt    time.Time
-	releases      int
-	serviceTime   time.Duration
+	// tokens is the number of repeats that this daemon may send now, idempotentTokens
+	// that of idempotent requests among them, and slots the number of free slots that
+	// it may fill; all are of refilledAt.
+	tokens, idempotentTokens, slots float64
+	refilledAt                      time.Time
+	releases                        int
+	serviceTime                     time.Duration
 	// servedTags holds the finish tag of each workspace's last release, and
 	// virtualTime the largest start tag so far (start-time fair queueing).
 	servedTags  map[string]float64
--- a/core/admission/release.go
+++ b/core/admission/release.go
@@ -40,6 +40,7 @@
 		}
 	}
 	c.tokens, c.slots = min(c.tokens, max(0, a.repeats)), max(0, a.slots)
+	c.idempotentTokens = min(c.idempotentTokens, max(0, a.idempotentRepeats))
 	return out
 }
 
@@ -57,46 +58,49 @@
 	state State
 	// recovered is set if most attempts are accepted again.
 	recovered bool
-	// repeats is the number of repeats that may be sent, and slots the number of free
-	// slots that they may fill.
-	repeats, slots float64
-	// share is this daemon's share of the requests, and budgetRate its part of the
-	// repeats per second that the budget sustains.
-	share, budgetRate float64
+	// repeats is the number of repeats that may be sent, idempotentRepeats that of
+	// idempotent requests among them, and slots the number of free slots that they may
+	// fill.
+	repeats, idempotentRepeats, slots float64
+	// share is this daemon's share of the requests.
+	share float64
 	// waiting is the number of requests so far that stay held.
 	waiting float64
 }
 
 func (c *Controller) allowance(now time.Time, s State) allowance {
 	share, accepted, passed := c.share(now), c.results.acceptedShare(), now.Sub(c.refilledAt).Seconds()
-	a := allowance{
-		state: s, recovered: !c.Sheds(now) || accepted >= recoveredShare,
-		share: share, budgetRate: share * s.BudgetRate,
-	}
+	a := allowance{state: s, share: share, recovered: !c.Sheds(now) || accepted >= recoveredShare}
 	room := share * float64(s.FreeSlots)
 	c.refilledAt = now
-	c.tokens = min(maxTokens, c.tokens+a.budgetRate*min(1, accepted/fullSpendingShare)*passed)
+	spending := share * min(1, accepted/fullSpendingShare) * passed
+	c.tokens = min(maxTokens, c.tokens+s.BudgetRate*spending)
+	c.idempotentTokens = min(maxTokens, c.idempotentTokens+s.IdempotentBudgetRate*spending)
 	c.slots = min(max(1, room), c.slots+room*passed/slotsPeriod.Seconds())
-	a.repeats, a.slots = c.tokens, c.slots
+	a.repeats, a.idempotentRepeats, a.slots = c.tokens, c.idempotentTokens, c.slots
 	if a.recovered {
-		a.repeats = max(a.repeats, share*max(s.BudgetLeft, s.NonIdempotentBudgetLeft))
+		a.repeats = max(a.repeats, share*s.NonIdempotentBudgetLeft)
+		a.idempotentRepeats = max(a.idempotentRepeats, share*s.BudgetLeft)
 	}
 	return a
 }
 
 // send reports whether the request is sent now, and charges the allowance.
 func (a *allowance) send(h *Held, now time.Time) bool {
-	budget := &a.state.BudgetLeft
-	if !h.Idempotent {
-		budget = &a.state.NonIdempotentBudgetLeft
+	if h.Idempotent && (a.idempotentRepeats < 1 || a.state.BudgetLeft < 1) {
+		return false
 	}
 	// The many that wait at the end of the shedding must not make new requests late.
-	if a.repeats < 1 || *budget < 1 || h.Deadline.Sub(now) <= a.state.ServiceTime || (a.recovered && a.slots < 1) {
+	if a.repeats < 1 || a.state.NonIdempotentBudgetLeft < 1 || h.Deadline.Sub(now) <= a.state.ServiceTime || (a.recovered && a.slots < 1) {
 		return false
 	}
 	a.slots--
 	a.repeats--
-	*budget--
+	a.state.BudgetLeft--
+	a.state.NonIdempotentBudgetLeft--
+	if h.Idempotent {
+		a.idempotentRepeats--
+	}
 	return true
 }
 
@@ -105,11 +109,11 @@
 // the budget covers by then.
 func (a *allowance) hopeless(h *Held, now time.Time) bool {
 	left := h.Deadline.Sub(now) - a.state.ServiceTime
-	covered := a.share * a.state.BudgetLeft
+	budget, perSecond := a.state.BudgetLeft, a.state.IdempotentBudgetRate
 	if !h.Idempotent {
-		covered = a.share * a.state.NonIdempotentBudgetLeft
+		budget, perSecond = a.state.NonIdempotentBudgetLeft, a.state.BudgetRate
 	}
-	if left <= 0 || a.waiting > covered+a.budgetRate*left.Seconds() {
+	if left <= 0 || a.waiting > a.share*(budget+perSecond*left.Seconds()) {
 		return true
 	}
 	a.waiting++
--- a/core/balance/capacity.go
+++ b/core/balance/capacity.go
@@ -8,8 +8,9 @@
 
 // Capacity is what a service has left in this data centre.
 type Capacity struct {
-	// BudgetRate is the number of retries per second that the budget sustains.
-	BudgetRate float64
+	// BudgetRate is the number of retries per second that the budget sustains, and
+	// IdempotentBudgetRate that of idempotent requests alone.
+	BudgetRate, IdempotentBudgetRate float64
 	// BudgetLeft is the number of retries that may be made now, and
 	// NonIdempotentBudgetLeft that of requests that are not idempotent.
 	BudgetLeft, NonIdempotentBudgetLeft float64
@@ -25,7 +26,8 @@
 	allowed := t.budgetAllowed(now, svc)
 	used := float64(svc.retries.count(now))
 	c := Capacity{
-		BudgetRate:              svc.idempotentShare(now) * allowed / t.opts.Budget.Window.Seconds(),
+		BudgetRate:              allowed / t.opts.Budget.Window.Seconds(),
+		IdempotentBudgetRate:    svc.idempotentShare(now) * allowed / t.opts.Budget.Window.Seconds(),
 		BudgetLeft:              max(0, svc.idempotentShare(now)*allowed-used),
 		NonIdempotentBudgetLeft: max(0, allowed-used),
 	}
