core/workspace: keys in long credentials and in unquoted parameters are found

On a public route only the first 16 parts of an Authorization header were compared with the keys, so that a key behind them reached the server; a header of the scheme Digest has about 20 parts. A key in an unquoted parameter (token=KEY) was not found either.

--- a/core/workspace/decide.go
+++ b/core/workspace/decide.go
@@ -36,6 +36,8 @@
 		return d
 	}
 	for i, parts := range r.Credentials.parts {
+		// A header that is not searched as a whole may contain a key.
+		d.Withheld[i] = r.Credentials.overlong[i] && t.policy == KeysRequired
 		for _, p := range parts {
 			d.Withheld[i] = d.Withheld[i] || t.Has(p) || revoked(p)
 		}
--- a/core/workspace/workspace_test.go
+++ b/core/workspace/workspace_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -60,12 +61,15 @@
 	revoked := func(d Digest) bool { return d == DigestOf("old") }
 	for value, withheld := range map[string]bool{
 		"Bearer ka": true, "ka": true, "Bearer\tka": true, "Basic x, Bearer ka": true, `Token token="ka"`: true, "bearer old": true,
-		`Bearer k,="`: true, "Bearer kb": false, "Basic a2E6": false, "": false, "Bearer kaa": false,
+		`Bearer k,="`: true, "Token token=ka": true, "Digest " + strings.Repeat("a=1, ", 25) + "b=ka": true, "x " + strings.Repeat("a ", 3000) + "ka": true,
+		"Bearer kb": false, "Digest " + strings.Repeat("a=1, ", 25): false, "Basic a2E6": false, "": false, "Bearer kaa": false,
 	} {
 		d := table.Decide(Request{Credentials: ParseCredentials([]string{value}), Trusted: true}, revoked)
 		g.Expect(d.Withheld).To(Equal([]bool{withheld}), value)
 		g.Expect(d.Refused).To(Equal(model.ReasonNone), value)
 	}
+	many := Request{Credentials: ParseCredentials([]string{strings.Repeat("a ", 3000)})}
+	g.Expect(NewTable(KeysUnused, nil, nil).Decide(many, never).Withheld).To(Equal([]bool{false}), "there are no keys")
 }
 
 // Guards against remembered keys without bound, and against the latest being forgotten
