edge: a configuration counts as confirmed once it is in force

After a freeze, requests with keys wait until the configuration is confirmed. The cache records the confirmation of a newer configuration before the daemon applies it, so that a waiting request could be decided by the previous one. A request now also waits until the newest configuration that the cache has is in force. An answer of another daemon with changes to a version that this one does not have was taken for a confirmation although it was not applied.

--- a/edge/workspace_keys.go
+++ b/edge/workspace_keys.go
@@ -159,7 +159,8 @@
 	n.observeFreeze()
 	for {
 		switch trust := n.keys.trust(n.configAge()); {
-		case trust == workspace.Trusted:
+		case trust == workspace.Trusted && n.view.Load().Epoch() >= n.cache.Versions().Epoch:
+			// Otherwise a newer configuration was confirmed, and is about to be in force.
 			return true
 		case trust == workspace.Untrusted || time.Until(deadline) < trustPollInterval || ctx.Err() != nil:
 			return false
@@ -216,7 +217,8 @@
 	}
 	n.dropUndecoded(&snapshot)
 	n.cache.Merge(startedAt, snapshot)
-	if snapshot.Epoch >= has.Epoch && snapshot.Epoch != 0 && snapshot.ConfigAge <= maxFirstContentAge {
+	merged := n.cache.Versions().Epoch >= snapshot.Epoch
+	if merged && snapshot.Epoch >= has.Epoch && snapshot.Epoch != 0 && snapshot.ConfigAge <= maxFirstContentAge {
 		n.keys.confirm(asked)
 	}
 }
