--- a/catalog/follower.go
+++ b/catalog/follower.go
@@ -80,7 +80,7 @@
 	// quietSince is when another daemon was last known to read or to have content; the
 	// start if none ever was.
 	quietSince time.Time
-	// hasRead is set once the whole configuration was read from the store.
+	// hasRead is set once a whole configuration was read from the store.
 	hasRead bool
 	// receivedAt is when bytes of the content last arrived from the store.
 	receivedAt time.Time
@@ -141,7 +141,8 @@
 	})
 }
 
-// HasRead reports whether this daemon has read the whole configuration from the store.
+// HasRead reports whether this daemon has read a whole configuration from the store. An
+// empty store does not count: all hosts may read it at the same time.
 func (f *Follower) HasRead() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -273,7 +274,9 @@
 		c, r, err := f.source.Config(ctx)
 		if err = end(err); err == nil {
 			f.applyConfig(c, r, began)
-			f.recordRead()
+			if c != nil {
+				f.recordRead()
+			}
 		}
 		return err
 	}
--- a/catalog/source_test.go
+++ b/catalog/source_test.go
@@ -82,6 +82,9 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.epoch == 0 {
+		return nil, f.revision, nil
+	}
 	return &Config{Epoch: f.epoch}, f.revision, nil
 }
 
@@ -202,3 +205,19 @@
 	}
 	return out
 }
+
+// Guards against all hosts that start before the first configuration is written taking
+// the role of relay, because each has read the store and knows no other host yet.
+func TestReadOfAnEmptyStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		source := &fakeSource{revision: 10}
+		f := NewFollower(NewCache(nil), source, func() Role { return Role{First: true, Listed: fetch.Unlisted} }, 0, discardLogger())
+		g.Expect(f.syncConfig(t.Context(), f.loops[0])).To(Succeed())
+		g.Expect(f.HasRead()).To(BeFalse())
+		source.set(func() { source.epoch = 1 })
+		f.loops[0].fullRead = true
+		g.Expect(f.syncConfig(t.Context(), f.loops[0])).To(Succeed())
+		g.Expect(f.HasRead()).To(BeTrue())
+	})
+}
