edge: a second freeze is asked about as well

While a daemon asked for a confirmation of its configuration after a freeze, a second freeze started no further questions, and the answers to the first do not count then: only the usual watch of the store could confirm the configuration. Each freeze is asked about now.

--- a/edge/workspace_failures_test.go
+++ b/edge/workspace_failures_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -222,6 +223,29 @@
 	s.g.Expect(s.admin(d, "/catalog")).NotTo(ContainSubstring(fmt.Sprintf(`"configAge":%d,`, time.Hour)))
 }
 
+// Guards against a second freeze, while a confirmation of the configuration is asked for
+// after a first one, after which nobody asks any more.
+func TestRevocationDuringRepeatedFreezes(t *testing.T) {
+	s := newSite(t)
+	s.configureKeys(oneWorkspace("key-old"))
+	s.server("i-1", service)
+	var suspended atomic.Int64
+	d := s.ready(s.daemonWith(keySettings(s, "h1", revocation), func(n *edge.Node) { n.DelayClock(&suspended) }))
+	s.g.Expect(s.statusOf(d, "key-old")).To(Equal(http.StatusOK))
+	s.store.SetFault(consortium.Reset)
+	time.Sleep(100 * time.Millisecond)
+	s.configureKeys(oneWorkspace("key-kept"))
+	suspended.Store(int64(10 * time.Second))
+	asked := func() int { return strings.Count(d.log.String(), "event=process_frozen") }
+	s.g.Eventually(asked).WithPolling(5 * time.Millisecond).Should(Equal(1))
+	time.Sleep(900 * time.Millisecond)
+	suspended.Store(int64(20 * time.Second))
+	// Later than the first question is asked, and before requests cease to wait.
+	time.AfterFunc(800*time.Millisecond, func() { s.store.SetFault(consortium.Healthy) })
+	s.g.Expect(s.statusOf(d, "key-old")).To(Equal(http.StatusUnauthorized))
+	s.g.Expect(asked()).To(Equal(2))
+}
+
 // Guards against a configuration that an older version of the program passes on, which
 // does not read workspaces: by it all routes would be open.
 func TestConfigurationOfOlderVersion(t *testing.T) {
--- a/edge/workspace_keys.go
+++ b/edge/workspace_keys.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -41,8 +40,6 @@
 type keyState struct {
 	// clock also runs while the host is suspended.
 	clock func() time.Duration
-	// asking is set while other daemons and the store are asked for a confirmation.
-	asking atomic.Bool
 
 	mu         sync.Mutex
 	limits     workspace.RevocationLimits
@@ -145,12 +142,9 @@
 		n.keys.confirm(n.keys.clock())
 		return
 	}
-	if n.keys.asking.CompareAndSwap(false, true) {
-		go n.contain("confirm-configuration", func() {
-			defer n.keys.asking.Store(false)
-			n.askForConfirmation()
-		})
-	}
+	// An earlier freeze may still be asked about. Its answers do not count any more, and
+	// asking ends soon.
+	go n.contain("confirm-configuration", n.askForConfirmation)
 }
 
 // awaitTrust reports whether keys are accepted by the configuration in force. Just after
