edge: an admission that came too late is asked for again

A host that was paused for 0.3 s while it asked its issuer did not use the expired admission, but refused the request with 429 and a Retry-After of 1 ms, although there was room. It is now asked for again, as without an answer. The test failed first (over instead of issued).

--- a/edge/quota.go
+++ b/edge/quota.go
@@ -279,7 +279,8 @@
 			}
 			batch = q.askElsewhere(k, dc, batch)
 		}
-		if answered && !answer.Starting {
+		// An answer that was handled too late does not say whether there is room.
+		if answered && !answer.Starting && q.now().Before(expires) {
 			q.refuseWaiting(k, batch, answer)
 			held, delay = nil, quotaRetryDelay
 			continue
--- a/edge/quota_fleet_test.go
+++ b/edge/quota_fleet_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -29,3 +30,21 @@
 	}
 	g.Expect(hosts()).To(Equal(30.0), "hosts that were removed are forgotten")
 }
+
+// Guards against a request below the limit that is refused as over it, because its host
+// was paused until the admission for it had expired.
+func TestLateAdmissionIsAskedForAgain(t *testing.T) {
+	g := NewWithT(t)
+	q, advance := loneQuotas()
+	advance(2 * time.Second)
+	advance(3 * time.Second)
+	// The clock advances while the first admission is asked for.
+	clock, calls, paused := q.now, 0, time.Duration(0)
+	q.now = func() time.Time {
+		if calls++; calls > 2 && calls < 6 {
+			paused += 150 * time.Millisecond
+		}
+		return clock().Add(paused)
+	}
+	g.Expect(q.admit(context.Background(), "w", time.Now().Add(time.Second)).result).To(Equal(quotaIssued))
+}
