gossip: one pause of an issuer counts as one failure

An issuer that leaves two requests in a row unanswered is avoided for 2 s, doubled with each further one up to 32 s. Requests that waited at the same time counted separately, so that a single pause of 50 ms of the issuer, or of the host that asks, made the host avoid it for up to 32 s: it asked and voted for another issuer, which has no rate. Failures of requests that were sent before the last failure was counted are not counted. The test failed first: after one pause with eight requests the issuer was avoided.

--- a/gossip/member.go
+++ b/gossip/member.go
@@ -84,9 +84,11 @@
 	// leavingDiffered is set if its last message had another digest of them.
 	lastLeavingList time.Time
 	leavingDiffered bool
-	// noQuotaUntil and quotaFailures are the same for admissions.
+	// noQuotaUntil and quotaFailures are the same for admissions. quotaFailedAt is when the
+	// last failure was counted.
 	noQuotaUntil  time.Time
 	quotaFailures int
+	quotaFailedAt time.Time
 }
 
 // candidate returns the member as a possible relay.
--- a/gossip/quota.go
+++ b/gossip/quota.go
@@ -142,7 +142,8 @@
 		return nil, &QuotaError{Err: errNoIssuer}
 	}
 	g.mu.Lock()
-	avoided := time.Now().Before(to.noQuotaUntil)
+	began := time.Now()
+	avoided := began.Before(to.noQuotaUntil)
 	g.mu.Unlock()
 	if avoided {
 		return nil, &QuotaError{Issuer: to.ID, Err: errAvoided}
@@ -161,8 +162,9 @@
 	case err == nil:
 		to.quotaFailures = 0
 		return reply.QuotaAnswer, nil
-	case errors.Is(err, context.DeadlineExceeded):
-		to.quotaFailures++
+	case errors.Is(err, context.DeadlineExceeded) && !began.Before(to.quotaFailedAt):
+		// Requests that waited at the same time failed for the same pause.
+		to.quotaFailures, to.quotaFailedAt = to.quotaFailures+1, time.Now()
 		to.avoidQuota()
 	}
 	return nil, &QuotaError{Issuer: to.ID, Err: err}
--- a/gossip/quota_test.go
+++ b/gossip/quota_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
@@ -100,6 +101,34 @@
 	}).WithTimeout(2 * time.Second).Should(Succeed())
 }
 
+// Guards against an issuer that is avoided for long after a single pause, because several
+// requests were waiting for replies meanwhile.
+func TestOnePauseCountsOnce(t *testing.T) {
+	g := NewWithT(t)
+	x, _ := quotaNodes(t)
+	issuer := x[0].PreferredIssuer()
+	n := x[0]
+	for _, other := range x {
+		if other.self.ID != issuer {
+			n = other
+			continue
+		}
+		other.stop()
+	}
+	var wait sync.WaitGroup
+	for range 8 {
+		wait.Go(func() {
+			_, err := n.AskIssuer(context.Background(), issuer, &gen.QuotaAsk{Need: 1})
+			g.Expect(err).To(MatchError(context.DeadlineExceeded))
+		})
+	}
+	wait.Wait()
+	_, err := n.AskIssuer(context.Background(), issuer, &gen.QuotaAsk{Need: 1})
+	g.Expect(err).To(MatchError(context.DeadlineExceeded), "it is not avoided yet")
+	_, err = n.AskIssuer(context.Background(), issuer, &gen.QuotaAsk{Need: 1})
+	g.Expect(err).To(MatchError(errAvoided))
+}
+
 // Guards against reports that go to a lost daemon for ever, because reports alone are sent to
 // the data centre.
 func TestReportsReachAnotherDaemon(t *testing.T) {
