core/cost, core/balance: estimates of cost, and expected work of servers

The table sums the expected remainders of the attempts at a server. A full server's wait and load follow from that sum instead of the number of attempts, and its speed from service times in relation to their estimates, so that a server that ran a costly request does not count as slow. Load reports carry the sum.

--- a/core/balance/choose.go
+++ b/core/balance/choose.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/agateusher/agateusher/core/cost"
 	"github.com/agateusher/agateusher/core/model"
 )
 
@@ -39,6 +40,10 @@
 	Idempotent bool
 	// CanRetry is set if the request may be retried should this attempt fail.
 	CanRetry bool
+	// Request is what is known of the request's cost, for the caller of Choose.
+	Request cost.Request
+	// Expected is the expected service time; zero: that of the service.
+	Expected time.Duration
 	// TargetLatency is the latency within which a response has its full value;
 	// zero: none.
 	TargetLatency time.Duration
@@ -66,7 +71,11 @@
 
 // Choice is the chosen server and the values that it was chosen by.
 type Choice struct {
-	Server             Server
+	Server Server
+	// Request and Expected are those of the query.
+	Request  cost.Request
+	Expected time.Duration
+
 	Cost               float64
 	FailingProbability float64
 	// Outstanding is the number of attempts at the server, without this one.
@@ -244,7 +253,7 @@
 
 // evaluate returns the choice of server s with its cost.
 func (t *Table) evaluate(now time.Time, svc *service, s *server, q Query) Choice {
-	c := Choice{Server: s.Server, FailingProbability: t.opts.Model.FailingProbability(s.belief, now), Outstanding: s.totalOutstanding(now), EvidenceAge: -1, ServerCount: len(svc.servers), Limit: s.limit.RateLimit}
+	c := Choice{Server: s.Server, Request: q.Request, Expected: q.Expected, FailingProbability: t.opts.Model.FailingProbability(s.belief, now), Outstanding: s.totalOutstanding(now), EvidenceAge: -1, ServerCount: len(svc.servers), Limit: s.limit.RateLimit}
 	if !s.lastEvidence.IsZero() {
 		c.EvidenceAge = now.Sub(s.lastEvidence)
 	}
@@ -257,8 +266,9 @@
 			c.FailingProbability = max(c.FailingProbability, remote.FailingProbability)
 		}
 	}
-	c.ExpectedLatency = t.expectedLatency(now, svc, s, c.Outstanding)
-	c.Cost = t.failureCost(now, q)*t.opts.Model.AttemptFailureProbability(c.FailingProbability) + t.latencyCost(c, q) + t.transferCost(s, q)
+	var load float64
+	c.ExpectedLatency, load = t.expectedLatency(now, svc, s, c.Outstanding, q.Expected)
+	c.Cost = t.failureCost(now, q)*t.opts.Model.AttemptFailureProbability(c.FailingProbability) + t.latencyCost(c, load, q) + t.transferCost(s, q)
 	c.QueueFull = q.LatencyLimit > 0 && c.ExpectedLatency > q.LatencyLimit && c.Outstanding >= s.Slots
 	if c.QueueFull {
 		c.Cost = refusalCostShare * t.requestFailureCost(q)
@@ -289,19 +299,6 @@
 	return t.opts.Costs.RetriableFailure + used*used*(t.requestFailureCost(q)-t.opts.Costs.RetriableFailure)
 }
 
-// expectedLatency estimates the time to a response, including the wait for a slot.
-// It returns zero if the service time is not known.
-func (t *Table) expectedLatency(now time.Time, svc *service, s *server, outstanding int) time.Duration {
-	serviceTime := svc.serviceTime
-	if s.serviceTime > serviceTime && now.Sub(s.serviceTimeAt) < serviceTimeLifetime {
-		serviceTime = s.serviceTime
-	}
-	if now.Before(s.WarmedUpAt) {
-		serviceTime *= warmupFactor
-	}
-	return time.Duration(float64(serviceTime) * queueFactor(outstanding, s.Slots))
-}
-
 // refusalCostShare is the cost of a refusal as a share of that of a failed request.
 // It is below 1 because the caller may retry.
 const refusalCostShare = 0.7
@@ -314,12 +311,8 @@
 	return t.opts.Costs.NonIdempotentFailure
 }
 
-// warmupFactor multiplies the service time of a server that is warming up.
-const warmupFactor = 2
-
 // latencyCost estimates the cost of the server's load and of a late response.
-func (t *Table) latencyCost(c Choice, q Query) float64 {
-	load := float64(c.Outstanding) / float64(max(1, c.Server.Slots))
+func (t *Table) latencyCost(c Choice, load float64, q Query) float64 {
 	cost := loadCost * load * load
 	if q.TargetLatency > 0 {
 		share := float64(c.ExpectedLatency) / float64(q.TargetLatency)
--- a/core/balance/observe.go
+++ b/core/balance/observe.go
@@ -74,7 +74,9 @@
 	if _, ok := t.attempts[a]; ok {
 		return
 	}
-	t.attempts[a] = &attempt{server: s, started: now, queueFactor: queueFactor(s.totalOutstanding(now), s.Slots)}
+	started := &attempt{server: s, started: now, queueFactor: queueFactor(s.totalOutstanding(now), s.Slots), expected: svc.serviceTime}
+	t.attempts[a] = started
+	s.running = append(s.running, started)
 	s.outstanding++
 	s.lastSent = now
 }
@@ -99,7 +101,7 @@
 	case Succeeded:
 		s.belief = t.opts.Model.AfterSuccess(s.belief, now)
 		s.lastEvidence, s.consecutiveSheds = now, 0
-		t.recordServiceTime(now, s, time.Duration(float64(latency)/ended.queueFactor), ended.queueFactor > 1)
+		t.recordServiceTime(now, s, ended, latency)
 	case Failed:
 		if !ended.stalled {
 			s.belief = t.opts.Model.AfterFailure(s.belief, now)
@@ -161,9 +163,9 @@
 	for k, s := range t.servers {
 		switch {
 		case s.DataCentre == t.opts.DataCentre:
-			visit(k, Load{Outstanding: s.outstanding, FailingProbability: t.opts.Model.FailingProbability(s.belief, now), ReportedAt: now})
+			visit(k, Load{Outstanding: s.outstanding, Work: t.localWork(now, s), FailingProbability: t.opts.Model.FailingProbability(s.belief, now), ReportedAt: now})
 		case s.outstanding > 0:
-			visit(k, Load{Outstanding: s.outstanding, ReportedAt: now})
+			visit(k, Load{Outstanding: s.outstanding, Work: t.localWork(now, s), ReportedAt: now})
 		}
 	}
 }
@@ -238,18 +240,28 @@
 	}
 	delete(t.attempts, a)
 	found.server.outstanding--
+	found.server.running = slices.DeleteFunc(found.server.running, func(x *attempt) bool { return x == found })
 	return *found
 }
 
-// recordServiceTime adds a sample to the service times of the service and the
-// server.
-func (t *Table) recordServiceTime(now time.Time, s *server, serviceTime time.Duration, queued bool) {
+// recordServiceTime adds the service time of a finished attempt to those of the service and
+// the server. The server's is in relation to the attempt's estimate: a server that ran a
+// costly request is not slow.
+func (t *Table) recordServiceTime(now time.Time, s *server, ended attempt, latency time.Duration) {
 	svc := t.service(s.Service)
+	serviceTime, queued := time.Duration(float64(latency)/ended.queueFactor), ended.queueFactor > 1
+	own := serviceTime
+	if ended.expected > 0 && svc.serviceTime > 0 {
+		own = time.Duration(float64(serviceTime) * float64(svc.serviceTime) / float64(ended.expected))
+		if !queued {
+			svc.remainders.Observe(ended.expected, serviceTime)
+		}
+	}
 	svc.serviceTime = averageServiceTime(svc.serviceTime, serviceTime, queued)
 	if now.Sub(s.serviceTimeAt) > serviceTimeLifetime {
 		s.serviceTime = 0
 	}
-	s.serviceTime, s.serviceTimeAt = averageServiceTime(s.serviceTime, serviceTime, queued), now
+	s.serviceTime, s.serviceTimeAt = averageServiceTime(s.serviceTime, own, queued), now
 }
 
 // averageServiceTime returns the moving average with the sample added. A queued
--- a/core/balance/table.go
+++ b/core/balance/table.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/agateusher/agateusher/core/cost"
 	"github.com/agateusher/agateusher/core/model"
 )
 
@@ -63,6 +64,8 @@
 	// serviceTime is the moving average of the service time of successful
 	// attempts, without the wait for a slot.
 	serviceTime time.Duration
+	// remainders has the distribution of service times around their estimates.
+	remainders *cost.Remainders
 	// lastNonIdempotent is when Choose was last called for a non-idempotent request.
 	lastNonIdempotent time.Time
 }
@@ -72,6 +75,8 @@
 	belief Belief
 	// outstanding is the number of outstanding attempts of this data centre.
 	outstanding int
+	// running has these attempts in the order of their starts.
+	running []*attempt
 	// remoteLoads holds the last load report of each other data centre.
 	remoteLoads map[model.DataCentre]Load
 	// lastEvidence is when an attempt here last succeeded or failed.
@@ -110,13 +115,17 @@
 	// queueFactor is the expected latency of the attempt in service times: its
 	// own, and its share of the attempts queued before it.
 	queueFactor float64
-	stalled     bool
+	// expected is the expected service time.
+	expected time.Duration
+	stalled  bool
 }
 
 // Load is an entry of a data centre's load report, about one server.
 type Load struct {
 	// Outstanding is the number of outstanding attempts of that data centre.
 	Outstanding int
+	// Work is their expected remaining service time; zero if it is not known.
+	Work time.Duration
 	// FailingProbability is set only by the server's own data centre.
 	FailingProbability float64
 	// ReportedAt is when this daemon made or received the report.
@@ -159,7 +168,7 @@
 func (t *Table) service(name model.ServiceName) *service {
 	s, ok := t.services[name]
 	if !ok {
-		s = &service{arrivals: window{span: t.opts.Budget.Window}, retries: extendedWindow(t.opts.Budget.Window)}
+		s = &service{arrivals: window{span: t.opts.Budget.Window}, retries: extendedWindow(t.opts.Budget.Window), remainders: cost.NewRemainders()}
 		t.services[name] = s
 	}
 	return s
--- /dev/null
+++ b/core/balance/work_test.go
@@ -0,0 +1,51 @@
+package balance_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/agateusher/agateusher/core/balance"
+)
+
+// fill starts attempts in all slots of a server, with an expected service time.
+func (b *tableDriver) fill(k balance.ServerKey, expected time.Duration) {
+	for range 2 {
+		b.table.Expect(b.begin(k), expected)
+	}
+}
+
+// Guards against a request that waits behind long ones although a server with as many
+// short ones is there, in this data centre and by the report of another.
+func TestExpectedWorkDecidesAmongFullServers(t *testing.T) {
+	g := NewWithT(t)
+	b := newTableDriver(local(2)...)
+	b.run(1, balance.Succeeded, 100*time.Millisecond)
+	b.run(2, balance.Succeeded, 100*time.Millisecond)
+	b.fill(1, 800*time.Millisecond)
+	b.fill(2, 50*time.Millisecond)
+	for i := range 10 {
+		q := nonIdempotentQuery()
+		q.TieBreak = uint64(i)
+		g.Expect(b.choose(q).Server.Key).To(BeEquivalentTo(2))
+	}
+	b.table.ApplyReport(b.now, "b", map[balance.ServerKey]balance.Load{2: {Outstanding: 1, Work: 10 * time.Second}})
+	g.Expect(b.choose(nonIdempotentQuery()).Server.Key).To(BeEquivalentTo(1))
+}
+
+// Guards against a server that counts as slow because it ran a costly request.
+func TestCostlyRequestsDoNotMakeServersSlow(t *testing.T) {
+	g := NewWithT(t)
+	b := newTableDriver(local(2)...)
+	for k := range balance.ServerKey(2) {
+		b.run(k+1, balance.Succeeded, 100*time.Millisecond)
+	}
+	a := b.begin(1)
+	b.table.Expect(a, time.Second)
+	b.now = b.now.Add(time.Second)
+	b.table.AttemptFinished(b.now, 1, a, balance.Succeeded, time.Second)
+	q := nonIdempotentQuery()
+	q.Expected, q.Excluded = 100*time.Millisecond, []balance.ServerKey{2}
+	g.Expect(b.choose(q).ExpectedLatency).To(BeNumerically("~", 100*time.Millisecond, 20*time.Millisecond))
+}
