core/balance: each request passes over three of four servers at near ties

Daemons hear of each other's attempts after about 25 ms. Until then all of them found the same server best, because costs are hardly ever equal, and queued there although others had free slots. A request now adds as much as a full load to the cost of three servers of four, drawn by its random number.

--- a/core/balance/choose.go
+++ b/core/balance/choose.go
@@ -180,6 +180,9 @@
 			continue
 		}
 		c := t.evaluate(now, svc, s, q)
+		if q.passesOver(s.Key) {
+			c.Cost += passOverCost
+		}
 		if q.Hedge && (c.Outstanding >= s.Slots || c.FailingProbability >= suspectThreshold) {
 			continue
 		}
@@ -197,6 +200,21 @@
 	return best, found
 }
 
+// passOverCost is added for the servers that a query passes over: three of four, drawn by
+// TieBreak. Daemons that choose before they hear of each other's attempts then rarely choose
+// the same server. It is as much as the load of a server whose slots are all in use, so that
+// a much better server is not passed over.
+const passOverCost = 0.02
+
+// passesOver reports whether the query passes over a server.
+func (q *Query) passesOver(k ServerKey) bool {
+	// The finalizer of splitmix64 spreads similar keys and numbers.
+	x := q.TieBreak ^ uint64(k)*0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return (x^x>>31)%4 != 0
+}
+
 // probeTarget returns the server of this data centre that is due for a probe and
 // has been without a request for longest; nil if none is due.
 func (t *Table) probeTarget(now time.Time, svc *service, q Query) *server {
--- a/core/balance/work_test.go
+++ b/core/balance/work_test.go
@@ -1,6 +1,7 @@
 package balance_test
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -52,3 +53,14 @@
 	q.Expected, q.Excluded = 100*time.Millisecond, []balance.ServerKey{2}
 	g.Expect(b.choose(q).ExpectedLatency).To(BeNumerically("~", 100*time.Millisecond, 30*time.Millisecond))
 }
+
+// Guards against hosts that send to the same server because they have not heard of each
+// other's attempts yet.
+func TestHostsDoNotGatherAtOneServer(t *testing.T) {
+	g := NewWithT(t)
+	for mean, longest := range map[time.Duration]time.Duration{480 * time.Millisecond: 100 * time.Millisecond, 960 * time.Millisecond: 800 * time.Millisecond} {
+		w := (&warmTrial{random: rand.New(rand.NewPCG(1, 2)), events: map[time.Duration][]func(){}}).play(mean, 0.02)
+		t.Logf("mean %v: wait p99 %v p99.9 %v", mean, w.wait(0.99), w.wait(0.999))
+		g.Expect(w.wait(0.99)).To(BeNumerically("<", longest))
+	}
+}
