edge: attempts carry their expected cost; hosts share digests of costs

Each daemon estimates the service time of a request from what its data centre observed, names it in the start observation, and adds the expected remaining work of its data centre to load reports. Hedging waits for the estimate of the request instead of the mean of the service.

--- a/core/cost/estimate.go
+++ b/core/cost/estimate.go
@@ -38,7 +38,7 @@
 	maxWorkspaceShare = 0.1
 	excessWeight      = 0.01
 	// ways is the number of classes in a set, and sets the number of sets: 4,096 classes
-	// use about 300 KB.
+	// use about 400 KB.
 	ways, sets = 4, 1024
 	// maxMergedWeight bounds the samples of a class that one digest adds.
 	maxMergedWeight = 64
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -30,7 +30,7 @@
 	queueFactor           = 1.1
 	idempotentQueueFactor = 0.8
 	// An unanswered idempotent request is sent to a second server after
-	// hedgeFactor times the mean service time of its service, and after hedgeMin
+	// hedgeFactor times its expected service time, and after hedgeMin
 	// at the earliest.
 	hedgeFactor = 2.2
 	hedgeMin    = 350 * time.Millisecond
@@ -208,8 +208,7 @@
 }
 
 func (f *forwarding) hedgeDelay() time.Duration {
-	meanServiceTime := f.node.serverState.meanServiceTime(f.service)
-	return max(hedgeMin, time.Duration(hedgeFactor*float64(meanServiceTime)))
+	return max(hedgeMin, time.Duration(hedgeFactor*float64(f.node.serverState.expectedServiceTime(f.costRequest()))))
 }
 
 // hedge sends the request to a second server if the only attempt has received
@@ -259,7 +258,7 @@
 
 func (f *forwarding) query() balance.Query {
 	return balance.Query{
-		Service: f.service, Idempotent: f.route.Idempotent,
+		Service: f.service, Idempotent: f.route.Idempotent, Request: f.costRequest(),
 		CanRetry:      f.route.Idempotent && f.countedAttempts+1 < f.route.MaxAttempts,
 		TargetLatency: f.route.TargetLatency, ExpectedBytes: f.node.sizeEstimator.estimate(f.route.Name, len(f.request.body)),
 		LatencyLimit: f.latencyLimit(),
--- a/edge/state.go
+++ b/edge/state.go
@@ -6,6 +6,7 @@
 
 	"github.com/agateusher/agateusher/catalog"
 	"github.com/agateusher/agateusher/core/balance"
+	"github.com/agateusher/agateusher/core/cost"
 	"github.com/agateusher/agateusher/core/model"
 	"github.com/agateusher/agateusher/core/permit"
 	gen "github.com/agateusher/agateusher/gen/agateusher/v1"
@@ -21,10 +22,13 @@
 	// publish sends an observation to the other daemons of the data centre.
 	publish func(*gen.Observation)
 
-	mu            sync.Mutex
-	table         *balance.Table
-	lastAttempt   uint64
-	localAttempts map[uint64]struct{}
+	mu          sync.Mutex
+	table       *balance.Table
+	lastAttempt uint64
+	// localAttempts has this daemon's unfinished attempts.
+	localAttempts map[uint64]cost.Request
+	costs         cost.Estimator
+	costsSentAt   time.Time
 	permits       *permit.Issuer
 	// budgetExhausted is set for services whose retry budget has refused a retry
 	// and has not been regained since.
@@ -33,7 +37,7 @@
 
 func newServerState(s Settings, log telemetry.Logger) *serverState {
 	return &serverState{
-		localHost: s.Host.ID, regions: s.Regions, log: log, localAttempts: map[uint64]struct{}{}, permits: permit.NewIssuer(), budgetExhausted: map[model.ServiceName]bool{},
+		localHost: s.Host.ID, regions: s.Regions, log: log, localAttempts: map[uint64]cost.Request{}, permits: permit.NewIssuer(), budgetExhausted: map[model.ServiceName]bool{},
 		table: balance.NewTable(balance.Options{
 			DataCentre: s.Host.DataCentre, Region: s.Host.Region, Model: failureModel, Costs: choiceCosts,
 			Budget: balance.Budget{Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: s.Retries.Window.Std()},
@@ -74,6 +78,7 @@
 func (s *serverState) startAttempt(q balance.Query, retry bool) (c balance.Choice, number uint64, reason model.Reason) {
 	s.update(func(now time.Time) {
 		var ok bool
+		q.Expected = s.costs.Estimate(now, q.Request).Cautious()
 		c, ok = s.table.Choose(now, q)
 		switch {
 		case !ok && c.PauseWait > 0:
@@ -85,11 +90,11 @@
 		case c.QueueFull:
 			reason = model.ReasonQueueFull
 		case !c.Limit.InForce:
-			number = s.recordStart(now, c.Server.Key, retry)
+			number = s.recordStart(now, c, retry)
 		}
 	})
 	if number != 0 {
-		s.publishStart(c.Server.Key, number, retry)
+		s.publishStart(c, number, retry)
 	}
 	return c, number, reason
 }
@@ -99,26 +104,28 @@
 func (s *serverState) startPermitted(c balance.Choice, retry bool) (number uint64) {
 	s.update(func(now time.Time) {
 		if s.table.MayReceive(now, c.Server.Key) {
-			number = s.recordStart(now, c.Server.Key, retry)
+			number = s.recordStart(now, c, retry)
 		}
 	})
 	if number != 0 {
-		s.publishStart(c.Server.Key, number, retry)
+		s.publishStart(c, number, retry)
 	}
 	return number
 }
 
 // recordStart records the start of an attempt of this daemon and returns its number.
 // s.mu must be held.
-func (s *serverState) recordStart(now time.Time, key balance.ServerKey, retry bool) uint64 {
+func (s *serverState) recordStart(now time.Time, c balance.Choice, retry bool) uint64 {
 	s.lastAttempt++
-	s.localAttempts[s.lastAttempt] = struct{}{}
-	s.table.AttemptStarted(now, key, balance.AttemptKey{Host: s.localHost, Number: s.lastAttempt}, retry)
+	s.localAttempts[s.lastAttempt] = c.Request
+	attempt := balance.AttemptKey{Host: s.localHost, Number: s.lastAttempt}
+	s.table.AttemptStarted(now, c.Server.Key, attempt, retry)
+	s.table.Expect(attempt, c.Expected)
 	return s.lastAttempt
 }
 
-func (s *serverState) publishStart(key balance.ServerKey, number uint64, retry bool) {
-	s.publish(&gen.Observation{Kind: gen.Observation_KIND_STARTED, Server: uint64(key), Attempt: number, Repeat: retry})
+func (s *serverState) publishStart(c balance.Choice, number uint64, retry bool) {
+	s.publish(&gen.Observation{Kind: gen.Observation_KIND_STARTED, Server: uint64(c.Server.Key), Attempt: number, Repeat: retry, ExpectedMs: uint32(c.Expected.Milliseconds())})
 }
 
 // verdictObservations maps verdicts to the observations that are published and
@@ -157,6 +164,7 @@
 	var change balance.BeliefChange
 	var limitChange balance.LimitChange
 	s.update(func(now time.Time) {
+		s.learnCost(now, r)
 		delete(s.localAttempts, r.number)
 		limitChange = s.observeLimit(now, key, o.result, r.latency, limit)
 		change = s.table.AttemptFinished(now, key, balance.AttemptKey{Host: s.localHost, Number: r.number}, o.result, r.latency)
@@ -204,11 +212,16 @@
 	key, attempt := balance.ServerKey(o.Server), balance.AttemptKey{Host: h, Number: o.Attempt}
 	result, latency := observationResults[o.Kind], time.Duration(o.LatencyMs)*time.Millisecond
 	limit := model.RateLimit{InForce: o.Limit != nil, PerSecond: o.GetLimit()}
+	if o.Kind == gen.Observation_KIND_COSTS {
+		s.mergeCosts(o.Costs)
+		return
+	}
 	var change balance.BeliefChange
 	var limitChange balance.LimitChange
 	s.update(func(now time.Time) {
 		if o.Kind == gen.Observation_KIND_STARTED {
 			s.table.AttemptStarted(now, key, attempt, o.Repeat)
+			s.table.Expect(attempt, min(time.Duration(o.ExpectedMs)*time.Millisecond, maxExpected))
 			return
 		}
 		limitChange = s.observeLimit(now, key, result, latency, limit)
@@ -266,6 +279,7 @@
 func (s *serverState) tick() {
 	var changes []balance.BeliefChange
 	s.update(func(now time.Time) { changes = s.table.Tick(now) })
+	s.publishCosts()
 	for _, c := range changes {
 		s.logBeliefChange(c, "stall", s.localHost)
 	}
@@ -301,12 +315,6 @@
 	s.update(func(time.Time) { s.table.RetainHost(s.localHost) })
 }
 
-func (s *serverState) meanServiceTime(name model.ServiceName) time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.table.MeanServiceTime(name)
-}
-
 func (s *serverState) allowRetry(name model.ServiceName, idempotent bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -354,7 +362,7 @@
 	defer s.mu.Unlock()
 	var out []*gen.ServerLoad
 	s.table.Report(time.Now(), func(k balance.ServerKey, l balance.Load) {
-		out = append(out, &gen.ServerLoad{Server: uint64(k), Outstanding: uint32(max(0, l.Outstanding)), Failing: uint32(l.FailingProbability * perMille)})
+		out = append(out, &gen.ServerLoad{Server: uint64(k), Outstanding: uint32(max(0, l.Outstanding)), Failing: uint32(l.FailingProbability * perMille), WorkMs: uint32(l.Work.Milliseconds())})
 	})
 	return out
 }
@@ -363,7 +371,7 @@
 func (s *serverState) applyRemoteLoads(from model.DataCentre, loads []*gen.ServerLoad) {
 	list := make(map[balance.ServerKey]balance.Load, len(loads))
 	for _, l := range loads {
-		list[balance.ServerKey(l.Server)] = balance.Load{Outstanding: int(l.Outstanding), FailingProbability: float64(l.Failing) / perMille}
+		list[balance.ServerKey(l.Server)] = balance.Load{Outstanding: int(l.Outstanding), FailingProbability: float64(l.Failing) / perMille, Work: time.Duration(l.WorkMs) * time.Millisecond}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
