core/balance: explore only in services without requests that can probe

Cause: requests that must not repeat explored in every service.

Change: exploration waits for 5 s without a request that may probe.

--- a/core/balance/choose.go
+++ b/core/balance/choose.go
@@ -146,13 +146,14 @@
 	retriable := q.Idempotent && q.CanRetry
 	q.CanRetry = q.CanRetry && t.AllowRetry(now, q.Service, q.Idempotent)
 	if retriable {
+		svc.lastProbeable = now
 		if s := t.probeTarget(now, svc, q); s != nil {
 			c := t.evaluate(now, svc, s, q)
 			c.Probe, c.QueueFull = true, false
 			return c, true
 		}
 	}
-	if !q.Idempotent {
+	if !q.Idempotent && now.Sub(svc.lastProbeable) >= probeMemory {
 		if s := t.explore(now, svc, q); s != nil {
 			c := t.evaluate(now, svc, s, q)
 			c.Explore, c.QueueFull = true, false
--- a/core/balance/explore.go
+++ b/core/balance/explore.go
@@ -6,9 +6,11 @@
 )
 
 const (
-	// exploreInterval is how long a server may get no request before it is explored. It
-	// is longer than maxIdleInterval, so that probes come first in services that have
-	// idempotent requests.
+	// probeMemory is how long a service is expected to have more requests that can probe
+	// after its last one. Meanwhile requests that must not repeat do not explore: a probe
+	// that fails is retried.
+	probeMemory = 5 * time.Second
+	// exploreInterval is how long a server may get no request before it is explored.
 	exploreInterval = 1400 * time.Millisecond
 	// exploreDelay is the mean time in which a server that is due is explored. It is short
 	// enough for a request in every 2 s, and much longer than the delay of observations,
--- a/core/balance/table.go
+++ b/core/balance/table.go
@@ -68,6 +68,8 @@
 	remainders *cost.Remainders
 	// lastNonIdempotent is when Choose was last called for a non-idempotent request.
 	lastNonIdempotent time.Time
+	// lastProbeable is when Choose was last called for a request that may probe.
+	lastProbeable time.Time
 }
 
 type server struct {
--- a/core/quota/issuer.go
+++ b/core/quota/issuer.go
@@ -60,7 +60,7 @@
 	// get of its first token.
 	startedAt   time.Time
 	startTokens float64
-	demand    meter
+	demand      meter
 	// lastSlot is the time that the last refused caller was told.
 	lastSlot time.Time
 	// gifts are those to coordinator. formerGifts were given to other coordinators.
