edge: a server that switches protocols does not hold an attempt for ever

net/http returns a response 101 as a final one, with the connection as its body. A read from it does not end with the context of the attempt, so that the attempt, its goroutine and its connection remained for as long as the server kept the connection, and a 101 that arrived with all headers would have been passed on to the caller. Such a response is now invalid, and its connection is closed at once.

Before the change the new test, whose attempt has a deadline of 2 s, was still waiting after 10 minutes, when it was ended.

--- a/edge/exchange.go
+++ b/edge/exchange.go
@@ -70,6 +70,10 @@
 // errWithheld is returned for an attempt that was given up before anything was sent.
 var errWithheld = errors.New("the server wants no requests")
 
+// errProtocolSwitched is returned for a response 101. Nobody asks servers to switch, and
+// net/http does not end a read from the connection when the attempt is cancelled.
+var errProtocolSwitched = errors.New("the server switched protocols")
+
 // errTargetNotPath is returned for a request target that does not start with "/".
 var errTargetNotPath = errors.New("request target is not a path")
 
@@ -86,6 +90,10 @@
 		return verdict, nil, err
 	}
 	progress()
+	if resp.StatusCode < http.StatusOK {
+		_ = conn.Close()
+		return InvalidResponse, nil, errProtocolSwitched
+	}
 	verdict = x.headers.Classify(resp, q.id)
 	if verdict == Usable && succeededEarly(resp) {
 		verdict = InvalidResponse
