--- a/edge/lifecycle_test.go
+++ b/edge/lifecycle_test.go
@@ -145,6 +145,7 @@
 // Guards against a connection that is never closed after its caller has disconnected
 // with more pipelined requests than the daemon keeps in progress.
 func TestLongPipelineIsAbandoned(t *testing.T) {
+	t.Parallel()
 	s := newSite(t)
 	s.configure(2*time.Second, "")
 	s.server("i-1", service).SetBehaviour(always(consortium.Hang))
@@ -169,6 +170,7 @@
 func TestStoreRefusesOneDaemon(t *testing.T) {
 	for _, fault := range []consortium.Fault{consortium.Busy, consortium.Limited, consortium.Reset, consortium.Silent} {
 		t.Run(fmt.Sprint(fault), func(t *testing.T) {
+			t.Parallel()
 			s := newSite(t)
 			s.configure(2*time.Second, "")
 			s.server("i-1", service)
