edge: the two tests with frozen processes run in parallel

They took 15.8 and 15.7 s one after the other in a run of the package, most of it sleep. Each has a store, a server and a process of its own.

--- a/edge/workspace_failures_test.go
+++ b/edge/workspace_failures_test.go
@@ -144,6 +144,7 @@
 // Guards against a host that accepts a revoked key just after a freeze, by what it knew
 // before or by what it finds in its sockets, with the store or only a peer to ask.
 func TestRevocationDuringFreeze(t *testing.T) {
+	t.Parallel()
 	for _, refused := range []bool{false, true} {
 		s := newSite(t)
 		s.configureKeys(oneWorkspace("key-old"))
@@ -169,6 +170,7 @@
 // Guards against a host that nobody confirms the configuration to after a freeze, and that
 // does not keep to the setting.
 func TestFreezeWithoutStore(t *testing.T) {
+	t.Parallel()
 	for closed, status := range map[bool]int{true: http.StatusServiceUnavailable, false: http.StatusOK} {
 		s := newSite(t)
 		s.configureKeys(oneWorkspace("key-old"))
