core/balance: a response without a pause costs no clean-up

ObservePause is called under the table's lock for the head of each response. It went through all pauses that peers had reported (up to 4,096) and all leaving servers even when the response asked for no pause. It now returns at once; entries are removed when a pause or a leaving server is added, and none counts after its end.

--- a/core/balance/signals.go
+++ b/core/balance/signals.go
@@ -100,8 +100,11 @@
 // ObservePause records that a server asked this daemon for a pause. A shorter pause does
 // not end a longer one: each response binds by itself.
 func (t *Table) ObservePause(now time.Time, k ServerKey, pause time.Duration) {
+	if pause <= 0 {
+		return // called for each response; only new entries are worth a clean-up
+	}
 	until := now.Add(min(pause, MaxPause))
-	if pause > 0 && until.After(t.signals.pausedUntil[k]) {
+	if until.After(t.signals.pausedUntil[k]) {
 		t.signals.pausedUntil[k] = until
 	}
 	t.forgetSignals(now)
