core/balance: servers with a warm connection are not passed over

Cause: passing over three of four servers at near ties works against the preference for a warm connection. On the merged tree TestWarmConnectionsBreakNearTies failed at 90% load (0.861 connections per request, under 0.859 expected).

Change: a server with a warm connection on this host is never passed over; which servers these are differs between hosts anyway.

--- a/core/balance/choose.go
+++ b/core/balance/choose.go
@@ -181,7 +181,7 @@
 			continue
 		}
 		c := t.evaluate(now, svc, s, q)
-		if q.passesOver(s.Key) {
+		if !slices.Contains(q.Warm, s.Key) && q.passesOver(s.Key) {
 			c.Cost += passOverCost
 		}
 		if q.Hedge && (c.Outstanding >= s.Slots || c.FailingProbability >= suspectThreshold) {
@@ -204,7 +204,8 @@
 // passOverCost is added for the servers that a query passes over: three of four, drawn by
 // TieBreak. Daemons that choose before they hear of each other's attempts then rarely choose
 // the same server. It is as much as the load of a server whose slots are all in use, so that
-// a much better server is not passed over.
+// a much better server is not passed over. Servers with a warm connection differ between
+// daemons anyway and are not passed over.
 const passOverCost = 0.02
 
 // passesOver reports whether the query passes over a server.
