--- a/edge/quota.go
+++ b/edge/quota.go
@@ -66,11 +66,12 @@
 	store   *quota.Store
 	askers  map[quota.Key]*asker
 	waiting int
-	// mates are the other registered hosts of the data centre. voteless has what those
-	// that were heard last said about votes that they hold; nil once this host has voted.
-	mates    []model.HostID
-	voteless map[model.HostID]bool
-	started  time.Time
+	// localHosts are the other registered hosts of the data centre. withoutVotes has, for
+	// those that were heard, whether they last said that they hold no votes; nil once this
+	// host has voted.
+	localHosts   []model.HostID
+	withoutVotes map[model.HostID]bool
+	started      time.Time
 	// fleet is the number of hosts in the registry as this daemon last read it.
 	fleet     int
 	peerFleet peerFleet
@@ -86,9 +87,9 @@
 
 // quotaWaiter is a request that waits for admission.
 type quotaWaiter struct {
-	result   chan quotaDecision
-	holdTill time.Time
-	gone     bool
+	result    chan quotaDecision
+	holdUntil time.Time
+	gone      bool
 }
 
 // quotaDecision is the decision about one request.
@@ -106,7 +107,7 @@
 	now := newBootClock()
 	r := s.Workspaces.Quota
 	return &quotas{
-		self: string(s.Host.ID), dc: string(s.Host.DataCentre), log: log, contain: contain, now: now, askers: map[quota.Key]*asker{}, voteless: map[model.HostID]bool{}, started: now(),
+		self: string(s.Host.ID), dc: string(s.Host.DataCentre), log: log, contain: contain, now: now, askers: map[quota.Key]*asker{}, withoutVotes: map[model.HostID]bool{}, started: now(),
 		decisions: telemetry.NewCounterVec(scope, "quota_requests", "result", ""),
 		asked:     telemetry.NewCounterVec(scope, "quota_asks", "result", ""),
 		issued:    telemetry.NewCounterVec(scope, "quota_issued", "result", ""),
@@ -155,18 +156,18 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	first, listed := q.fleet == 0, false
-	q.fleet, q.mates = len(hosts), nil
+	q.fleet, q.localHosts = len(hosts), nil
 	for _, h := range hosts {
 		switch {
 		case string(h.ID) == q.self:
 			listed = true
 		case string(h.DataCentre) == q.dc:
-			q.mates = append(q.mates, h.ID)
+			q.localHosts = append(q.localHosts, h.ID)
 		}
 	}
 	if first && !listed {
 		// The fleet is new, and the registry may not have all hosts yet.
-		q.voteless = nil
+		q.withoutVotes = nil
 	}
 	q.host.SetFleet(max(q.fleet, q.peerFleet.hosts()))
 }
@@ -198,7 +199,7 @@
 		q.mu.Unlock()
 		return quotaDecision{result: quotaUnavailable, key: k, wait: retryAfterDelay}
 	}
-	waiter := &quotaWaiter{result: make(chan quotaDecision, 1), holdTill: now.Add(min(maxQuotaHold, time.Until(deadline)-minAttemptTime))}
+	waiter := &quotaWaiter{result: make(chan quotaDecision, 1), holdUntil: now.Add(min(maxQuotaHold, time.Until(deadline)-minAttemptTime))}
 	q.waiting++
 	if a == nil {
 		a = &asker{}
@@ -374,7 +375,7 @@
 	defer q.mu.Unlock()
 	now := q.now()
 	for _, w := range batch {
-		if now.Add(delay).Before(w.holdTill) {
+		if now.Add(delay).Before(w.holdUntil) {
 			held = append(held, w)
 		} else {
 			q.finish(w, quotaDecision{result: quotaUnavailable, key: k, wait: retryAfterDelay})
--- a/edge/quota_internal_test.go
+++ b/edge/quota_internal_test.go
@@ -107,7 +107,7 @@
 		q.fleet, q.started = 0, q.now()
 		q.setFleet(registry)
 		q.host.Prefer("issuer")
-		advance(votelessDelay)
+		advance(withoutVotesDelay)
 		q.PeerQuotaState("issuer", &gen.QuotaState{Stamp: 7, HoldsVotes: true})
 		if mate != nil {
 			q.PeerQuotaState("mate", mate)
--- a/edge/quota_messages.go
+++ b/edge/quota_messages.go
@@ -112,24 +112,24 @@
 	}
 }
 
-// votelessDelay is the time after the start of this daemon in which heartbeats may have
+// withoutVotesDelay is the time after the start of this daemon in which heartbeats may have
 // been sent before an earlier process of it ended.
-const votelessDelay = 200 * time.Millisecond
+const withoutVotesDelay = 200 * time.Millisecond
 
 // checkEarlierVote lets this daemon vote soon after its start, if all other hosts of the
 // data centre say that they hold no votes: one of an earlier process can then only be with
 // the issuer. q.mu must be held.
 func (q *quotas) checkEarlierVote(issuer model.HostID) {
-	if q.voteless == nil || q.fleet == 0 {
+	if q.withoutVotes == nil || q.fleet == 0 {
 		return
 	}
-	for _, h := range q.mates {
-		if h != issuer && !q.voteless[h] {
+	for _, h := range q.localHosts {
+		if h != issuer && !q.withoutVotes[h] {
 			return
 		}
 	}
 	q.host.EarlierVote(issuer)
-	q.voteless = nil
+	q.withoutVotes = nil
 }
 
 // QuotaState implements gossip.QuotaHandler.
@@ -163,8 +163,8 @@
 	defer q.mu.Unlock()
 	now := q.now()
 	q.peerFleet.hear(now, int(s.Fleet))
-	if q.voteless != nil && now.Sub(q.started) >= votelessDelay {
-		q.voteless[h] = !s.HoldsVotes
+	if q.withoutVotes != nil && now.Sub(q.started) >= withoutVotesDelay {
+		q.withoutVotes[h] = !s.HoldsVotes
 	}
 	q.host.SetFleet(max(q.fleet, q.peerFleet.hosts()))
 	if s.Stamp != 0 {
