--- a/edge/forward.go
+++ b/edge/forward.go
@@ -38,10 +38,9 @@
 	// that refused it.
 	refusedRetryDelay = 50 * time.Millisecond
 	// initialViewTimeout is how long after the start of the daemon requests wait
-	// for the first configuration and set of servers. Requests that wait longer are all
-	// sent at the same moment, without evidence about the servers; callers that are
-	// refused return later.
-	initialViewTimeout = 500 * time.Millisecond
+	// for the first configuration and set of servers. After a restart of all hosts the
+	// content passes from host to host, which takes about a second.
+	initialViewTimeout = 1500 * time.Millisecond
 	// unreachableDuration is how long the path to a server counts as possibly
 	// unreachable after a failed dial.
 	unreachableDuration = 4 * time.Second
--- a/edge/lifecycle_test.go
+++ b/edge/lifecycle_test.go
@@ -303,3 +303,16 @@
 	s.ready(s.daemon(set))
 	s.g.Consistently(func() int { return s.store.Changes("usher-hosts") }, "300ms").Should(Equal(1))
 }
+
+// Guards against requests that are refused just after a start although the first content
+// arrives within a second, as after a restart of all hosts.
+func TestRequestsWaitForTheFirstContent(t *testing.T) {
+	s := newSite(t)
+	s.configure(5*time.Second, "")
+	s.server("i-1", service)
+	s.store.SetFault(consortium.Reset)
+	d := s.daemon(s.settings("h1"))
+	restored := time.AfterFunc(800*time.Millisecond, func() { s.store.SetFault(consortium.Healthy) })
+	defer restored.Stop()
+	s.g.Expect(s.read(d, "r").status).To(Equal(http.StatusOK))
+}
