--- a/core/fetch/fetch.go
+++ b/core/fetch/fetch.go
@@ -86,10 +86,6 @@
 	// staleStagger is the delay for each rank. It lets the first daemon pass its result
 	// on before the next one calls the store.
 	staleStagger = 40 * time.Millisecond
-	// refreshPatience is how long beyond staleAfter a daemon with content relies on another
-	// that is receiving content. Changes of servers have to be in force on all hosts
-	// within 3 s, also if the one that was receiving them is lost.
-	refreshPatience = time.Second
 	// staleStaggerMax bounds the delay of any one daemon.
 	staleStaggerMax = 400 * time.Millisecond
 )
@@ -107,7 +103,7 @@
 // MayRefresh reports whether a daemon other than the relay calls the store, given the
 // age of its content.
 func MayRefresh(age time.Duration, rank int, peerReading bool) bool {
-	if peerReading && age < staleAfter+refreshPatience {
+	if peerReading && age < staleAfter+peerPatience {
 		return false
 	}
 	return age > staleAfter+min(staleStaggerMax, time.Duration(rank)*staleStagger)
