--- a/review/9/run.sh
+++ b/review/8/run.sh
@@ -5,4 +5,4 @@
   echo "build with the build line of deploy/system.toml and review/build-2.sh first" >&2
   exit 2
 fi
-exec target/stand-2 foreign review/9/record.txt
+exec target/stand-2 limits review/8/record.txt
