--- a/review/stand-2/client.go
+++ b/review/stand-2/client.go
@@ -13,7 +13,11 @@
 	"time"
 )
 
-const apiHost = "api.example"
+const (
+	apiHost = "api.example"
+	// maxRecorded bounds the bodies that are recorded.
+	maxRecorded = 200
+)
 
 // sent is a request of a client and what became of it.
 type sent struct {
@@ -102,6 +106,10 @@
 		c.clients.record.add("client gets no answer to %s: %v", s.id, err)
 		return
 	}
+	if len(s.text) > maxRecorded {
+		c.clients.record.add("client gets %d for %s: %d bytes", s.status, s.id, len(s.text))
+		return
+	}
 	c.clients.record.add("client gets %d for %s: %s", s.status, s.id, strings.TrimSpace(s.text))
 }
 
--- a/review/stand-2/endpoint.go
+++ b/review/stand-2/endpoint.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -34,7 +35,10 @@
 	slots             int
 	work              func(id string) time.Duration
 	// fail reports whether a request fails with 500 after it ran.
-	fail     func(id string) bool
+	fail func(id string) bool
+	// long returns the size of a long answer and how much of it is sent before the endpoint
+	// breaks off; nil: answers are short.
+	long     func() (size, sent int)
 	listener net.Listener
 	record   *record
 
@@ -168,9 +172,22 @@
 		return write(c, 500, a.id, wire.Signature+": "+stamp(e.id, a.id)+"\r\n", "failed\n")
 	}
 	e.record.add("%s %s ends %s: 200", e.service, e.id, a.id)
+	if e.long != nil {
+		return e.writeLong(c, a.id)
+	}
 	return write(c, 200, a.id, wire.Signature+": "+stamp(e.id, a.id)+"\r\n", answerTo(a.id))
 }
 
+// writeLong writes a long answer, or a part of it. It returns false if it breaks off.
+func (e *endpoint) writeLong(c net.Conn, id string) bool {
+	size, sent := e.long()
+	if sent < size {
+		e.record.add("%s %s breaks off its answer to %s after %d of %d bytes", e.service, e.id, id, sent, size)
+	}
+	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", wire.RequestID, id, wire.Signature, stamp(e.id, id), size, strings.Repeat("x", sent))
+	return err == nil && sent == size
+}
+
 func stamp(endpoint, id string) string { return endpoint + "." + id }
 
 // answerTo returns the body of the answer to a request.
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -29,7 +29,7 @@
 // scenario plays a case with files in dir; disrupted: with its disruption.
 type scenario func(rec *record, dir string, disrupted bool) error
 
-var scenarios = map[string]scenario{"foreign": playForeign, "limits": playLimits, "stop": playStop}
+var scenarios = map[string]scenario{"foreign": playForeign, "limits": playLimits, "long": playLong, "stop": playStop}
 
 func main() { os.Exit(run(os.Args[1:])) }
 
