--- a/review/stand-2/limits.go
+++ b/review/stand-2/limits.go
@@ -12,7 +12,6 @@
 	smallBody  = 1200
 	largeBody  = 7200
 	keptConns  = 24
-	applyBound = 2500 * time.Millisecond
 	touchBound = 4 * time.Second
 	// afterAck is when the large requests are sent, after the acknowledgement.
 	afterAck = 4500 * time.Millisecond
--- a/review/stand-2/store.go
+++ b/review/stand-2/store.go
@@ -41,17 +41,15 @@
 }
 
 // store is the platform's store: objects by kind and name, watches, conditional changes.
-// An intercept function may answer a call instead.
 type store struct {
 	address string
 	server  *http.Server
 
-	mu        sync.Mutex
-	objects   map[string]map[string]object
-	history   []change
-	revision  uint64
-	changed   chan struct{}
-	intercept func(w http.ResponseWriter, r *http.Request) bool
+	mu       sync.Mutex
+	objects  map[string]map[string]object
+	history  []change
+	revision uint64
+	changed  chan struct{}
 }
 
 func newStore(address string) (*store, error) {
@@ -65,14 +63,6 @@
 	return s, nil
 }
 
-// setIntercept sets the function that may answer calls; nil: none.
-func (s *store) setIntercept(f func(http.ResponseWriter, *http.Request) bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.intercept = f
-	s.wake()
-}
-
 // put writes an object and returns its revision.
 func (s *store) put(kind, name string, spec, status any) uint64 {
 	s.mu.Lock()
@@ -84,12 +74,6 @@
 	return s.write(kind, o).Metadata.Revision
 }
 
-func (s *store) remove(kind, name string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.delete(kind, name)
-}
-
 func encode(v any) json.RawMessage {
 	data, err := json.Marshal(v)
 	if err != nil {
@@ -132,12 +116,6 @@
 
 // ServeHTTP implements http.Handler.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
-	intercept := s.intercept
-	s.mu.Unlock()
-	if intercept != nil && intercept(w, r) {
-		return
-	}
 	time.Sleep(storeDelay)
 	rest, ok := strings.CutPrefix(r.URL.Path, wire.ObjectsPath)
 	if !ok {
