--- a/review/stand-2/client.go
+++ b/review/stand-2/client.go
@@ -13,11 +13,7 @@
 	"time"
 )
 
-const (
-	apiHost = "api.example"
-	// maxRecorded bounds the bodies that are recorded.
-	maxRecorded = 200
-)
+const apiHost = "api.example"
 
 // sent is a request of a client and what became of it.
 type sent struct {
@@ -106,10 +102,6 @@
 		c.clients.record.add("client gets no answer to %s: %v", s.id, err)
 		return
 	}
-	if len(s.text) > maxRecorded {
-		c.clients.record.add("client gets %d for %s: %d bytes", s.status, s.id, len(s.text))
-		return
-	}
 	c.clients.record.add("client gets %d for %s: %s", s.status, s.id, strings.TrimSpace(s.text))
 }
 
--- a/review/stand-2/endpoint.go
+++ b/review/stand-2/endpoint.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"os"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 )
@@ -34,11 +33,8 @@
 	born              int64
 	slots             int
 	work              func(id string) time.Duration
-	// long returns the size of a long answer and how much of it is sent before the endpoint
-	// breaks off; nil: answers are short.
-	long     func() (size, sent int)
-	listener net.Listener
-	record   *record
+	listener          net.Listener
+	record            *record
 
 	slot  chan struct{}
 	queue chan struct{}
@@ -167,22 +163,9 @@
 		return write(c, 504, a.id, wire.Signature+": "+stamp(e.id, a.id)+"\r\n", "late\n")
 	}
 	e.record.add("%s %s ends %s: 200", e.service, e.id, a.id)
-	if e.long != nil {
-		return e.writeLong(c, a.id)
-	}
 	return write(c, 200, a.id, wire.Signature+": "+stamp(e.id, a.id)+"\r\n", answerTo(a.id))
 }
 
-// writeLong writes a long answer, or a part of it. It returns false if it breaks off.
-func (e *endpoint) writeLong(c net.Conn, id string) bool {
-	size, sent := e.long()
-	if sent < size {
-		e.record.add("%s %s breaks off its answer to %s after %d of %d bytes", e.service, e.id, id, sent, size)
-	}
-	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", wire.RequestID, id, wire.Signature, stamp(e.id, id), size, strings.Repeat("x", sent))
-	return err == nil && sent == size
-}
-
 func stamp(endpoint, id string) string { return endpoint + "." + id }
 
 // answerTo returns the body of the answer to a request.
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -17,6 +17,12 @@
 	exitNotRun = 2
 )
 
+// Whether a case is played with its disruption.
+const (
+	withTrouble    = "trouble"
+	withoutTrouble = "calm"
+)
+
 // maxRunTime bounds a case.
 const maxRunTime = 100 * time.Second
 
@@ -29,16 +35,16 @@
 // scenario plays a case with files in dir; disrupted: with its disruption.
 type scenario func(rec *record, dir string, disrupted bool) error
 
-var scenarios = map[string]scenario{"foreign": playForeign, "limits": playLimits, "long": playLong, "stop": playStop}
+var scenarios = map[string]scenario{"foreign": playForeign, "limits": playLimits, "stop": playStop}
 
 func main() { os.Exit(run(os.Args[1:])) }
 
 func run(args []string) int {
-	if len(args) != 2 || scenarios[args[0]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: stand-2 CASE RECORD")
+	if len(args) != 3 || scenarios[args[0]] == nil || (args[1] != withTrouble && args[1] != withoutTrouble) {
+		fmt.Fprintln(os.Stderr, "usage: stand-2 CASE trouble|calm RECORD")
 		return exitNotRun
 	}
-	rec, err := newRecord(args[1])
+	rec, err := newRecord(args[2])
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
@@ -50,7 +56,7 @@
 		return exitNotRun
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
-	err = play(scenarios[args[0]], rec, dir)
+	err = play(scenarios[args[0]], rec, dir, args[1] == withTrouble)
 	switch {
 	case errors.Is(err, errBroken):
 		rec.add("%v", err)
@@ -67,10 +73,10 @@
 }
 
 // play runs a scenario, which ends its processes, for at most maxRunTime.
-func play(s scenario, rec *record, dir string) error {
+func play(s scenario, rec *record, dir string, disrupted bool) error {
 	defer killAll()
 	result := make(chan error, 1)
-	go func() { result <- s(rec, dir, os.Getenv("TROUBLE") != "0") }()
+	go func() { result <- s(rec, dir, disrupted) }()
 	select {
 	case err := <-result:
 		return err
--- a/review/stand-2/stop.go
+++ b/review/stand-2/stop.go
@@ -12,7 +12,7 @@
 // Values of the case of a planned stop during slow uploads.
 const (
 	slowUploads = 4
-	slowBody    = 48 << 10
+	slowBody    = 7200
 	bodyParts   = 24
 	// uploadBegins and uploadEnds are the times after SIGTERM at which a client begins to
 	// send its payment and has sent its last byte.
