Refuse responses that a reset cut off while the request was being written

Callers saw a part of a server's response as a complete 200: the server answered a long upload at once, without a length, and reset the connection while the upload was being written.

Cause: the kernel reports a reset once. If the write in progress gets the report, the next read returns a plain end of file, which ends a response without a length. net/http closes the connection for the error of the write, but a reader may be faster. succeededEarly does not see it, because the last part of the body has left its reader.

Change: internal/stricthttp wraps the connections that responses are read from. At an end of file it looks for the error of a write, waits for a write that the reset has ended, and returns that error. An end in order stays one, also if the peer did not read the request or reset the connection after it (EPIPE). Used for servers (usher-edge, usherd), other daemons, both stores, the admin endpoints, usherctl and usher-load.

Tests: standin/earlyreset enforces the order on real sockets: small buffers, the last part of the body in a blocked write, and a read that waits until the kernel has given the reset to the write.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -12,6 +12,7 @@
 	"connectrpc.com/connect"
 
 	"github.com/agateusher/agateusher/gen/agateusher/v1/agateusherv1connect"
+	"github.com/agateusher/agateusher/internal/stricthttp"
 	"github.com/agateusher/agateusher/settings"
 )
 
@@ -154,7 +155,7 @@
 	if file.API == "" {
 		return nil, &UsageError{Problem: "no API address: set --api, USHERCTL_API or the key api of the settings file"}
 	}
-	client := &http.Client{Transport: bearerTransport{token: file.Token, next: http.DefaultTransport}}
+	client := &http.Client{Transport: bearerTransport{token: file.Token, next: stricthttp.NewTransport(http.DefaultTransport.(*http.Transport).Clone())}}
 	limit := connect.WithReadMaxBytes(maxResponseBytes)
 	return &session{
 		Streams: streams,
--- a/edge/exchange_internal_test.go
+++ b/edge/exchange_internal_test.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -13,6 +15,7 @@
 
 	"github.com/agateusher/agateusher/core/balance"
 	"github.com/agateusher/agateusher/core/model"
+	"github.com/agateusher/agateusher/standin/earlyreset"
 	"github.com/agateusher/agateusher/telemetry"
 )
 
@@ -48,10 +51,7 @@
 		_, _ = io.WriteString(c, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: other\r\n\r\n")
 		_, _ = io.Copy(io.Discard, c)
 	}()
-	conns := newServerConns(64, telemetry.NewCounterVec(telemetry.NewMetrics("test").Scope, "connections", "use", ""))
-	x := newExchanger(acceptingHeaders{}, minResponseBufferBytes, conns)
-	x.mayReceive = func(balance.ServerKey) bool { return true }
-	x.observeSignals = func(balance.Server, bool, time.Duration) {}
+	x := newTestExchanger()
 	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 	defer cancel()
 	q := &request{id: "a", method: "GET", target: "/", reserved: newBodyMemory(1 << 20).newReservation()}
@@ -59,5 +59,48 @@
 	g.Expect(err).To(HaveOccurred())
 	g.Expect(verdict).To(Equal(InvalidResponse))
 	g.Expect(ctx.Err()).NotTo(HaveOccurred(), "the connection was read until the deadline")
-	g.Expect(conns.count()).To(BeZero())
+	g.Expect(x.conns.count()).To(BeZero())
+}
+
+// newTestExchanger returns an exchanger that accepts all responses.
+func newTestExchanger() *exchanger {
+	conns := newServerConns(64, telemetry.NewCounterVec(telemetry.NewMetrics("test").Scope, "connections", "use", ""))
+	x := newExchanger(acceptingHeaders{}, minResponseBufferBytes, conns)
+	x.mayReceive = func(balance.ServerKey) bool { return true }
+	x.observeSignals = func(balance.Server, bool, time.Duration) {}
+	return x
+}
+
+// Guards against a part of a response without a length that is passed on as the whole one,
+// because the reset after it was reported to the write of the request's last part. The
+// response is buffered, or streamed, and that of a success or of a failure.
+func TestResetDuringUploadIsNoEnd(t *testing.T) {
+	for name, response := range map[string]string{
+		"buffered":         "HTTP/1.1 200 OK\r\n\r\na part",
+		"buffered failure": "HTTP/1.1 500 Internal Server Error\r\n\r\na part",
+		"streamed":         "HTTP/1.1 200 OK\r\n\r\n" + strings.Repeat("a part", minResponseBufferBytes),
+	} {
+		for _, crossRegion := range []bool{false, true} {
+			t.Run(fmt.Sprint(name, ", other region: ", crossRegion), func(t *testing.T) {
+				g := NewWithT(t)
+				server, err := earlyreset.NewServer(response)
+				g.Expect(err).NotTo(HaveOccurred())
+				defer server.Close()
+				x := newTestExchanger()
+				x.conns.sameRegion, x.conns.crossRegion = newTransport(server.Dial), newTransport(server.Dial)
+				reserved := newBodyMemory(64 << 20).newReservation()
+				q := &request{id: "a", method: "POST", target: "/", reserved: reserved, body: make([]byte, earlyreset.BodyBytes)}
+				verdict, resp, err := x.exchange(t.Context(), q, balance.Server{Address: server.Address()}, crossRegion, newConnection, time.Second, func() {})
+				if resp != nil && resp.rest != nil {
+					resp.rest.failed = func(error) {}
+					_, err = io.Copy(io.Discard, resp.rest)
+					resp.close()
+				} else {
+					g.Expect(verdict).To(Equal(ConnectionLost))
+				}
+				g.Expect(err).To(HaveOccurred(), "a part was taken for the whole body")
+				g.Expect(server.Hits()).To(Equal(1), "the moment was not reached: %v", err)
+			})
+		}
+	}
 }
--- a/edge/pull.go
+++ b/edge/pull.go
@@ -14,6 +14,7 @@
 
 	"github.com/agateusher/agateusher/catalog"
 	"github.com/agateusher/agateusher/gossip"
+	"github.com/agateusher/agateusher/internal/stricthttp"
 	"github.com/agateusher/agateusher/kernel"
 	"github.com/agateusher/agateusher/telemetry"
 	"github.com/agateusher/agateusher/transfer"
@@ -47,7 +48,7 @@
 	return &puller{
 		node: n, queue: kernel.NewRing[string]("pulls", pullQueueSize, kernel.DropNewest),
 		results: telemetry.NewCounterVec(n.metrics.Scope, "pulls", "result", ""),
-		client:  &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: crossRegionDialTimeout}).DialContext, DisableKeepAlives: true}},
+		client:  &http.Client{Transport: stricthttp.NewTransport(&http.Transport{DialContext: (&net.Dialer{Timeout: crossRegionDialTimeout}).DialContext, DisableKeepAlives: true})},
 	}
 }
 
--- a/edge/serverconns.go
+++ b/edge/serverconns.go
@@ -6,12 +6,14 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
 
 	"github.com/agateusher/agateusher/core/balance"
 	"github.com/agateusher/agateusher/core/reuse"
+	"github.com/agateusher/agateusher/internal/stricthttp"
 	"github.com/agateusher/agateusher/telemetry"
 )
 
@@ -66,16 +68,20 @@
 func newServerConns(memoryMiB int, uses *telemetry.CounterVec) *serverConns {
 	limit := min(max(int(idleConnsPerMiB*float64(memoryMiB)), minIdleConns), maxIdleConns)
 	return &serverConns{
-		sameRegion: newTransport(sameRegionDialTimeout), crossRegion: newTransport(crossRegionDialTimeout), uses: uses,
+		sameRegion: newTransport(newDialer(sameRegionDialTimeout)), crossRegion: newTransport(newDialer(crossRegionDialTimeout)), uses: uses,
 		pool: reuse.NewPool[balance.ServerKey, *serverConn](limit, maxIdlePerServer),
 	}
 }
 
-func newTransport(dialTimeout time.Duration) *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+func newDialer(timeout time.Duration) stricthttp.DialFunc {
+	return (&net.Dialer{Timeout: timeout, KeepAlive: -1}).DialContext
+}
+
+func newTransport(dial stricthttp.DialFunc) *http.Transport {
+	dial = stricthttp.DetectResets(dial)
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			c, err := dialer.DialContext(ctx, network, address)
+			c, err := dial(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
@@ -118,6 +124,15 @@
 	return n, err
 }
 
+// control calls f with the file descriptor, if the connection has one and is open.
+func (c *watchedConn) control(f func(fd int)) {
+	if s, ok := c.Conn.(syscall.Conn); ok {
+		if raw, err := s.SyscallConn(); err == nil {
+			_ = raw.Control(func(fd uintptr) { f(int(fd)) })
+		}
+	}
+}
+
 // idleState is what is known of a connection that should be idle.
 type idleState uint8
 
@@ -132,20 +147,16 @@
 func (c *watchedConn) state(receivedBefore int64) idleState {
 	before := c.reads.Load()
 	state := idleClosed
-	if raw, ok := c.Conn.(*net.TCPConn); ok {
-		if sys, err := raw.SyscallConn(); err == nil {
-			_ = sys.Control(func(fd uintptr) {
-				var b [1]byte
-				n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-				switch {
-				case n > 0:
-					state = idleBytes
-				case err == unix.EAGAIN:
-					state = idleClean
-				}
-			})
+	c.control(func(fd int) {
+		var b [1]byte
+		n, _, err := unix.Recvfrom(fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		switch {
+		case n > 0:
+			state = idleBytes
+		case err == unix.EAGAIN:
+			state = idleClean
 		}
-	}
+	})
 	switch {
 	case state == idleBytes || c.received.Load() != receivedBefore:
 		return idleBytes
@@ -158,29 +169,21 @@
 // silence returns the time since the kernel received the last bytes. A process that was
 // frozen meanwhile has read them later.
 func (c *watchedConn) silence() (since time.Duration) {
-	if raw, ok := c.Conn.(*net.TCPConn); ok {
-		if sys, err := raw.SyscallConn(); err == nil {
-			_ = sys.Control(func(fd uintptr) {
-				if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
-					since = time.Duration(info.Last_data_recv) * time.Millisecond
-				}
-			})
+	c.control(func(fd int) {
+		if info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			since = time.Duration(info.Last_data_recv) * time.Millisecond
 		}
-	}
+	})
 	return since
 }
 
 // setSilentLimit sets after how long without an acknowledgement the kernel breaks the
 // connection; zero: its default.
 func (c *watchedConn) setSilentLimit(d time.Duration) {
-	if raw, ok := c.Conn.(*net.TCPConn); ok {
-		if sys, err := raw.SyscallConn(); err == nil {
-			// Without the option, the path's silence is noticed by the hedge and the deadline.
-			_ = sys.Control(func(fd uintptr) {
-				_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
-			})
-		}
-	}
+	c.control(func(fd int) {
+		// Without the option, the path's silence is noticed by the hedge and the deadline.
+		_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
+	})
 }
 
 // serverConn is a connection to a backend server.
--- a/edge/upload_test.go
+++ b/edge/upload_test.go
@@ -110,6 +110,20 @@
 	}
 }
 
+// Guards against a part of a response that reaches the caller as a whole one, because its
+// server reset the connection while the upload was being written. The sizes have their last
+// part in each place between this daemon and the server.
+func TestUploadsAndEarlyResets(t *testing.T) {
+	s, server := uploadSite(t)
+	server.SetBehaviour(always(consortium.ResetEarly))
+	d := s.ready(s.daemon(s.settings("h1")))
+	for size := 64 << 10; size < 7<<20; size += 28 << 10 {
+		id := fmt.Sprint("up-", size)
+		resp := s.do(d, request("POST", "/up/x", id, uploadBody(id, size), ""))
+		s.g.Expect(resp.status).To(Equal(http.StatusBadGateway), "%d bytes: %q", size, resp.body)
+	}
+}
+
 // Guards against an upload that is forwarded although its caller left midway.
 func TestCutUploadsAreNotForwarded(t *testing.T) {
 	s, server := uploadSite(t)
--- a/fleet/conn.go
+++ b/fleet/conn.go
@@ -7,6 +7,8 @@
 	"net/http/httptrace"
 	"sync/atomic"
 	"time"
+
+	"github.com/agateusher/agateusher/internal/stricthttp"
 )
 
 // countingConn counts the bytes written to it, which shows whether a failed
@@ -37,10 +39,14 @@
 // WatchSend. It does not decompress responses and ignores proxies configured in
 // the environment.
 func NewTransport(o TransportOptions) *http.Transport {
-	dialer := &net.Dialer{Timeout: o.DialTimeout}
+	return newTransport(o, (&net.Dialer{Timeout: o.DialTimeout}).DialContext)
+}
+
+func newTransport(o TransportOptions, dial stricthttp.DialFunc) *http.Transport {
+	dial = stricthttp.DetectResets(dial)
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			c, err := dialer.DialContext(ctx, network, address)
+			c, err := dial(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
--- a/loadgen/client.go
+++ b/loadgen/client.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/agateusher/agateusher/core/model"
+	"github.com/agateusher/agateusher/internal/stricthttp"
 	"github.com/agateusher/agateusher/standin/backend"
 )
 
@@ -40,11 +41,11 @@
 }
 
 func newCaller(c Config) *caller {
-	transport := &http.Transport{
+	transport := stricthttp.NewTransport(&http.Transport{
 		MaxIdleConnsPerHost: 1024,
 		IdleConnTimeout:     30 * time.Second,
 		DisableCompression:  true,
-	}
+	})
 	client := &http.Client{Transport: transport, CheckRedirect: func(*http.Request, []*http.Request) error {
 		return http.ErrUseLastResponse
 	}}
--- a/objectapi/client.go
+++ b/objectapi/client.go
@@ -13,6 +13,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/agateusher/agateusher/internal/stricthttp"
 )
 
 const (
@@ -77,19 +79,19 @@
 	}
 	transport := o.Transport
 	if transport == nil {
-		transport = newTransport()
+		transport = newTransport((&net.Dialer{Timeout: dialTimeout}).DialContext)
 	}
 	c.http = &http.Client{Transport: transport, CheckRedirect: noRedirect}
 	return c, nil
 }
 
-func newTransport() *http.Transport {
-	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+func newTransport(dial stricthttp.DialFunc) *http.Transport {
+	return stricthttp.NewTransport(&http.Transport{
+		DialContext:         dial,
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
-	}
+	})
 }
 
 func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
--- a/operator/adminfleet.go
+++ b/operator/adminfleet.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/agateusher/agateusher/adminapi"
+	"github.com/agateusher/agateusher/internal/stricthttp"
 )
 
 const (
@@ -44,7 +45,7 @@
 	if timeout == 0 {
 		timeout = DefaultAdminTimeout
 	}
-	transport := &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}
+	transport := stricthttp.NewTransport(&http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute})
 	return &AdminFleet{hosts: hosts, client: &http.Client{Transport: transport}, timeout: timeout}
 }
 
--- a/standin/consortium/server.go
+++ b/standin/consortium/server.go
@@ -84,6 +84,9 @@
 	AnswerEarly
 	// SucceedEarly answers 200 before reading the body, and does not read it.
 	SucceedEarly
+	// ResetEarly answers 200 without a length before reading the body, sends a part of
+	// its answer and resets the connection.
+	ResetEarly
 	// ReadSlowly reads the body at 0.8 MB a second at most, and then behaves like
 	// Answer.
 	ReadSlowly
@@ -309,6 +312,11 @@
 		time.Sleep(slowReadPause)
 		return false
 	}
+	if b == ResetEarly {
+		s.respond(c, received, b)
+		time.Sleep(slowReadPause)
+		return false
+	}
 	if b != AnswerEarly {
 		input := io.Reader(req.Body)
 		if b == ReadSlowly {
@@ -426,6 +434,12 @@
 	case AnswerAndClose:
 		write(c, "HTTP/1.1 200 OK\r\nConnection: close\r\n"+idHeader+signatureHeader+lengthHeader+"\r\n"+body)
 		return false
+	case ResetEarly:
+		write(c, "HTTP/1.1 200 OK\r\n"+idHeader+signatureHeader+"\r\n"+body[:len(body)/2])
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		return false
 	case AnswerEarly:
 		return write(c, "HTTP/1.1 413 Content Too Large\r\n"+idHeader+signatureHeader+"Content-Length: 0\r\n\r\n")
 	}
