Refuse responses whose status is not that of a final response

On other systems a server in trouble sent an answer with status 000 and callers got it.

Here usher-edge refused 000, 099 and 101 already (every status below 200), but passed 600 to 999 on as failures of the server. usherd passed on all of them: for 000 net/http panics when the status is written to the caller, and 101 went out as a response.

Cause: net/http accepts three digits of any value, and only usher-edge looked at them.

Change: stricthttp.CheckHead refuses a final response outside 200 to 599. usher-edge and stricthttp.Transport, which all other clients use, call it; the transport closes the connection, since the bytes after the head may be the body of the refused response. A daemon also refuses such a status in a forwarded response of another daemon. An attempt with such a response counts as one that may have run.

--- a/edge/exchange.go
+++ b/edge/exchange.go
@@ -14,6 +14,7 @@
 	"github.com/agateusher/agateusher/core/balance"
 	"github.com/agateusher/agateusher/core/model"
 	"github.com/agateusher/agateusher/fleet"
+	"github.com/agateusher/agateusher/internal/stricthttp"
 )
 
 const (
@@ -70,10 +71,6 @@
 // errWithheld is returned for an attempt that was given up before anything was sent.
 var errWithheld = errors.New("the server wants no requests")
 
-// errProtocolSwitched is returned for a response 101. Nobody asks servers to switch, and
-// net/http does not end a read from the connection when the attempt is cancelled.
-var errProtocolSwitched = errors.New("the server switched protocols")
-
 // errTargetNotPath is returned for a request target that does not start with "/".
 var errTargetNotPath = errors.New("request target is not a path")
 
@@ -90,9 +87,9 @@
 		return verdict, nil, err
 	}
 	progress()
-	if resp.StatusCode < http.StatusOK {
+	if err := stricthttp.CheckHead(resp); err != nil {
 		_ = conn.Close()
-		return InvalidResponse, nil, errProtocolSwitched
+		return InvalidResponse, nil, err
 	}
 	verdict = x.headers.Classify(resp, q.id)
 	if verdict == Usable && succeededEarly(resp) {
--- a/fleet/codec.go
+++ b/fleet/codec.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/agateusher/agateusher/core/model"
+	"github.com/agateusher/agateusher/internal/stricthttp"
 )
 
 var (
@@ -122,7 +123,7 @@
 	h := r.Header
 	outcome, ok := model.ParseOutcome(h.Get(HeaderOutcome))
 	status, err := strconv.Atoi(h.Get(headerStatus))
-	if !ok || err != nil {
+	if !ok || err != nil || (outcome == model.Answered && !stricthttp.IsFinal(status)) {
 		return Response{}, fmt.Errorf("%w: response with status %d has no valid outcome or backend status", ErrMalformed, r.StatusCode)
 	}
 	body, err := ReadBody(r.Body, r.ContentLength, maxBody)
--- a/fleet/conn.go
+++ b/fleet/conn.go
@@ -38,13 +38,13 @@
 // NewTransport returns an HTTP transport whose exchanges can be tracked with
 // WatchSend. It does not decompress responses and ignores proxies configured in
 // the environment.
-func NewTransport(o TransportOptions) *http.Transport {
+func NewTransport(o TransportOptions) *stricthttp.Transport {
 	return newTransport(o, (&net.Dialer{Timeout: o.DialTimeout}).DialContext)
 }
 
-func newTransport(o TransportOptions, dial stricthttp.DialFunc) *http.Transport {
+func newTransport(o TransportOptions, dial stricthttp.DialFunc) *stricthttp.Transport {
 	dial = stricthttp.DetectResets(dial)
-	return &http.Transport{
+	return &stricthttp.Transport{Transport: &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			c, err := dial(ctx, network, address)
 			if err != nil {
@@ -56,7 +56,7 @@
 		MaxConnsPerHost:     o.MaxConnsPerHost,
 		MaxIdleConnsPerHost: o.MaxIdlePerHost,
 		DisableCompression:  true,
-	}
+	}}
 }
 
 // SendWatch records whether any byte of one exchange may have left this process.
--- a/internal/proof/random/fleet_test.go
+++ b/internal/proof/random/fleet_test.go
@@ -22,6 +22,7 @@
 	"github.com/agateusher/agateusher/core/snapshot"
 	"github.com/agateusher/agateusher/entry"
 	"github.com/agateusher/agateusher/fleet"
+	"github.com/agateusher/agateusher/internal/stricthttp"
 	"github.com/agateusher/agateusher/kernel"
 	"github.com/agateusher/agateusher/modules/detector"
 	"github.com/agateusher/agateusher/owner"
@@ -72,7 +73,7 @@
 type process struct {
 	owner        *owner.Owner
 	entry        *entry.Entry
-	transports   []*http.Transport
+	transports   []*stricthttp.Transport
 	callerServer *http.Server
 	fleetServer  *http.Server
 	address      string // of the fleet listener
@@ -199,7 +200,7 @@
 	h.fleet.members.set(h.id, true)
 }
 
-func (p *process) newTransport() *http.Transport {
+func (p *process) newTransport() *stricthttp.Transport {
 	t := fleet.NewTransport(fleet.TransportOptions{DialTimeout: dialTimeout, IdleTimeout: 5 * time.Second, MaxIdlePerHost: 64})
 	p.transports = append(p.transports, t)
 	return t
--- /dev/null
+++ b/internal/stricthttp/head.go
@@ -0,0 +1,61 @@
+package stricthttp
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+)
+
+// HeadError reports a response whose head is not valid.
+type HeadError struct {
+	// Problem is what is wrong, for logs.
+	Problem string
+}
+
+// Error implements error.
+func (e *HeadError) Error() string { return "invalid response head: " + e.Problem }
+
+// CheckHead returns a *HeadError if the head of a final response is not valid and net/http
+// accepts it: a status that is none or not final, such as 000 and 999. A switch of protocols
+// counts as well, as no client here asks for one; net/http does not end a read of its body
+// when the request is cancelled.
+func CheckHead(resp *http.Response) error {
+	if !IsFinal(resp.StatusCode) {
+		return &HeadError{Problem: fmt.Sprintf("status %03d", resp.StatusCode)}
+	}
+	return nil
+}
+
+// IsFinal reports whether a status is that of a final response.
+func IsFinal(status int) bool { return status >= http.StatusOK && status <= 599 }
+
+// Transport is an http.Transport that detects resets and checks the heads of responses.
+type Transport struct{ *http.Transport }
+
+// NewTransport returns a Transport that uses t, which it changes.
+func NewTransport(t *http.Transport) *Transport {
+	dial := DialFunc(t.DialContext)
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	t.DialContext = DetectResets(dial)
+	return &Transport{t}
+}
+
+// RoundTrip implements http.RoundTripper. The connection of a response that is refused is
+// closed, since the bytes after the head may be the body of this response.
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	var conn net.Conn
+	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { conn = i.Conn }})
+	resp, err := t.Transport.RoundTrip(r.WithContext(ctx))
+	if err != nil {
+		return nil, err
+	}
+	if err := CheckHead(resp); err != nil {
+		_ = conn.Close()
+		_ = resp.Body.Close()
+		return nil, err
+	}
+	return resp, nil
+}
--- a/internal/stricthttp/reset.go
+++ b/internal/stricthttp/reset.go
@@ -7,7 +7,6 @@
 	"errors"
 	"io"
 	"net"
-	"net/http"
 	"sync"
 	"syscall"
 
@@ -30,16 +29,6 @@
 	}
 }
 
-// NewTransport changes a transport to use DetectResets and returns it.
-func NewTransport(t *http.Transport) *http.Transport {
-	dial := DialFunc(t.DialContext)
-	if dial == nil {
-		dial = (&net.Dialer{}).DialContext
-	}
-	t.DialContext = DetectResets(dial)
-	return t
-}
-
 type conn struct {
 	net.Conn
 	// writing is held during a write, and protects writeErr, the first error of one.
--- a/objectapi/client.go
+++ b/objectapi/client.go
@@ -85,7 +85,7 @@
 	return c, nil
 }
 
-func newTransport(dial stricthttp.DialFunc) *http.Transport {
+func newTransport(dial stricthttp.DialFunc) *stricthttp.Transport {
 	return stricthttp.NewTransport(&http.Transport{
 		DialContext:         dial,
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
--- a/owner/backend_client_test.go
+++ b/owner/backend_client_test.go
@@ -169,3 +169,40 @@
 		server.Close()
 	}
 }
+
+// checkBroken sends a request to a server that answers with the given bytes and expects an
+// attempt that may have run, without a response.
+func checkBroken(t *testing.T, response string) {
+	g := NewWithT(t)
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = listener.Close() }()
+	go func() {
+		c, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			_, _ = io.WriteString(c, response)
+		}
+	}()
+	x := &httpBackendClient{
+		transport: fleet.NewTransport(fleet.TransportOptions{DialTimeout: time.Second}), maxResponseBytes: 100,
+		tracing: &telemetry.Tracing{Propagator: propagation.TraceContext{}, Tracer: noop.NewTracerProvider().Tracer("test")},
+	}
+	q := &fleet.Request{ID: "mine", Method: http.MethodPost, Target: "/"}
+	end := x.send(t.Context(), listener.Addr().String(), &backendConfig{}, q, time.Now().Add(time.Second))
+	g.Expect(end.result.Kind).To(Equal(pool.FailedAfterSend))
+	g.Expect(end.response).To(BeNil())
+}
+
+// Guards against a status that is none, or not that of a final response, and that is passed
+// on: writing 000 to the caller panics.
+func TestInvalidStatus(t *testing.T) {
+	for _, status := range []string{"000", "099", "101", "600", "999"} {
+		t.Run(status, func(t *testing.T) {
+			checkBroken(t, "HTTP/1.1 "+status+" Status\r\n"+fleet.HeaderRequestID+": mine\r\nContent-Length: 4\r\n\r\nbody")
+		})
+	}
+}
--- a/standin/consortium/server.go
+++ b/standin/consortium/server.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -87,6 +88,8 @@
 	// ResetEarly answers 200 without a length before reading the body, sends a part of
 	// its answer and resets the connection.
 	ResetEarly
+	// Custom runs the request and answers with the bytes that SetCustom set.
+	Custom
 	// ReadSlowly reads the body at 0.8 MB a second at most, and then behaves like
 	// Answer.
 	ReadSlowly
@@ -127,6 +130,7 @@
 	leaving     bool
 	retryAfter  string
 	keepAlive   string
+	custom      string
 	idleDrop    time.Duration
 	accepted    int
 	requests    []*ReceivedRequest
@@ -187,6 +191,9 @@
 // SetKeepAlive sets the value of the Keep-Alive header of the answers; empty: no header.
 func (s *Server) SetKeepAlive(value string) { s.update(func() { s.keepAlive = value }) }
 
+// SetCustom sets what Custom sends. In text, ID stands for the request's identifier.
+func (s *Server) SetCustom(text string) { s.update(func() { s.custom = text }) }
+
 // SetIdleDrop makes the server reset each connection on which something arrives after it
 // was idle for a time; zero: never.
 func (s *Server) SetIdleDrop(d time.Duration) { s.update(func() { s.idleDrop = d }) }
@@ -440,6 +447,10 @@
 			_ = tcp.SetLinger(0)
 		}
 		return false
+	case Custom:
+		var text string
+		s.update(func() { text = s.custom })
+		return write(c, strings.ReplaceAll(text, "ID", received.ID))
 	case AnswerEarly:
 		return write(c, "HTTP/1.1 413 Content Too Large\r\n"+idHeader+signatureHeader+"Content-Length: 0\r\n\r\n")
 	}
