Refuse responses with a field name that is none

On other systems a server in trouble sent a head with a blank or a control byte in the name of a field, and callers got it as an answer, with that line or with a body that was not the server's.

Here names with control bytes, a tab inside, or none at all were refused already. Names with a blank were not: net/http accepts them under another name than they have without the blank. So "Content-Length : 4" set no length and "Transfer-Encoding : chunked" no coding, and "Odd Name: x" was passed on. A line that begins with a blank was appended to the value before it, such as the signature. A refusal with such a head was believed, and its request sent again.

Change: stricthttp.CheckHead refuses names that are no tokens (httpguts, which net/http uses itself). Lines that begin with a blank are gone after parsing, so the connections of stricthttp look for them as the bytes of a head arrive, in interim responses too.

TestSoundHeads checks what must still pass.

--- a/edge/broken_test.go
+++ b/edge/broken_test.go
@@ -49,3 +49,22 @@
 		})
 	}
 }
+
+// Guards against a field name with a blank or a control byte: its line, or a body that has
+// another end than its server meant, reaches the caller.
+func TestInvalidFieldNames(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nAgateusher-Request-Id: ID\r\nAgateusher-Response-Signature: x\r\n"
+	for name, lines := range map[string]string{
+		"length":       "Content-Length : 4\r\n",
+		"coding":       "Transfer-Encoding : chunked\r\nContent-Length: 4\r\n",
+		"blank":        "Odd Name: x\r\nContent-Length: 4\r\n",
+		"folded":       " Odd-Name: x\r\nContent-Length: 4\r\n",
+		"tab":          "Odd\tName: x\r\nContent-Length: 4\r\n",
+		"control byte": "Odd\x01Name: x\r\nContent-Length: 4\r\n",
+		"zero byte":    "Odd-Name\x00: x\r\nContent-Length: 4\r\n",
+		"refusal":      "Agateusher-Not-Executed : 1\r\nContent-Length: 4\r\n",
+		"no execution": "Agateusher-Not-Executed: 1\r\nOdd Name: x\r\nContent-Length: 4\r\n",
+	} {
+		t.Run(name, func(t *testing.T) { checkBroken(t, head+lines+"\r\nbody") })
+	}
+}
--- a/edge/exchange.go
+++ b/edge/exchange.go
@@ -87,7 +87,7 @@
 		return verdict, nil, err
 	}
 	progress()
-	if err := stricthttp.CheckHead(resp); err != nil {
+	if err := stricthttp.CheckHead(resp, conn.socket); err != nil {
 		_ = conn.Close()
 		return InvalidResponse, nil, err
 	}
--- a/edge/serverconns.go
+++ b/edge/serverconns.go
@@ -124,6 +124,9 @@
 	return n, err
 }
 
+// NetConn returns the connection that c wraps.
+func (c *watchedConn) NetConn() net.Conn { return c.Conn }
+
 // control calls f with the file descriptor, if the connection has one and is open.
 func (c *watchedConn) control(f func(fd int)) {
 	if s, ok := c.Conn.(syscall.Conn); ok {
@@ -257,6 +260,7 @@
 		return nil
 	}
 	c.reused, c.idle = true, idle
+	stricthttp.ExpectHead(c.socket)
 	limit := time.Duration(0)
 	if r == idleConnection {
 		limit = silentFactor * c.dialTimeout
--- a/fleet/conn.go
+++ b/fleet/conn.go
@@ -25,6 +25,9 @@
 	return c.Conn.Write(b)
 }
 
+// NetConn returns the connection that c wraps.
+func (c *countingConn) NetConn() net.Conn { return c.Conn }
+
 // TransportOptions limits the connections of a transport.
 type TransportOptions struct {
 	DialTimeout time.Duration
--- a/internal/stricthttp/head.go
+++ b/internal/stricthttp/head.go
@@ -1,10 +1,13 @@
 package stricthttp
 
 import (
+	"crypto/tls"
 	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptrace"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // HeadError reports a response whose head is not valid.
@@ -16,17 +19,54 @@
 // Error implements error.
 func (e *HeadError) Error() string { return "invalid response head: " + e.Problem }
 
-// CheckHead returns a *HeadError if the head of a final response is not valid and net/http
-// accepts it: a status that is none or not final, such as 000 and 999. A switch of protocols
-// counts as well, as no client here asks for one; net/http does not end a read of its body
-// when the request is cancelled.
-func CheckHead(resp *http.Response) error {
+// CheckHead returns a *HeadError if the head of a final response, read from a connection, is
+// not valid and net/http accepts it:
+//   - a status that is none or not final, such as 000 and 999. A switch of protocols counts
+//     as well, as no client here asks for one; net/http does not end a read of its body when
+//     the request is cancelled.
+//   - a field name with a blank. "Content-Length : 5" is another field than Content-Length,
+//     so that the body would have another end than its server meant.
+//   - a line that begins with a blank. net/http appends it to the value before it.
+func CheckHead(resp *http.Response, from net.Conn) error {
 	if !IsFinal(resp.StatusCode) {
 		return &HeadError{Problem: fmt.Sprintf("status %03d", resp.StatusCode)}
 	}
+	for name := range resp.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return &HeadError{Problem: fmt.Sprintf("field name %q", name)}
+		}
+	}
+	if c := detecting(from); c != nil && c.head.folded() {
+		return &HeadError{Problem: "line that begins with a blank"}
+	}
 	return nil
 }
 
+// ExpectHead prepares a connection for the head of the response to the next request. The
+// first one needs no call.
+func ExpectHead(from net.Conn) {
+	if c := detecting(from); c != nil {
+		c.head.reset()
+	}
+}
+
+// detecting returns the connection of DetectResets that c wraps, or nil. A wrapper has the
+// method NetConn. Connections with TLS have it too, but what is below them is encrypted.
+func detecting(c net.Conn) *conn {
+	for {
+		switch x := c.(type) {
+		case *conn:
+			return x
+		case *tls.Conn:
+			return nil
+		case interface{ NetConn() net.Conn }:
+			c = x.NetConn()
+		default:
+			return nil
+		}
+	}
+}
+
 // IsFinal reports whether a status is that of a final response.
 func IsFinal(status int) bool { return status >= http.StatusOK && status <= 599 }
 
@@ -47,12 +87,17 @@
 // closed, since the bytes after the head may be the body of this response.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	var conn net.Conn
-	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { conn = i.Conn }})
+	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+		conn = i.Conn
+		if i.Reused {
+			ExpectHead(conn)
+		}
+	}})
 	resp, err := t.Transport.RoundTrip(r.WithContext(ctx))
 	if err != nil {
 		return nil, err
 	}
-	if err := CheckHead(resp); err != nil {
+	if err := CheckHead(resp, conn); err != nil {
 		_ = conn.Close()
 		_ = resp.Body.Close()
 		return nil, err
--- a/internal/stricthttp/head_test.go
+++ b/internal/stricthttp/head_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"io"
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -46,6 +48,21 @@
 	return l.Addr().String(), func() int { return len(accepted) }
 }
 
+// get returns the body of the response to a request.
+func get(t *testing.T, transport *stricthttp.Transport, address string) (string, error) {
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address, nil)
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	resp, err := transport.RoundTrip(req)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return string(body), err
+}
+
 // checkRefused sends requests to a server with a broken response: each is refused, and its
 // connection is used for no other request.
 func checkRefused(t *testing.T, response string) {
@@ -54,12 +71,7 @@
 	transport := stricthttp.NewTransport(&http.Transport{})
 	t.Cleanup(transport.CloseIdleConnections)
 	for i := range 3 {
-		req, err := http.NewRequest(http.MethodGet, "http://"+address, nil)
-		g.Expect(err).NotTo(HaveOccurred())
-		resp, err := transport.RoundTrip(req)
-		if err == nil {
-			_ = resp.Body.Close()
-		}
+		_, err := get(t, transport, address)
 		var head *stricthttp.HeadError
 		g.Expect(errors.As(err, &head)).To(BeTrue(), "%v", err)
 		g.Expect(connections()).To(Equal(i + 1))
@@ -81,3 +93,67 @@
 		NewWithT(t).Expect(stricthttp.IsFinal(status)).To(BeTrue(), "%d", status)
 	}
 }
+
+// oddLines are lines of a head whose field names are none; net/http accepts some of them.
+var oddLines = map[string]string{
+	"blank before the colon":     "Content-Length : 4",
+	"coding, blank before colon": "Transfer-Encoding : chunked",
+	"blank inside":               "Odd Name: x",
+	"blank at the start":         " Odd-Name: x",
+	"tab at the start":           "\tContent-Length: 4",
+	"line of blanks":             "  ",
+	"tab inside":                 "Odd\tName: x",
+	"tab before the colon":       "Odd-Name\t: x",
+	"control byte":               "Odd\x01Name: x",
+	"zero byte":                  "\x00Odd-Name: x",
+	"carriage return":            "Odd\rName: x",
+	"delete":                     "Odd\x7fName: x",
+	"no name":                    ": x",
+	"no colon":                   "Odd-Name",
+}
+
+// Guards against a head with a field name that is none: a response with such a line, and
+// with a body that ends elsewhere than its server meant, is taken for a good one.
+func TestFieldNames(t *testing.T) {
+	for name, line := range oddLines {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			for _, head := range []string{
+				"HTTP/1.1 200 OK\r\n" + line + "\r\nX: y\r\n", "HTTP/1.1 200 OK\r\nX: y\r\n" + line + "\r\nContent-Length: 0\r\n",
+				"HTTP/1.1 200 OK\nX: y\n" + line + "\n", "HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\nHTTP/1.1 200 OK\r\nX: y\r\n" + line + "\r\n",
+			} {
+				address, connections := serve(t, head+"\r\nbody")
+				transport := stricthttp.NewTransport(&http.Transport{})
+				for i := range 2 {
+					_, err := get(t, transport, address)
+					g.Expect(err).To(HaveOccurred(), "%q", head)
+					g.Expect(errors.Is(err, context.DeadlineExceeded)).To(BeFalse(), "%q", head)
+					g.Expect(connections()).To(Equal(i + 1))
+				}
+				transport.CloseIdleConnections()
+			}
+		})
+	}
+}
+
+// Guards against a sound response that is refused: after an interim one, on a connection in
+// use again, with blanks in values and lines of the body that begin with one.
+func TestSoundHeads(t *testing.T) {
+	for _, response := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 7\r\nX:  a b \r\n\r\n \n\tbody",
+		"HTTP/1.1 200\nContent-Length: 7\n\n x\n\n x\n",
+		"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n\r\n\r\n x\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n7\r\n x\n x\n \r\n0\r\n\r\n",
+	} {
+		g := NewWithT(t)
+		address, connections := serve(t, response)
+		transport := stricthttp.NewTransport(&http.Transport{})
+		for range 3 {
+			body, err := get(t, transport, address)
+			g.Expect(err).NotTo(HaveOccurred(), "%q", response)
+			g.Expect(body).To(HaveLen(7))
+		}
+		g.Expect(connections()).To(Equal(1))
+		transport.CloseIdleConnections()
+	}
+}
--- a/internal/stricthttp/reset.go
+++ b/internal/stricthttp/reset.go
@@ -34,6 +34,7 @@
 	// writing is held during a write, and protects writeErr, the first error of one.
 	writing  sync.Mutex
 	writeErr error
+	head     headScanner
 }
 
 // Write implements net.Conn.
@@ -50,6 +51,7 @@
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	c.head.scan(p[:n])
 	if errors.Is(err, io.EOF) {
 		err = c.endError()
 	}
--- a/owner/backend_client_test.go
+++ b/owner/backend_client_test.go
@@ -206,3 +206,13 @@
 		})
 	}
 }
+
+// Guards against a field name with a blank or a control byte that is passed on, or whose
+// response is taken for a refusal.
+func TestInvalidFieldNames(t *testing.T) {
+	for _, line := range []string{"Content-Length : 4", "Odd Name: x", " Odd-Name: x", "Odd\tName: x", "Odd\x01Name: x"} {
+		for _, status := range []string{"200 OK", "503 Unavailable\r\n" + defaultShedHeaderName + ": " + defaultShedHeaderValue} {
+			checkBroken(t, "HTTP/1.1 "+status+"\r\n"+fleet.HeaderRequestID+": mine\r\n"+line+"\r\n\r\nbody")
+		}
+	}
+}
