Bound the heads of responses at all clients

On other systems a server sent bytes without end, in a head or a body, and the machine that had called it kept them all until it ran out of memory.

usher-edge held already: heads of servers end at 64 KiB, bodies are streamed or within the memory for bodies (TestEndlessBytes). TestEndlessBytesToMany adds 20 requests at once, bytes that are no HTTP, a status line, bodies without a length, failures, refusals and bytes after a response; it passes on the code before.

The other clients (usherd to servers and daemons, both stores, content of other daemons, admin endpoints) used the bound of net/http, 10 MB for a head. Their bodies had bounds.

Change: stricthttp.NewTransport and fleet.NewTransport bound a head by 64 KiB, forwarded responses of other daemons by 192 KiB, since each field has a prefix there.

--- a/daemon/roles.go
+++ b/daemon/roles.go
@@ -4,12 +4,17 @@
 	"github.com/agateusher/agateusher/core/idempotency"
 	"github.com/agateusher/agateusher/entry"
 	"github.com/agateusher/agateusher/fleet"
+	"github.com/agateusher/agateusher/internal/stricthttp"
 	"github.com/agateusher/agateusher/kernel"
 	"github.com/agateusher/agateusher/modules/detector"
 	"github.com/agateusher/agateusher/modules/dispatch"
 	"github.com/agateusher/agateusher/owner"
 )
 
+// maxForwardedHeadBytes bounds the head of a response that another daemon forwards. Each of
+// the server's fields has a prefix there, which at most doubles a short one.
+const maxForwardedHeadBytes = 3 * stricthttp.MaxHeadBytes
+
 func (d *Daemon) setRoles() error {
 	m, err := kernel.Load(kernel.ModuleID(d.settings.Detector.Module), d.settings.Detector.Options)
 	if err != nil {
@@ -25,8 +30,10 @@
 	d.owner = owner.New(d.ownerOptions(factory))
 	d.client = &fleet.Client{
 		Transport: failureReportingTransport{
-			RoundTripper: fleet.NewTransport(fleet.TransportOptions{DialTimeout: dialTimeout, IdleTimeout: idleTimeout, MaxIdlePerHost: maxIdleFleetConns}),
-			onFailure:    d.members.dataPathFailed,
+			RoundTripper: fleet.NewTransport(fleet.TransportOptions{
+				DialTimeout: dialTimeout, IdleTimeout: idleTimeout, MaxIdlePerHost: maxIdleFleetConns, MaxHeadBytes: maxForwardedHeadBytes,
+			}),
+			onFailure: d.members.dataPathFailed,
 		},
 		Secrets:    secretBytes(d.settings.Fleet.Secrets),
 		Propagator: d.tracing.Propagator,
--- a/edge/broken_test.go
+++ b/edge/broken_test.go
@@ -1,8 +1,13 @@
 package edge_test
 
 import (
+	"errors"
 	"fmt"
+	"io"
 	"net/http"
+	"os"
+	"runtime"
+	"sync"
 	"testing"
 	"time"
 
@@ -11,6 +16,9 @@
 	"github.com/agateusher/agateusher/standin/consortium"
 )
 
+// smallestHostMiB is the memory of the smallest host, in MiB.
+const smallestHostMiB = 136
+
 // checkBroken lets two servers send a broken response, in which ID stands for the
 // identifier of the request, and checks that no caller gets it or what follows it.
 func checkBroken(t *testing.T, text string) {
@@ -68,3 +76,56 @@
 		t.Run(name, func(t *testing.T) { checkBroken(t, head+lines+"\r\nbody") })
 	}
 }
+
+// Guards against a server that sends bytes without end, as a head or as a body of any
+// status, to many requests at once: the daemon's memory stays bounded, and its other
+// requests are served.
+func TestEndlessBytesToMany(t *testing.T) {
+	const requests = 20
+	const named = "Agateusher-Request-Id: ID\r\nAgateusher-Response-Signature: x\r\n"
+	for name, text := range map[string]string{
+		"garbage":        "\x00\x01 this is no answer",
+		"status":         "HTTP/1.1 200 ",
+		"field":          "HTTP/1.1 200 OK\r\n" + named + "Filler: ",
+		"body":           "HTTP/1.1 200 OK\r\n" + named + "\r\n",
+		"long body":      "HTTP/1.1 200 OK\r\n" + named + "Content-Length: 9000000000000000000\r\n\r\n",
+		"failure":        "HTTP/1.1 500 Internal Server Error\r\n" + named + "\r\n",
+		"refusal":        "HTTP/1.1 503 Service Unavailable\r\nAgateusher-Not-Executed: 1\r\n\r\n",
+		"other server":   "HTTP/1.1 421 Misdirected Request\r\n\r\n",
+		"other request":  "HTTP/1.1 200 OK\r\nAgateusher-Request-Id: other\r\nAgateusher-Response-Signature: x\r\n\r\n",
+		"no content":     "HTTP/1.1 204 No Content\r\n" + named + "\r\n",
+		"after response": "HTTP/1.1 200 OK\r\n" + named + "Content-Length: 4\r\n\r\nbody",
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t)
+			s.configure(1500*time.Millisecond, "")
+			endless := s.server("i-1", service)
+			endless.SetCustom(text)
+			endless.SetBehaviour(always(consortium.CustomEndless))
+			s.server("i-2", otherService)
+			set := s.settings("h1")
+			set.MemoryMiB = smallestHostMiB
+			d := s.ready(s.daemon(set))
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			var wait sync.WaitGroup
+			for i := range requests {
+				c := s.dial(d)
+				c.send(request("POST", "/write/x", fmt.Sprint("w-", i), "payload", "Agateusher-Deadline-Ms: 1500\r\n"))
+				wait.Go(func() {
+					_ = c.SetReadDeadline(time.Now().Add(4 * time.Second))
+					resp, err := http.ReadResponse(c.reader, nil)
+					if err == nil {
+						_, err = io.Copy(io.Discard, resp.Body)
+					}
+					s.g.Expect(errors.Is(err, os.ErrDeadlineExceeded)).To(BeFalse(), "a response without an end")
+				})
+			}
+			wait.Wait()
+			runtime.ReadMemStats(&after)
+			// All allocations, as in TestEndlessBytes.
+			s.g.Expect(after.TotalAlloc - before.TotalAlloc).To(BeNumerically("<", smallestHostMiB<<20/4))
+			s.g.Expect(endless.Requests()).NotTo(BeEmpty())
+		})
+	}
+}
--- a/edge/exchange.go
+++ b/edge/exchange.go
@@ -25,8 +25,6 @@
 	// crossRegionDialTimeout bounds a dial to another region, where a round trip
 	// takes 60 ms.
 	crossRegionDialTimeout = 300 * time.Millisecond
-	// maxResponseHeaderBytes bounds the header of a response.
-	maxResponseHeaderBytes = 64 << 10
 )
 
 // response is a response to a caller.
--- a/edge/serverconns.go
+++ b/edge/serverconns.go
@@ -92,7 +92,7 @@
 			return watched, nil
 		},
 		DisableCompression:     true,
-		MaxResponseHeaderBytes: maxResponseHeaderBytes,
+		MaxResponseHeaderBytes: stricthttp.MaxHeadBytes,
 	}
 }
 
--- a/fleet/conn.go
+++ b/fleet/conn.go
@@ -36,6 +36,8 @@
 	MaxConnsPerHost int
 	// MaxIdlePerHost limits idle connections to one address.
 	MaxIdlePerHost int
+	// MaxHeadBytes limits the head of a response; zero: stricthttp.MaxHeadBytes.
+	MaxHeadBytes int64
 }
 
 // NewTransport returns an HTTP transport whose exchanges can be tracked with
@@ -47,6 +49,9 @@
 
 func newTransport(o TransportOptions, dial stricthttp.DialFunc) *stricthttp.Transport {
 	dial = stricthttp.DetectResets(dial)
+	if o.MaxHeadBytes == 0 {
+		o.MaxHeadBytes = stricthttp.MaxHeadBytes
+	}
 	return &stricthttp.Transport{Transport: &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			c, err := dial(ctx, network, address)
@@ -55,10 +60,11 @@
 			}
 			return &countingConn{Conn: c}, nil
 		},
-		IdleConnTimeout:     o.IdleTimeout,
-		MaxConnsPerHost:     o.MaxConnsPerHost,
-		MaxIdleConnsPerHost: o.MaxIdlePerHost,
-		DisableCompression:  true,
+		IdleConnTimeout:        o.IdleTimeout,
+		MaxConnsPerHost:        o.MaxConnsPerHost,
+		MaxIdleConnsPerHost:    o.MaxIdlePerHost,
+		MaxResponseHeaderBytes: o.MaxHeadBytes,
+		DisableCompression:     true,
 	}}
 }
 
--- a/fleet/conn_internal_test.go
+++ b/fleet/conn_internal_test.go
@@ -1,12 +1,16 @@
 package fleet
 
 import (
+	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/agateusher/agateusher/internal/stricthttp"
 	"github.com/agateusher/agateusher/standin/earlyreset"
 )
 
@@ -26,3 +30,26 @@
 	g.Expect(err).To(HaveOccurred(), "a part was taken for the whole body")
 	g.Expect(server.Hits()).To(Equal(1), "the moment was not reached")
 }
+
+// Guards against a head of a response that has no usual bound, and against a forwarded
+// response that is refused because each of its fields has a prefix.
+func TestLargeHeads(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		for i := range 100 {
+			w.Header().Set(fmt.Sprint("Filler-", i), strings.Repeat("x", 1000))
+		}
+	}))
+	t.Cleanup(server.Close)
+	for limit, accepted := range map[int64]bool{0: false, 3 * stricthttp.MaxHeadBytes: true} {
+		g := NewWithT(t)
+		transport := NewTransport(TransportOptions{MaxHeadBytes: limit})
+		req, err := http.NewRequest(http.MethodGet, server.URL, nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		resp, err := transport.RoundTrip(req)
+		g.Expect(err == nil).To(Equal(accepted), "%d: %v", limit, err)
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+		transport.CloseIdleConnections()
+	}
+}
--- a/internal/stricthttp/head.go
+++ b/internal/stricthttp/head.go
@@ -10,6 +10,10 @@
 	"golang.org/x/net/http/httpguts"
 )
 
+// MaxHeadBytes is the usual bound of a response's head, with the interim ones before it.
+// That of net/http is 10 MB, which a few requests at once multiply.
+const MaxHeadBytes = 64 << 10
+
 // HeadError reports a response whose head is not valid.
 type HeadError struct {
 	// Problem is what is wrong, for logs.
@@ -73,13 +77,17 @@
 // Transport is an http.Transport that detects resets and checks the heads of responses.
 type Transport struct{ *http.Transport }
 
-// NewTransport returns a Transport that uses t, which it changes.
+// NewTransport returns a Transport that uses t, which it changes. Heads are bounded by
+// MaxHeadBytes if t has no bound.
 func NewTransport(t *http.Transport) *Transport {
 	dial := DialFunc(t.DialContext)
 	if dial == nil {
 		dial = (&net.Dialer{}).DialContext
 	}
 	t.DialContext = DetectResets(dial)
+	if t.MaxResponseHeaderBytes == 0 {
+		t.MaxResponseHeaderBytes = MaxHeadBytes
+	}
 	return &Transport{t}
 }
 
--- a/standin/consortium/server.go
+++ b/standin/consortium/server.go
@@ -90,6 +90,8 @@
 	ResetEarly
 	// Custom runs the request and answers with the bytes that SetCustom set.
 	Custom
+	// CustomEndless sends what Custom sends and then filler until the connection is closed.
+	CustomEndless
 	// ReadSlowly reads the body at 0.8 MB a second at most, and then behaves like
 	// Answer.
 	ReadSlowly
@@ -447,10 +449,10 @@
 			_ = tcp.SetLinger(0)
 		}
 		return false
-	case Custom:
+	case Custom, CustomEndless:
 		var text string
 		s.update(func() { text = s.custom })
-		return write(c, strings.ReplaceAll(text, "ID", received.ID))
+		return write(c, strings.ReplaceAll(text, "ID", received.ID)) && (b == Custom || s.repeat(c, strings.Repeat("x", 1000), 0))
 	case AnswerEarly:
 		return write(c, "HTTP/1.1 413 Content Too Large\r\n"+idHeader+signatureHeader+"Content-Length: 0\r\n\r\n")
 	}
