edge: refuse requests that a planned stop would cut

In a planned stop, requests that arrived whole in the second half of the grace period were forwarded and cut by the exit without a response, among them requests that must not repeat and had run.

Cause: requests were read until 0.8 s before the end of the grace period, and forwarded whatever time was left until the exit 0.5 s before that end.

Change: from half of the grace period on, a request is forwarded only if its deadline is 0.3 s before the exit or earlier; otherwise it is refused (503). One that is still being read is refused (408) as soon as it can't be whole in time, instead of being read to its end. Both promise that it has not run, and a client that learns it early has time for another daemon. Requests that are whole in the first half have the rest of the period, as before.

--- a/edge/conn.go
+++ b/edge/conn.go
@@ -231,6 +231,9 @@
 
 // readBody reads the body of a request.
 func (c *conn) readBody(p *pendingResponse, q *request, limits catalog.Limits) (err error) {
+	if p.httpRequest.ContentLength != 0 {
+		c.beginBody(q)
+	}
 	if p.continued != nil {
 		if err := c.awaitBody(p); err != nil {
 			return err
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -120,15 +120,8 @@
 	case catalog.Undecided:
 		return n.logUnrouted(q, view.Epoch(), n.refuse(q, model.ReasonRouteUnreadable), model.ReasonRouteUnreadable)
 	}
-	timeout := route.Timeout
-	if timeout <= 0 {
-		timeout = defaultTimeout
-	}
-	if q.callerTimeout > 0 {
-		timeout = min(timeout, q.callerTimeout)
-	}
 	f := &forwarding{
-		node: n, request: q, view: view, route: route, service: n.pickService(route), deadline: q.received.Add(timeout - responseMargin),
+		node: n, request: q, view: view, route: route, service: n.pickService(route), deadline: q.received.Add(timeoutOf(q, route) - responseMargin),
 		results: make(chan attemptResult, maxDials+1), active: map[uint64]activeAttempt{},
 		credentials: workspace.ParseCredentials(q.header[authorizationHeader]),
 	}
@@ -144,6 +137,31 @@
 	return resp
 }
 
+// timeoutOf returns the time from the end of a request to its deadline.
+func timeoutOf(q *request, route *catalog.Route) time.Duration {
+	timeout := route.Timeout
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	if q.callerTimeout > 0 {
+		timeout = min(timeout, q.callerTimeout)
+	}
+	return timeout
+}
+
+// requestTimeout returns how long the response to a request may take. Without a route,
+// there is one at once.
+func (n *Node) requestTimeout(q *request) time.Duration {
+	view := n.view.Load()
+	if view == nil || view.Config == nil {
+		return initialViewTimeout
+	}
+	if route, result := view.Routes.Match(q.host, q.path()); result == catalog.Matched {
+		return timeoutOf(q, route)
+	}
+	return 0
+}
+
 // awaitView returns the view in force. Shortly after the start it waits for the
 // first view that is complete, at most until initialViewTimeout.
 func (n *Node) awaitView(ctx context.Context) *catalog.View {
@@ -185,6 +203,10 @@
 		f.reason = model.ReasonTimeout
 		return f.failureResponse()
 	}
+	if f.node.exitsBefore(f.deadline) {
+		f.reason = model.ReasonStopping
+		return f.failureResponse()
+	}
 	if !f.sendNext(ctx) {
 		return f.failureResponse()
 	}
--- a/edge/lifecycle_test.go
+++ b/edge/lifecycle_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -71,6 +72,113 @@
 	s.g.Expect(err).To(HaveOccurred())
 }
 
+// Guards against a request that arrives late in the grace period, is forwarded and then cut
+// by the exit without a response. It is refused as soon as it is known that its response may
+// be too late; one that is answered in time is served.
+func TestLateRequestsOfPlannedStop(t *testing.T) {
+	const grace, work = 4 * time.Second, 700 * time.Millisecond
+	const half, exit = grace / 2, grace - 500*time.Millisecond
+	for _, c := range []struct {
+		name string
+		// begun, headed and whole are when the first bytes of the request, its header and
+		// all of it are sent after the signal.
+		begun, headed, whole time.Duration
+		headers              string
+		work                 time.Duration
+		status               int
+	}{
+		{"whole early", 0, 100 * time.Millisecond, half - 300*time.Millisecond, "", work, http.StatusOK},
+		{"body late", 0, 100 * time.Millisecond, exit - 400*time.Millisecond, "", work, http.StatusRequestTimeout},
+		{"body late, begun before the signal", -100 * time.Millisecond, -50 * time.Millisecond, exit - 400*time.Millisecond, "", work, http.StatusRequestTimeout},
+		{"header late", half - 200*time.Millisecond, half + 100*time.Millisecond, exit - 400*time.Millisecond, "", work, http.StatusRequestTimeout},
+		{"body late, short deadline", 0, 100 * time.Millisecond, half + 300*time.Millisecond, "Agateusher-Deadline-Ms: 500\r\n", work / 10, http.StatusOK},
+		{"body too late, short deadline", 0, 100 * time.Millisecond, exit - 300*time.Millisecond, "Agateusher-Deadline-Ms: 500\r\n", work / 10, http.StatusRequestTimeout},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t)
+			s.configure(4*time.Second, "")
+			server := s.server("i-1", service)
+			server.SetServiceTime(c.work)
+			set := s.settings("h1")
+			set.Stop.Grace, set.Stop.Notice = settings.Duration(grace), settings.Duration(half)
+			d := s.ready(s.daemon(set))
+			signal := time.Now().Add(200 * time.Millisecond)
+			time.AfterFunc(time.Until(signal), d.stop)
+			time.Sleep(time.Until(signal.Add(c.begun)))
+			caller := s.dial(d)
+			body := strings.Repeat("x", 1000)
+			text := request("POST", "/write/x", "w", body, c.headers)
+			header := len(text) - len(body)
+			// The caller may be answered before it has sent all.
+			write := func(part string) { _, _ = io.WriteString(caller, part) }
+			write(text[:header/2])
+			time.Sleep(time.Until(signal.Add(c.headed)))
+			write(text[header/2 : header+1])
+			go func() {
+				time.Sleep(time.Until(signal.Add(c.whole)))
+				write(text[header+1:])
+			}()
+			a := caller.receive()
+			s.g.Expect(a.status).To(Equal(c.status))
+			s.g.Expect(a.close).To(BeTrue())
+			if c.status == http.StatusOK {
+				s.g.Expect(time.Since(signal)).To(BeNumerically("<", exit))
+			} else {
+				s.g.Expect(time.Since(signal)).To(BeNumerically("<", c.whole), "the rest of the body was awaited")
+			}
+			s.g.Eventually(d.exited).WithTimeout(grace).Should(Receive(BeNil()))
+			d.exited <- nil
+			if c.status != http.StatusOK {
+				s.g.Expect(server.Requests()).To(BeEmpty())
+			}
+		})
+	}
+}
+
+// Guards against a request without a body, or one behind others, that is forwarded late in
+// the grace period and then cut by the exit: it is refused.
+func TestLateRequestsWithoutBody(t *testing.T) {
+	s := newSite(t)
+	s.configure(4*time.Second, "")
+	server := s.server("i-1", service)
+	server.SetServiceTime(500 * time.Millisecond)
+	set := s.settings("h1")
+	set.Stop.Grace, set.Stop.Notice = settings.Duration(3*time.Second), settings.Duration(1500*time.Millisecond)
+	d := s.ready(s.daemon(set))
+	late, behind := s.dial(d), s.dial(d)
+	const header = "GET /read/x HTTP/1.1\r\nHost: api.example\r\nAgateusher-Request-Id: late\r\n"
+	d.stop()
+	time.Sleep(1300 * time.Millisecond)
+	_, err := io.WriteString(late, header)
+	s.g.Expect(err).NotTo(HaveOccurred())
+	for i := range 6 {
+		// Requests that must not repeat wait for those before them.
+		behind.send(request("POST", "/write/x", fmt.Sprint("w-", i), "payload", ""))
+	}
+	time.Sleep(300 * time.Millisecond)
+	_, err = io.WriteString(late, "\r\n")
+	s.g.Expect(err).NotTo(HaveOccurred())
+	a := late.receive()
+	s.g.Expect(a.status).To(Equal(http.StatusServiceUnavailable))
+	s.g.Expect(a.header.Get("Retry-After")).NotTo(BeEmpty())
+	s.g.Expect(runCount("late", server)).To(BeZero())
+	for i := range 6 {
+		a := behind.receive()
+		id := fmt.Sprint("w-", i)
+		switch a.status {
+		case http.StatusOK:
+			s.g.Expect(runCount(id, server)).To(Equal(1))
+		default:
+			s.g.Expect(a.status).To(Equal(http.StatusServiceUnavailable))
+			s.g.Expect(runCount(id, server)).To(BeZero())
+		}
+		if a.close {
+			break
+		}
+	}
+}
+
 // Guards against a configuration that does not reach all daemons in time, or that is
 // lost while the store is unavailable.
 func TestConfigurationPropagates(t *testing.T) {
--- a/edge/node.go
+++ b/edge/node.go
@@ -86,7 +86,9 @@
 	// viewComplete is closed once view has a configuration and a set of servers.
 	viewComplete chan struct{}
 	// draining is set from the start of a graceful shutdown.
-	draining       atomic.Bool
+	draining atomic.Bool
+	// stopTimes is set shortly after draining.
+	stopTimes      atomic.Pointer[stopTimes]
 	callerListener net.Listener
 
 	mu      sync.Mutex
--- a/edge/pipeline.go
+++ b/edge/pipeline.go
@@ -36,8 +36,10 @@
 	pipeline pipeline.Pipeline
 	// changed is closed, and replaced, when the pipeline has changed.
 	changed chan struct{}
-	// reading is set while a request is being read.
-	reading bool
+	// reading is set while a request is being read, and receiving is the request while its
+	// body is.
+	reading   bool
+	receiving *request
 	// stopping is set when the connection stops waiting for further requests.
 	stopping bool
 }
@@ -97,7 +99,29 @@
 func (c *conn) finishReading() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.reading = false
+	c.reading, c.receiving = false, nil
+}
+
+// beginBody records that the body of a request is being read.
+func (c *conn) beginBody(q *request) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.receiving = q
+	c.limitReading()
+}
+
+// limitReading bounds the reading of a request during a planned stop: one that would be
+// refused is not read to its end. c.mu must be held.
+func (c *conn) limitReading() {
+	t := c.node.stopTimes.Load()
+	if !c.stopping || t == nil {
+		return
+	}
+	timeout := time.Duration(0)
+	if c.receiving != nil {
+		timeout = c.node.requestTimeout(c.receiving)
+	}
+	c.input.Limit(t.latest(timeout))
 }
 
 // awaitTurn waits until a request may be forwarded. It returns false if it must not be
@@ -166,11 +190,11 @@
 }
 
 // stop closes the connection once the requests that were read are answered. A request that
-// is still being read at latest is answered that it has not run.
-func (c *conn) stop(latest time.Time) {
+// is not read in time is answered that it has not run.
+func (c *conn) stop() {
 	c.mu.Lock()
 	c.stopping = true
-	c.input.Limit(latest)
+	c.limitReading()
 	if !c.reading {
 		c.input.SetDeadline(time.Now())
 	}
