platform: an odd object does not hide the others of its list

On other systems an odd entry of another writer among those of the servers ended the machines that read the list again and again, or they stopped following it.

Here, on the code before: - An object nested more than 10,000 levels deep (9,997 within a list), or with what is no JSON, made each list and watch of its kind fail: a daemon did not start, and running ones followed neither servers, configuration nor hosts. - An object without a readable name at the end of a page made the list fail, or begin again without end, keeping each page, as "after" stayed empty. - Ports out of range, host names, and numbers that overflow were used (capacity 2^63-1, warm-up of 1e30 ms). - A number of 0.9 MB was written whole to the log.

--- a/Makefile
+++ b/Makefile
@@ -37,6 +37,7 @@
 	$(GO) test -run '^$$' -fuzz '^FuzzDecode$$' -fuzztime $(FUZZTIME) ./core/idempotency
 	$(GO) test -run '^$$' -fuzz '^FuzzDecodeConfig$$' -fuzztime $(FUZZTIME) ./platform
 	$(GO) test -run '^$$' -fuzz '^FuzzDecodeServer$$' -fuzztime $(FUZZTIME) ./platform
+	$(GO) test -run '^$$' -fuzz '^FuzzSplit$$' -fuzztime $(FUZZTIME) ./platform
 	$(GO) test -run '^$$' -fuzz '^FuzzDatagram$$' -fuzztime $(FUZZTIME) ./gossip
 	$(GO) test -run '^$$' -fuzz '^FuzzMerge$$' -fuzztime $(FUZZTIME) ./catalog
 
--- a/edge/broken_test.go
+++ b/edge/broken_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"runtime"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -129,3 +130,39 @@
 		})
 	}
 }
+
+// Guards against odd entries of another writer among those of the servers, with which a
+// daemon does not start, ends, or stops following the others. An entry that replaces that of a
+// server takes it out of use.
+func TestOddEntries(t *testing.T) {
+	s := newSite(t)
+	s.configure(2*time.Second, "")
+	first := s.server("i-1", service)
+	spec, status := first.Entry(service, zone, "in_service", 2)
+	for i, change := range []func(string) string{
+		func(t string) string {
+			return strings.Replace(t, `"capacity":2`, `"capacity":`+strings.Repeat("[", 20000)+strings.Repeat("]", 20000), 1)
+		},
+		func(t string) string { return strings.Replace(t, `"capacity":2`, `"capacity":1e400`, 1) },
+		func(t string) string { return strings.Replace(t, `"capacity":2`, `"capacity":9223372036854775807`, 1) },
+		func(t string) string { return strings.Replace(t, first.Address(), "127.0.0.1:65536", 1) },
+		func(string) string { return strings.Repeat(`{"a":`, 200000) + "1" + strings.Repeat("}", 200000) },
+	} {
+		name := fmt.Sprint("i-odd-", i)
+		s.store.PutRaw("servers", name, fmt.Sprintf(`{"metadata":{"name":%q,"revision":3},"spec":%s,"status":%s}`, name, change(spec), status))
+	}
+	d := s.ready(s.daemon(s.settings("h1")))
+	s.g.Expect(s.read(d, "r-1").status).To(Equal(http.StatusOK))
+	second := s.server("i-2", service)
+	s.g.Eventually(func() int {
+		s.g.Expect(s.read(d, "r-2").status).To(Equal(http.StatusOK))
+		return len(second.Requests())
+	}).WithTimeout(3 * time.Second).Should(BeNumerically(">", 0))
+	s.store.PutRaw("servers", "i-1", `{"metadata":{"name":"i-1"},"spec":`+strings.Repeat("[", 20000)+strings.Repeat("]", 20000)+`}`)
+	time.Sleep(2500 * time.Millisecond) // config_apply_ms of the deployments
+	before := len(first.Requests())
+	for i := range 20 {
+		s.g.Expect(s.read(d, fmt.Sprint("r-3-", i)).status).To(Equal(http.StatusOK))
+	}
+	s.g.Expect(first.Requests()).To(HaveLen(before))
+}
--- a/standin/consortium/store.go
+++ b/standin/consortium/store.go
@@ -49,6 +49,8 @@
 	} `json:"metadata"`
 	Spec   json.RawMessage `json:"spec"`
 	Status json.RawMessage `json:"status,omitempty"`
+
+	raw string // the whole text, if PutRaw wrote the object
 }
 
 type event struct {
@@ -347,7 +349,11 @@
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(body) // the caller has gone
+	data, err := json.Marshal(body)
+	if err != nil {
+		panic(err) // a test wrote an object that cannot be encoded
+	}
+	_, _ = w.Write(insertRaw(data, body)) // the caller has gone
 }
 
 type listResponse struct {
