edge: refuse requests with a field name that is none

Found while looking for other places with the cause of the broken heads: a request with "Content-Length : 103" was taken for one without a body, and the 103 bytes, a whole request, were forwarded and ran. With "Odd Name: x" the attempt failed before it was sent, which the caller saw as 502 and which counted as a failure of the server.

Cause: usher-edge reads requests with http.ReadRequest, which accepts names with a blank; only the server of net/http, which usherd uses, refuses them.

Change: such a request is answered 400, and its connection is closed.

Test: TestInvalidFieldNamesOfRequests got 502 in place of 400 on the code before.

--- a/edge/broken_test.go
+++ b/edge/broken_test.go
@@ -78,6 +78,26 @@
 	}
 }
 
+// Guards against a request with a field name that is none: it is forwarded without its body,
+// which then runs as another request, or its failure counts as that of a server.
+func TestInvalidFieldNamesOfRequests(t *testing.T) {
+	s := newSite(t)
+	s.configure(2*time.Second, "")
+	server := s.server("i-1", service)
+	d := s.ready(s.daemon(s.settings("h1")))
+	inner := request("GET", "/read/x", "inner", "", "")
+	for _, line := range []string{fmt.Sprintf("Content-Length : %d", len(inner)), "Transfer-Encoding : chunked", "Odd Name: x", "Odd\tName: x", "Odd\x01Name: x"} {
+		c := s.dial(d)
+		c.send(request("POST", "/write/x", "outer", "", line+"\r\n") + inner)
+		a := c.receive()
+		s.g.Expect(a.status).To(Equal(http.StatusBadRequest), line)
+		s.g.Expect(a.close).To(BeTrue(), line)
+	}
+	time.Sleep(50 * time.Millisecond)
+	s.g.Expect(server.Requests()).To(BeEmpty())
+	s.g.Expect(d.log.String()).NotTo(ContainSubstring("server_suspected"))
+}
+
 // Guards against a server that sends bytes without end, as a head or as a body of any
 // status, to many requests at once: the daemon's memory stays bounded, and its other
 // requests are served.
--- a/edge/conn.go
+++ b/edge/conn.go
@@ -16,6 +16,7 @@
 	"github.com/agateusher/agateusher/core/pipeline"
 	"github.com/agateusher/agateusher/edge/callerconn"
 	"github.com/agateusher/agateusher/fleet"
+	"github.com/agateusher/agateusher/internal/stricthttp"
 )
 
 const (
@@ -210,6 +211,9 @@
 	c.input.remaining = int64(max(limits.MaxHeaderBytes, connBufferSize)) + connBufferSize
 	httpRequest, err := http.ReadRequest(c.reader)
 	c.input.remaining = -1
+	if err == nil {
+		err = stricthttp.CheckFieldNames(httpRequest.Header)
+	}
 	if err != nil {
 		return p, nil, err
 	}
--- a/internal/stricthttp/head.go
+++ b/internal/stricthttp/head.go
@@ -14,14 +14,14 @@
 // That of net/http is 10 MB, which a few requests at once multiply.
 const MaxHeadBytes = 64 << 10
 
-// HeadError reports a response whose head is not valid.
+// HeadError reports a head that is not valid.
 type HeadError struct {
 	// Problem is what is wrong, for logs.
 	Problem string
 }
 
 // Error implements error.
-func (e *HeadError) Error() string { return "invalid response head: " + e.Problem }
+func (e *HeadError) Error() string { return "invalid head: " + e.Problem }
 
 // CheckHead returns a *HeadError if the head of a final response, read from a connection, is
 // not valid and net/http accepts it:
@@ -35,10 +35,8 @@
 	if !IsFinal(resp.StatusCode) {
 		return &HeadError{Problem: fmt.Sprintf("status %03d", resp.StatusCode)}
 	}
-	for name := range resp.Header {
-		if !httpguts.ValidHeaderFieldName(name) {
-			return &HeadError{Problem: fmt.Sprintf("field name %q", name)}
-		}
+	if err := CheckFieldNames(resp.Header); err != nil {
+		return err
 	}
 	if c := detecting(from); c != nil && c.head.folded() {
 		return &HeadError{Problem: "line that begins with a blank"}
@@ -46,6 +44,16 @@
 	return nil
 }
 
+// CheckFieldNames returns a *HeadError if a name in a head that net/http has read is not valid.
+func CheckFieldNames(h http.Header) error {
+	for name := range h {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return &HeadError{Problem: fmt.Sprintf("field name %q", name)}
+		}
+	}
+	return nil
+}
+
 // ExpectHead prepares a connection for the head of the response to the next request. The
 // first one needs no call.
 func ExpectHead(from net.Conn) {
