--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -94,9 +95,11 @@
 	random := rand.New(rand.NewPCG(seed, callers))
 	wg.Go(func() { c.flood(random) })
 	began := time.Now()
+	broken := rand.New(rand.NewPCG(seed, callers+1))
 	for time.Since(began) < faultDuration {
 		w.rotateKeys(began)
 		w.inject()
+		w.injectBroken(broken)
 		time.Sleep(time.Duration(w.random.IntN(700)) * time.Millisecond)
 	}
 	w.clearFaults()
@@ -197,6 +200,38 @@
 	}
 }
 
+// injectBroken lets a server send a response with a broken head, or writes an odd entry among
+// those of the servers, in some of its calls. It has random numbers of its own, so that the
+// other faults of a seed stay what they were.
+func (w *deployment) injectBroken(random *rand.Rand) {
+	hold := time.Duration(300+random.IntN(700)) * time.Millisecond
+	switch random.IntN(6) {
+	case 0:
+		b := w.servers[random.IntN(len(w.servers))]
+		b.SetCustom(brokenHeads[random.IntN(len(brokenHeads))])
+		b.SetBehaviour(func(*consortium.ReceivedRequest) consortium.Behaviour { return consortium.Custom })
+		time.AfterFunc(hold, func() {
+			b.SetBehaviour(func(*consortium.ReceivedRequest) consortium.Behaviour { return consortium.Answer })
+		})
+	case 1:
+		w.store.PutRaw("servers", "i-odd", oddEntries[random.IntN(len(oddEntries))])
+		time.AfterFunc(hold, func() { w.store.Delete("servers", "i-odd") })
+	}
+}
+
+// brokenHeads are responses whose heads net/http accepts, and oddEntries are entries of
+// another writer.
+var (
+	brokenHeads = []string{
+		"HTTP/1.1 000 Status\r\nAgateusher-Request-Id: ID\r\nAgateusher-Response-Signature: x\r\nContent-Length: 4\r\n\r\nbody",
+		"HTTP/1.1 200 OK\r\nAgateusher-Request-Id: ID\r\nAgateusher-Response-Signature: x\r\nTransfer-Encoding : chunked\r\nContent-Length: 4\r\n\r\nbody",
+	}
+	oddEntries = []string{
+		`{"metadata":{"name":"i-odd"},"spec":` + strings.Repeat("[", 20000) + strings.Repeat("]", 20000) + `}`,
+		`{"metadata":{"name":"i-odd","revision":1e400},"spec":{"address":"127.0.0.1:65536","capacity":1e400}}`,
+	}
+)
+
 // restart stops a daemon with a signal, waits for its end and starts it again.
 func (w *deployment) restart(p *process, s syscall.Signal) {
 	ended := p.current()
