edge: test that a response without a length may end before the upload

Guards the detection of resets against refusing a sound response of the same shape: without a length, early, buffered or streamed, of a server that ends its side in order and does not read the last part of the request.

--- a/edge/exchange_internal_test.go
+++ b/edge/exchange_internal_test.go
@@ -71,36 +71,71 @@
 	return x
 }
 
+// responsesWithoutLength are responses that are buffered, or streamed, and that of a success
+// or of a failure.
+var responsesWithoutLength = map[string]string{
+	"buffered":         "HTTP/1.1 200 OK\r\n\r\na part",
+	"buffered failure": "HTTP/1.1 500 Internal Server Error\r\n\r\na part",
+	"streamed":         "HTTP/1.1 200 OK\r\n\r\n" + strings.Repeat("a part", minResponseBufferBytes),
+}
+
+// uploadTo sends an upload whose last part is still being written when the server answers,
+// and returns how much of the response's body arrived.
+func uploadTo(t *testing.T, server *earlyreset.Server, crossRegion bool) (verdict Verdict, bytes int64, err error) {
+	x := newTestExchanger()
+	x.conns.sameRegion, x.conns.crossRegion = newTransport(server.Dial), newTransport(server.Dial)
+	reserved := newBodyMemory(64 << 20).newReservation()
+	q := &request{id: "a", method: "POST", target: "/", reserved: reserved, body: make([]byte, earlyreset.BodyBytes)}
+	verdict, resp, err := x.exchange(t.Context(), q, balance.Server{Address: server.Address()}, crossRegion, newConnection, time.Second, func() {})
+	if resp == nil {
+		return verdict, 0, err
+	}
+	bytes = int64(len(resp.body))
+	if resp.rest != nil {
+		resp.rest.failed = func(error) {}
+		var rest int64
+		rest, err = io.Copy(io.Discard, resp.rest)
+		bytes += rest
+		resp.close()
+	}
+	return verdict, bytes, err
+}
+
 // Guards against a part of a response without a length that is passed on as the whole one,
-// because the reset after it was reported to the write of the request's last part. The
-// response is buffered, or streamed, and that of a success or of a failure.
+// because the reset after it was reported to the write of the request's last part.
 func TestResetDuringUploadIsNoEnd(t *testing.T) {
-	for name, response := range map[string]string{
-		"buffered":         "HTTP/1.1 200 OK\r\n\r\na part",
-		"buffered failure": "HTTP/1.1 500 Internal Server Error\r\n\r\na part",
-		"streamed":         "HTTP/1.1 200 OK\r\n\r\n" + strings.Repeat("a part", minResponseBufferBytes),
-	} {
+	for name, response := range responsesWithoutLength {
 		for _, crossRegion := range []bool{false, true} {
 			t.Run(fmt.Sprint(name, ", other region: ", crossRegion), func(t *testing.T) {
 				g := NewWithT(t)
 				server, err := earlyreset.NewServer(response)
 				g.Expect(err).NotTo(HaveOccurred())
 				defer server.Close()
-				x := newTestExchanger()
-				x.conns.sameRegion, x.conns.crossRegion = newTransport(server.Dial), newTransport(server.Dial)
-				reserved := newBodyMemory(64 << 20).newReservation()
-				q := &request{id: "a", method: "POST", target: "/", reserved: reserved, body: make([]byte, earlyreset.BodyBytes)}
-				verdict, resp, err := x.exchange(t.Context(), q, balance.Server{Address: server.Address()}, crossRegion, newConnection, time.Second, func() {})
-				if resp != nil && resp.rest != nil {
-					resp.rest.failed = func(error) {}
-					_, err = io.Copy(io.Discard, resp.rest)
-					resp.close()
-				} else {
+				verdict, _, err := uploadTo(t, server, crossRegion)
+				g.Expect(err).To(HaveOccurred(), "a part was taken for the whole body")
+				if name != "streamed" {
 					g.Expect(verdict).To(Equal(ConnectionLost))
 				}
-				g.Expect(err).To(HaveOccurred(), "a part was taken for the whole body")
 				g.Expect(server.Hits()).To(Equal(1), "the moment was not reached: %v", err)
 			})
 		}
 	}
 }
+
+// Guards against a whole response without a length that is refused because its server did not
+// read the last part of the request.
+func TestEndDuringUploadIsEnd(t *testing.T) {
+	for name, response := range responsesWithoutLength {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			server, err := earlyreset.NewOrderlyServer(response)
+			g.Expect(err).NotTo(HaveOccurred())
+			defer server.Close()
+			verdict, bytes, err := uploadTo(t, server, false)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(verdict).To(Equal(Usable))
+			_, body, _ := strings.Cut(response, "\r\n\r\n")
+			g.Expect(bytes).To(Equal(int64(len(body))))
+		})
+	}
+}
--- a/standin/earlyreset/earlyreset.go
+++ b/standin/earlyreset/earlyreset.go
@@ -30,6 +30,7 @@
 // being written, and resets the connection once the client has read the response.
 type Server struct {
 	response string
+	inOrder  bool
 	listener net.Listener
 
 	mu    sync.Mutex
@@ -41,7 +42,13 @@
 type steps struct{ mayAnswer, mayReset chan struct{} }
 
 // NewServer starts a server on a loopback port that answers with the bytes of response.
-func NewServer(response string) (*Server, error) {
+func NewServer(response string) (*Server, error) { return newServer(response, false) }
+
+// NewOrderlyServer is like NewServer, but the server ends its side of the connection in order
+// and does not read the rest of the request.
+func NewOrderlyServer(response string) (*Server, error) { return newServer(response, true) }
+
+func newServer(response string, inOrder bool) (*Server, error) {
 	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
 		var failed error
 		if err := raw.Control(func(fd uintptr) {
@@ -55,7 +62,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{response: response, listener: l, steps: map[string]*steps{}}
+	s := &Server{response: response, inOrder: inOrder, listener: l, steps: map[string]*steps{}}
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -118,8 +125,13 @@
 	if _, err := io.WriteString(c, s.response); err != nil {
 		return
 	}
+	if s.inOrder {
+		_ = c.CloseWrite()
+	}
 	await(x.mayReset)
-	_ = c.SetLinger(0)
+	if !s.inOrder {
+		_ = c.SetLinger(0)
+	}
 }
 
 // Dial opens a connection to the server on which the kernel reports the reset to a write.
@@ -159,6 +171,14 @@
 		c.left -= n
 		return n, err
 	}
+	if c.server.inOrder {
+		n, err = c.TCPConn.Read(p)
+		c.endedOnce.Do(func() {
+			close(c.steps.mayReset)
+			close(c.ended)
+		})
+		return n, err
+	}
 	hit := false
 	c.endedOnce.Do(func() {
 		close(c.steps.mayReset)
