--- a/edge/forward.go
+++ b/edge/forward.go
@@ -16,8 +16,6 @@
 )
 
 const (
-	// defaultTimeout applies to routes without a timeout.
-	defaultTimeout = 30 * time.Second
 	// responseMargin is how long before the timeout a request is answered, so
 	// that the response reaches the caller in time.
 	responseMargin = 10 * time.Millisecond
@@ -137,31 +135,6 @@
 	return resp
 }
 
-// timeoutOf returns the time from the end of a request to its deadline.
-func timeoutOf(q *request, route *catalog.Route) time.Duration {
-	timeout := route.Timeout
-	if timeout <= 0 {
-		timeout = defaultTimeout
-	}
-	if q.callerTimeout > 0 {
-		timeout = min(timeout, q.callerTimeout)
-	}
-	return timeout
-}
-
-// requestTimeout returns how long the response to a request may take. Without a route,
-// there is one at once.
-func (n *Node) requestTimeout(q *request) time.Duration {
-	view := n.view.Load()
-	if view == nil || view.Config == nil {
-		return initialViewTimeout
-	}
-	if route, result := view.Routes.Match(q.host, q.path()); result == catalog.Matched {
-		return timeoutOf(q, route)
-	}
-	return 0
-}
-
 // awaitView returns the view in force. Shortly after the start it waits for the
 // first view that is complete, at most until initialViewTimeout.
 func (n *Node) awaitView(ctx context.Context) *catalog.View {
--- a/internal/stricthttp/reset.go
+++ b/internal/stricthttp/reset.go
@@ -29,6 +29,7 @@
 	}
 }
 
+// conn is a connection of DetectResets. It also scans the heads of responses, for CheckHead.
 type conn struct {
 	net.Conn
 	// writing is held during a write, and protects writeErr, the first error of one.
