--- a/review/stand-3/store.go
+++ b/review/stand-3/store.go
@@ -73,6 +73,8 @@
 	copies []timedCopy
 	era    int
 	away   bool
+	// awaySince is when the store went away.
+	awaySince time.Time
 	// silent is set if calls get no answer while the store is away, also not later.
 	silent  bool
 	changed chan struct{}
@@ -124,7 +126,26 @@
 func (s *store) setAway() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.away = true
+	s.away, s.awaySince = true, time.Now()
+	s.wake()
+}
+
+// since returns when the store went away.
+func (s *store) since() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.awaySince
+}
+
+// setBack ends the absence. Nothing was lost.
+func (s *store) setBack() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = false
+	now := time.Now()
+	for name := range s.state.objects["servers"] {
+		s.heard[name] = now
+	}
 	s.wake()
 }
 
