--- a/review/stand-3/endpoint.go
+++ b/review/stand-3/endpoint.go
@@ -45,7 +45,7 @@
 	check(err)
 	e := &endpoint{
 		id: id, service: service, zone: zone, born: time.Now().UnixMilli(), work: work, listener: l, store: s, log: log,
-		stop: make(chan struct{}), state: "in_service", warmAt: time.Now().Add(warmup), writeNow: make(chan struct{}, 1),
+		stop: make(chan struct{}), state: names["inService"], warmAt: time.Now().Add(warmup), writeNow: make(chan struct{}, 1),
 	}
 	e.server = &http.Server{Handler: e, IdleTimeout: 10 * time.Second}
 	go func() { _ = e.server.Serve(l) }()
@@ -89,7 +89,7 @@
 	left := max(0, time.Until(e.warmAt).Milliseconds())
 	state := e.state
 	spec := fmt.Sprintf(`{"address":%q,"born":%d,"info":{"service":%q,"version":"v1","zone":%q,"capacity":2}}`, e.address(), e.born, e.service, e.zone)
-	status := fmt.Sprintf(`{"state":%q,"sequence":%d,"warmup_left_ms":%d}`, state, e.sequence, left)
+	status := fmt.Sprintf(wire(`{"state":%q,"sequence":%d,"${warmup}":%d}`), state, e.sequence, left)
 	e.mu.Unlock()
 	_, err := e.store.put("servers", e.id, json.RawMessage(spec), json.RawMessage(status), sameStatus)
 	e.mu.Lock()
@@ -128,12 +128,12 @@
 	if draining {
 		h.Set("Server-Leaving", "1")
 	}
-	h.Set("Agateusher-Instance-Id", e.id)
+	h.Set(names["instanceHeader"], e.id)
 	if id != "" {
 		h.Set("Agateusher-Request-Id", id)
 	}
-	if target := r.Header.Get("Agateusher-Target-Instance"); target != "" && target != e.id {
-		h.Set("Agateusher-Not-Executed", "1")
+	if target := r.Header.Get(names["targetHeader"]); target != "" && target != e.id {
+		h.Set(names["notExecutedHeader"], "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -144,7 +144,7 @@
 	e.log.line("run %s by %s (%s)", id, e.id, e.service)
 	time.Sleep(e.work)
 	body := "answer to " + id + "\n"
-	h.Set("Agateusher-Response-Signature", e.id+"."+id)
+	h.Set(names["signatureHeader"], e.id+"."+id)
 	h.Set("Content-Length", fmt.Sprint(len(body)))
 	w.WriteHeader(http.StatusOK)
 	_, _ = w.Write([]byte(body))
--- a/review/stand-3/fleet.go
+++ b/review/stand-3/fleet.go
@@ -160,7 +160,7 @@
 	}
 	d.reserved = nil
 	d.cmd = exec.Command("target/usher-edge")
-	d.cmd.Env = append(os.Environ(), "AGATEUSHER_SETTINGS="+d.settings)
+	d.cmd.Env = append(os.Environ(), names["settingsVariable"]+"="+d.settings)
 	d.cmd.Stdout, d.cmd.Stderr = d.log, d.log
 	check(d.cmd.Start())
 	d.ended = make(chan struct{})
@@ -189,7 +189,7 @@
 // ready asks the daemon the question of the load balancer.
 func (d *daemon) ready() bool {
 	client := http.Client{Timeout: time.Second}
-	resp, err := client.Get("http://" + d.addresses["ready"] + "/agateusher/readiness")
+	resp, err := client.Get("http://" + d.addresses["ready"] + names["readinessPath"])
 	if err != nil {
 		return false
 	}
@@ -248,7 +248,7 @@
 	req.Host = c.host
 	req.GetBody = nil
 	req.Header.Set("Agateusher-Request-Id", a.id)
-	req.Header.Set("Agateusher-Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
+	req.Header.Set(names["deadlineHeader"], fmt.Sprint(deadline.Milliseconds()))
 	for k, v := range header {
 		req.Header.Set(k, v)
 	}
@@ -259,7 +259,7 @@
 		var data []byte
 		data, err = io.ReadAll(resp.Body)
 		_ = resp.Body.Close()
-		a.status, a.signed = resp.StatusCode, resp.Header.Get("Agateusher-Response-Signature") != ""
+		a.status, a.signed = resp.StatusCode, resp.Header.Get(names["signatureHeader"]) != ""
 		a.whole = err == nil && string(data) == "answer to "+a.id+"\n"
 	}
 	a.err, a.answered = err, time.Now()
--- a/review/stand-3/store.go
+++ b/review/stand-3/store.go
@@ -14,8 +14,6 @@
 	"time"
 )
 
-const objectsPath = "/agateusher/objects/"
-
 // Limits of the store, as in the settings of a small deployment.
 const (
 	readsPerSecond = 2000
@@ -283,7 +281,7 @@
 		return
 	}
 	time.Sleep(4 * time.Millisecond)
-	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, objectsPath), "/")
+	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, names["objectsPath"]), "/")
 	switch {
 	case r.Method == http.MethodGet && r.URL.Query().Has("watch"):
 		s.watch(w, r, kind)
--- a/review/stand-3/storeera.go
+++ b/review/stand-3/storeera.go
@@ -20,10 +20,10 @@
 
 // config returns the configuration of a small deployment.
 func config(version int, timeout time.Duration) json.RawMessage {
-	route := `{"host":"front.example","path_prefix":%q,"route_type":%q,"timeout_ms":%d,"target_latency_ms":600,"priority":1,"service":"booking","max_attempts":2}`
+	route := wire(`{"host":"front.example","path_prefix":%q,"${routeType}":%q,"timeout_ms":%d,"target_latency_ms":600,"priority":1,"service":"booking","max_attempts":2}`)
 	return json.RawMessage(fmt.Sprintf(`{"version":%d,"routes":{"look":`+route+`,"pay":`+route+`},"services":{"booking":{"health_check_path":"/health"}},`+
 		`"limits":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`,
-		version, "/look/", "idempotent", timeout.Milliseconds(), "/pay/", "non_idempotent", timeout.Milliseconds()))
+		version, "/look/", "idempotent", timeout.Milliseconds(), "/pay/", names["onlyOnce"], timeout.Milliseconds()))
 }
 
 // operator keeps the newest configuration in the store.
