--- a/review/stand-3/configdrill.go
+++ b/review/stand-3/configdrill.go
@@ -42,7 +42,7 @@
 	add := func(service string, warmup time.Duration) {
 		endpoints = append(endpoints, newEndpoint(s, log, fmt.Sprintf("i-%02d", len(endpoints)), service, zones[len(endpoints)%2], 40*time.Millisecond, warmup))
 	}
-	for range 6 {
+	for range 10 {
 		add("booking", 0)
 	}
 	for range 6 {
