catalog: tell the eras of the store apart

Cause: a revision was taken for a position in one history. The store gives revisions out again after its return, so that a watch from 65 found a revision 65 of the new history and no change after it. The header Store-Era was not read.

Change: a catalog.Revision holds the era above the revision, so that all comparisons, cursors, gossip and messages between daemons know it, those of older daemons included. A watch that is answered in another era is discarded and the content read whole; answers of an earlier era than the newest known one are refused, whoever it is known from; the checks of the store end watches that wait in an earlier era. The stand-in of the store learns copies, eras and 410 for revisions that it does not have. One log line and a counter for a change of era.

--- a/catalog/cache.go
+++ b/catalog/cache.go
@@ -102,6 +102,8 @@
 	// They are used by this daemon only.
 	retained map[string]*Server
 	outages  outage.Tracker
+	// era is the newest era of the store that is known.
+	era Era
 	// history and configHistory have the latest changes of the servers and of the
 	// routes, the oldest first; each one begins where the one before it ends.
 	history       []revisionChange
@@ -149,10 +151,14 @@
 }
 
 // Confirm records that the store confirmed these versions to another daemon. It
-// has no effect on content of another version.
+// has no effect on content of another version, and none if the other daemon does not know
+// yet that the store came back from a copy.
 func (c *Cache) Confirm(v Versions, confirmedAt time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if v.Revision.Era() < c.era {
+		return
+	}
 	if c.config != nil && c.config.Epoch == v.Epoch && confirmedAt.After(c.configConfirmedAt) {
 		c.configConfirmedAt = confirmedAt
 	}
@@ -262,18 +268,46 @@
 	return nil, false
 }
 
-// snapshotServers returns a copy of the servers and the revision to watch from.
+// snapshotServers returns a copy of the servers and the revision to watch from; zero if
+// there is none in the present era.
 func (c *Cache) snapshotServers() (map[string]*Server, Revision) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return maps.Clone(c.servers), c.serverCursor
+	return maps.Clone(c.servers), c.presentCursor(c.serverCursor)
 }
 
-// cursorOfConfig returns the revision to watch the configuration from.
+// cursorOfConfig returns the revision to watch the configuration from; zero if there is
+// none in the present era.
 func (c *Cache) cursorOfConfig() Revision {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.configCursor
+	return c.presentCursor(c.configCursor)
+}
+
+// presentCursor returns a cursor, or zero if it is of an earlier era. c.mu must be held.
+func (c *Cache) presentCursor(cursor Revision) Revision {
+	if cursor.Era() < c.era {
+		return 0
+	}
+	return cursor
+}
+
+// Era returns the newest era of the store that is known.
+func (c *Cache) Era() Era {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.era
+}
+
+// ObserveEra records an era that an answer of the store or another daemon named, and
+// returns the newest one known before. Content of earlier eras stays in use until the store
+// was read again, but nothing confirms it.
+func (c *Cache) ObserveEra(e Era) (before Era) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	before = c.era
+	c.era = max(c.era, e)
+	return before
 }
 
 // AddAge adds to the time since the store last confirmed the content. It is called
--- a/catalog/check.go
+++ b/catalog/check.go
@@ -36,11 +36,15 @@
 		if len(waiting) == 0 {
 			continue
 		}
-		err := f.ping(ctx)
+		era, err := f.ping(ctx)
 		if ctx.Err() != nil {
 			return nil
 		}
 		if err == nil {
+			f.observeEra(era, eraFromStore)
+			if era < f.cache.Era() {
+				continue // an answer from before the store came back confirms nothing
+			}
 			f.recordPing(began)
 		}
 		if err != nil && f.receivedSince(began) {
@@ -48,7 +52,7 @@
 		}
 		for _, l := range waiting {
 			if err != nil {
-				l.interrupt()
+				l.interrupt(errStoreSilent)
 			} else if l.waitsSince(began) {
 				l.confirm(began)
 			}
@@ -69,7 +73,7 @@
 	return f.pingedAt.After(at)
 }
 
-func (f *Follower) ping(ctx context.Context) error {
+func (f *Follower) ping(ctx context.Context) (Era, error) {
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
 	return f.source.Ping(ctx)
--- /dev/null
+++ b/catalog/era_test.go
@@ -0,0 +1,67 @@
+package catalog
+
+import (
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/agateusher/agateusher/core/fetch"
+)
+
+// at returns a revision of an era.
+func at(e Era, number uint64) Revision {
+	r, err := NewRevision(e, number)
+	if err != nil {
+		panic(err)
+	}
+	return r
+}
+
+// Guards against an answer of an earlier era that arrives late, and against the content and
+// the confirmations of a daemon that does not know yet that the store came back from a copy.
+func TestAnswersOfAnEarlierEra(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, now := NewWithT(t), time.Now()
+		cache := NewCache(nil)
+		source := &fakeSource{epoch: 2, revision: at(1, 70), servers: map[string]*Server{"i-1": {ID: "i-1"}}}
+		f := NewFollower(cache, source, func() Role { return Role{First: true, Listed: fetch.Unlisted} }, 0, discardLogger())
+		g.Expect(f.syncServers(t.Context(), f.loops[1])).To(Succeed())
+		g.Expect(f.syncConfig(t.Context(), f.loops[0])).To(Succeed())
+
+		f.ObservePeerEra(2)
+		_, cursor := cache.snapshotServers()
+		g.Expect(cursor).To(BeZero(), "the revision is of an earlier era")
+		g.Expect(cache.cursorOfConfig()).To(BeZero())
+		source.set(func() { source.revision, source.servers = at(1, 90), map[string]*Server{"i-2": {ID: "i-2"}} })
+		g.Expect(errors.Is(f.syncServers(t.Context(), f.loops[1]), errOldEra)).To(BeTrue())
+		g.Expect(errors.Is(f.syncConfig(t.Context(), f.loops[0]), errOldEra)).To(BeTrue())
+		g.Expect(errors.Is(f.AskConfig(t.Context()), errOldEra)).To(BeTrue())
+		g.Expect(serverNames(cache)).To(ConsistOf("i-1"))
+		time.Sleep(time.Second)
+		cache.Confirm(Versions{Epoch: 2, Revision: at(1, 70)}, time.Now())
+		config, servers := cache.Ages(time.Now())
+		g.Expect(min(config, servers)).To(BeNumerically(">=", time.Second), "nothing of the earlier era confirms content")
+
+		source.set(func() { source.revision = at(2, 61) })
+		g.Expect(f.syncServers(t.Context(), f.loops[1])).To(Succeed())
+		g.Expect(cache.Versions().Revision).To(Equal(at(2, 61)))
+		cache.Merge(now, Snapshot{Servers: map[string]*Server{"i-3": {ID: "i-3"}}, Revision: at(1, 99)})
+		g.Expect(cache.Versions().Revision).To(Equal(at(2, 61)), "a peer with content of the earlier era")
+	})
+}
+
+// Guards against a range of revisions that runs into that of the next era.
+func TestRevisionRange(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(at(2, 1)).To(BeNumerically(">", at(1, maxRevision)))
+	g.Expect(at(3, 7).String()).To(Equal("7@3"))
+	g.Expect(at(0, 7).String()).To(Equal("7"))
+	for _, r := range [][2]uint64{{maxEra + 1, 1}, {1, maxRevision + 1}} {
+		_, err := NewRevision(Era(r[0]), r[1])
+		var out *RevisionRangeError
+		g.Expect(errors.As(err, &out)).To(BeTrue())
+	}
+}
--- a/catalog/follower.go
+++ b/catalog/follower.go
@@ -68,6 +68,8 @@
 	log    telemetry.Logger
 	loops  []*syncLoop
 
+	// eraChanged is called when the store is found to have come back from an older copy.
+	eraChanged func(learnedFrom string)
 	// announce tells other daemons this one's state.
 	announce func()
 	started  time.Time
@@ -96,7 +98,7 @@
 // reads; see package fetch.
 func NewFollower(cache *Cache, source Source, role func() Role, bootstrapDelay time.Duration, log telemetry.Logger) *Follower {
 	now := time.Now()
-	f := &Follower{cache: cache, source: source, role: role, announce: func() {}, started: now, quietSince: now, bootstrapDelay: bootstrapDelay, log: log}
+	f := &Follower{cache: cache, source: source, role: role, announce: func() {}, started: now, quietSince: now, bootstrapDelay: bootstrapDelay, log: log, eraChanged: func(string) {}}
 	f.loops = []*syncLoop{
 		{follower: f, kind: "configuration", large: true, sync: f.syncConfig, confirm: f.cache.confirmConfig, age: func(now time.Time) time.Duration {
 			a, _ := f.cache.Ages(now)
@@ -220,7 +222,7 @@
 	err := l.sync(ctx, l)
 	now := time.Now()
 	if ctx.Err() == nil {
-		l.follower.recordCall(err != nil && !errors.Is(err, ErrHistoryGone) && !errors.Is(err, errWatchLost))
+		l.follower.recordCall(err != nil && !errors.Is(err, ErrHistoryGone) && !errors.Is(err, ErrEraChanged) && !errors.Is(err, errWatchLost))
 	}
 	switch {
 	case err == nil:
@@ -236,6 +238,9 @@
 	case errors.Is(err, errWatchLost):
 		l.follower.log.WithFields(telemetry.Fields{"event": "watch_lost", "kind": l.kind}).WithError(err).Info("watching again on another connection")
 		return 0
+	case errors.Is(err, ErrEraChanged):
+		// The cursor is of an earlier era now, so that the next call reads the whole content.
+		return 0
 	case errors.Is(err, ErrHistoryGone):
 		l.follower.log.WithFields(telemetry.Fields{"event": "history_gone", "kind": l.kind}).Warn("the store no longer keeps this revision; reading the whole content")
 		pause = 0
@@ -272,7 +277,7 @@
 	if l.fullRead || cursor == 0 {
 		ctx, end := l.startRead(ctx)
 		c, r, err := f.source.Config(ctx)
-		if err = end(err); err == nil {
+		if err = f.checkEra(r, end(err)); err == nil {
 			f.applyConfig(c, r, began)
 			if c != nil {
 				f.recordRead()
@@ -283,7 +288,7 @@
 	wait := f.watchDuration(l)
 	ctx, end := l.startWatch(ctx, wait)
 	c, r, err := f.source.WatchConfig(ctx, cursor, wait)
-	if err = end(err); err == nil {
+	if err = f.checkEra(r, end(err)); err == nil {
 		f.applyConfig(c, r, time.Now())
 	}
 	return err
@@ -310,16 +315,17 @@
 	if l.fullRead || cursor == 0 {
 		ctx, end := l.startRead(ctx)
 		servers, r, err := f.source.Servers(ctx)
-		if err = end(err); err != nil {
+		if err = f.checkEra(r, end(err)); err != nil {
 			return err
 		}
+		f.logReread(r)
 		f.cache.putServers(servers, r, r, began)
 		return nil
 	}
 	wait := f.watchDuration(l)
 	ctx, end := l.startWatch(ctx, wait)
 	events, r, err := f.source.WatchServers(ctx, cursor, wait)
-	if err = end(err); err != nil {
+	if err = f.checkEra(r, end(err)); err != nil {
 		return err
 	}
 	f.applyServers(known, events, r)
--- a/catalog/loop.go
+++ b/catalog/loop.go
@@ -67,8 +67,8 @@
 	// whole is set for a read of the whole content, waits for a watch that waits for a
 	// change.
 	whole, waits bool
-	// interrupted is set if a failed check ended the watch.
-	interrupted bool
+	// interrupted is why the watch was ended from outside; nil if it was not.
+	interrupted error
 }
 
 // startRead returns the context of a read of the whole content, and a function to be
@@ -106,8 +106,8 @@
 	l.call = nil
 	l.mu.Unlock()
 	switch {
-	case err != nil && c.interrupted:
-		return errStoreSilent
+	case err != nil && c.interrupted != nil:
+		return c.interrupted
 	case c.waits && errors.Is(err, transfer.ErrStalled) && (l.follower.pingedSince(c.startedAt) || l.follower.receivedSince(c.startedAt)):
 		return errWatchLost
 	}
@@ -121,12 +121,13 @@
 	return l.call != nil && l.call.waits && l.call.startedAt.Before(at) && !l.call.Receiving()
 }
 
-// interrupt ends the watch that is waiting, unless its response is arriving.
-func (l *syncLoop) interrupt() {
+// interrupt ends the watch that is waiting, unless its response is arriving. The watch
+// returns the reason.
+func (l *syncLoop) interrupt(reason error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.call != nil && l.call.waits {
-		l.call.interrupted = l.call.Interrupt()
+	if l.call != nil && l.call.waits && l.call.Interrupt() {
+		l.call.interrupted = reason
 	}
 }
 
--- a/catalog/source_test.go
+++ b/catalog/source_test.go
@@ -28,6 +28,8 @@
 	hang     bool
 	calls    int
 	pings    int
+	// era is the one that the next answer names.
+	era Era
 	// size is the size of the configuration in bytes and rate that of the link in
 	// bytes per second. While the configuration passes, checks wait behind it.
 	size, rate int
@@ -151,19 +153,26 @@
 	return events, f.revision, nil
 }
 
-func (f *fakeSource) Ping(ctx context.Context) error {
+func (f *fakeSource) Ping(ctx context.Context) (Era, error) {
 	f.mu.Lock()
 	f.pings++
+	era := f.era
 	hang, err := f.hang || f.passing > 0 && f.size > 0, f.err
 	f.mu.Unlock()
 	if hang {
 		<-ctx.Done()
-		return ctx.Err()
+		return 0, ctx.Err()
 	}
 	if errors.Is(err, ErrHistoryGone) {
-		return nil
+		return era, nil
 	}
-	return err
+	return era, err
+}
+
+// Era implements Source.
+func (f *fakeSource) Era() (era Era) {
+	f.set(func() { era = f.era })
+	return era
 }
 
 func (f *fakeSource) callCount() int {
--- a/catalog/types.go
+++ b/catalog/types.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"strings"
 	"time"
 
@@ -115,9 +114,6 @@
 	return d.Sum64()
 }
 
-// Revision is a position in the store's history.
-type Revision uint64
-
 // ServerEvent is a change of one server's entry.
 type ServerEvent struct {
 	// Name is the entry's name in the store.
@@ -128,7 +124,7 @@
 }
 
 // Source reads the platform's store. Reads are linearizable. Any error other
-// than ErrHistoryGone means that the store could not be read.
+// than ErrHistoryGone and ErrEraChanged means that the store could not be read.
 type Source interface {
 	// Config returns the configuration; nil if none has been written yet.
 	Config(ctx context.Context) (*Config, Revision, error)
@@ -139,14 +135,13 @@
 	Servers(ctx context.Context) (map[string]*Server, Revision, error)
 	// WatchServers waits for changes after a revision, at most for wait.
 	WatchServers(ctx context.Context, after Revision, wait time.Duration) ([]ServerEvent, Revision, error)
-	// Ping checks that the store serves this daemon. It is the cheapest call.
-	Ping(ctx context.Context) error
+	// Ping checks that the store serves this daemon, and returns the era that its answer
+	// names. It is the cheapest call, and the answer may be seconds old.
+	Ping(ctx context.Context) (Era, error)
+	// Era returns the newest era that any answer of the store has named.
+	Era() Era
 }
 
-// ErrHistoryGone is returned by a watch if the store no longer keeps the
-// revision that it starts from.
-var ErrHistoryGone = errors.New("the store no longer keeps this revision")
-
 // RouteTable finds the route of a request. It is immutable.
 type RouteTable struct {
 	// routes has a nil route for each prefix whose route could not be decoded.
--- /dev/null
+++ b/edge/era_test.go
@@ -0,0 +1,71 @@
+package edge_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/agateusher/agateusher/standin/consortium"
+)
+
+// newRoute is a route that only later configurations have.
+const newRoute = `,"r-new":{"host":"api.example","path_prefix":"/new/","route_type":"idempotent","timeout_ms":2000,"target_latency_ms":500,"priority":1,"service":"registry","max_attempts":2}`
+
+// drill makes the store unavailable and lets it come back from a copy. Meanwhile rewritten
+// runs, which writes again what was lost; the daemons see the store only after it.
+func (s *site) drill(c consortium.Copy, rewritten func()) {
+	s.store.SetFault(consortium.Silent)
+	time.Sleep(300 * time.Millisecond)
+	s.store.Restore(c)
+	rewritten()
+	s.store.SetFault(consortium.Healthy)
+}
+
+// fill makes n changes that no daemon looks at.
+func (s *site) fill(n int) {
+	for i := range n {
+		s.store.Put("filler", "x", fmt.Sprintf(`{"n":%d}`, i), "")
+	}
+}
+
+// Guards against a configuration that never comes into force: after the store came back
+// from an older copy, a watch goes on from a revision of the earlier era, which the store
+// has given out again meanwhile. A daemon that starts between two returns knows one of them.
+func TestConfigurationAfterOlderCopy(t *testing.T) {
+	for name, drills := range map[string]int{"once": 1, "twice": 2} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t)
+			s.server("i-1", service)
+			s.configure(2*time.Second, "")
+			daemons := []*daemon{s.ready(s.daemon(s.settings("h-1")))}
+			for range drills {
+				c := s.store.Copy()
+				s.fill(20)
+				s.configure(1900*time.Millisecond, "")
+				time.Sleep(300 * time.Millisecond)
+				s.drill(c, func() {
+					s.version -= 3
+					s.configure(1900*time.Millisecond, "")
+					s.fill(5)
+				})
+				if drills > 1 {
+					daemons = append(daemons, s.ready(s.daemon(s.settings(fmt.Sprint("h-", len(daemons)+1)))))
+				}
+			}
+			c := s.store.Copy()
+			s.fill(20)
+			time.Sleep(200 * time.Millisecond)
+			s.drill(c, func() {
+				s.configure(2*time.Second, newRoute)
+				s.fill(30)
+			})
+			for i, d := range daemons {
+				s.g.Eventually(func() int { return s.do(d, request("GET", "/new/x", fmt.Sprint("n", i), "", "")).status }).
+					WithTimeout(2500 * time.Millisecond).Should(Equal(http.StatusOK))
+			}
+		})
+	}
+}
--- a/edge/node.go
+++ b/edge/node.go
@@ -152,6 +152,8 @@
 	n.gossiper.EnableQuotas(n.quotas)
 	n.follower = catalog.NewFollower(n.cache, n.platform.Source, n.role, s.bootstrapDelay(), n.log)
 	n.follower.OnEvent(n.gossiper.AnnounceAll)
+	eraChanges := telemetry.NewCounterVec(n.metrics.Scope, "store_era_changes", "learned_from", "")
+	n.follower.OnEraChange(func(from string) { eraChanges.Inc(from, "") })
 	n.puller = newPuller(n)
 	n.content = newContentServer(s.Host.LinkMbps, n.metrics.Scope)
 	if n.callerListener, err = net.Listen("tcp4", s.Listeners.Caller); err != nil {
@@ -335,6 +337,7 @@
 		p.cache.ObservePeer(time.Now(), catalog.PeerReport{Age: s.ConfirmedAge, Served: s.Served}, h.DataCentre == p.settings.Host.DataCentre)
 	}
 	own, peer := p.cache.Versions(), catalog.Versions{Epoch: s.Epoch, Revision: catalog.Revision(s.Revision)}
+	p.follower.ObservePeerEra(peer.Revision.Era())
 	if peer.Epoch > own.Epoch || peer.Revision > own.Revision {
 		p.puller.enqueue(h.Address)
 		return
--- a/standin/consortium/store.go
+++ b/standin/consortium/store.go
@@ -72,11 +72,13 @@
 	revision uint64
 	// oldestWatchRevision is the oldest revision that a watch may start from.
 	oldestWatchRevision uint64
-	fault               Fault
-	delay               time.Duration
-	pageSize            int
-	calls               int
-	changed             chan struct{}
+	// era rises each time that the store comes back from a copy.
+	era      uint64
+	fault    Fault
+	delay    time.Duration
+	pageSize int
+	calls    int
+	changed  chan struct{}
 	// staleObjects is what reads that allow stale data return. If it is nil, they
 	// return the current state.
 	staleObjects map[string]map[string]Object
@@ -173,7 +175,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Store{listener: l, objects: map[string]map[string]Object{}, revision: 1, pageSize: 500, changed: make(chan struct{}), staleReads: map[string]int{}, reads: map[string]int{}, changes: map[string]int{}}
+	s := &Store{listener: l, objects: map[string]map[string]Object{}, revision: 1, era: 1, pageSize: 500, changed: make(chan struct{}), staleReads: map[string]int{}, reads: map[string]int{}, changes: map[string]int{}}
 	s.server = &http.Server{Handler: s, ReadHeaderTimeout: 5 * time.Second}
 	go func() { _ = s.server.Serve(l) }()
 	return s, nil
@@ -330,6 +332,9 @@
 		return
 	}
 	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, pathPrefix), "/")
+	s.mu.Lock()
+	s.setEra(w)
+	s.mu.Unlock()
 	switch {
 	case r.Method == http.MethodGet && r.URL.Query().Has("watch"):
 		s.watch(w, r, kind)
@@ -385,6 +390,7 @@
 		}
 		a.Items = append(a.Items, objects[name])
 	}
+	s.setEra(w)
 	s.mu.Unlock()
 	s.respond(w, http.StatusOK, a)
 }
@@ -408,7 +414,8 @@
 	s.mu.Unlock()
 	for {
 		s.mu.Lock()
-		a, expired, changed := s.eventsSince(kind, from), from < s.oldestWatchRevision, s.changed
+		a, expired, changed := s.eventsSince(kind, from), from < s.oldestWatchRevision || from > s.revision, s.changed
+		s.setEra(w)
 		interrupted := s.fault != Healthy && s.fault != LoseAnswers
 		s.mu.Unlock()
 		switch {
