edge: tell registered hosts from those that were only heard of

Daemons that were added while the store was away, and restarted before it was back, never registered.

Cause: a daemon that starts asks a seed for the hosts and took its own name in the answer for an entry in the registry. The answer has every host that the seed has heard, here the heartbeats of the daemon's earlier process, which was not registered either.

Change: the list of hosts that daemons send each other marks the entries of the registry, with the era and the age of the list. Only such an entry, equal to the daemon's own, counts. A daemon without an entry does not vote, because the number of hosts does not include it: the shares of all issuers then add up to the limit at most, whoever is listed.

--- a/catalog/era.go
+++ b/catalog/era.go
@@ -30,6 +30,10 @@
 	return nil
 }
 
+// ObserveStoreEra records the newest era that any answer of the store has named, also to
+// calls other than this follower's.
+func (f *Follower) ObserveStoreEra() { f.observeEra(f.source.Era(), eraFromStore) }
+
 // ObservePeerEra records the era of another daemon's content.
 func (f *Follower) ObservePeerEra(e Era) { f.observeEra(e, eraFromPeer) }
 
--- a/core/quota/host.go
+++ b/core/quota/host.go
@@ -39,6 +39,7 @@
 
 	voter        voter
 	electorate   electorate
+	abstains     bool
 	accounts     map[Key]*account
 	coordinators map[Key]model.DataCentre
 	coordinator  coordinator
@@ -169,8 +170,15 @@
 // HearStamp records the stamp in the heartbeat of another host.
 func (h *Host) HearStamp(now time.Time, from model.HostID, s Stamp) { h.voter.hearStamp(now, from, s) }
 
+// SetVoting sets whether this host votes. One that is not counted in the fleet must not, or
+// the shares add up to more than the limit.
+func (h *Host) SetVoting(voting bool) { h.abstains = !voting }
+
 // Vote returns the vote for this host's heartbeats. A vote for itself is counted.
 func (h *Host) Vote(now time.Time) Vote {
+	if h.abstains {
+		return Vote{}
+	}
 	v := h.voter.vote(now)
 	if v.Issuer == h.self {
 		h.electorate.hear(now, h.self, h.self, v)
--- a/edge/content.go
+++ b/edge/content.go
@@ -1,11 +1,9 @@
 package edge
 
 import (
-	"compress/gzip"
 	"encoding/json"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/agateusher/agateusher/catalog"
@@ -131,20 +129,6 @@
 	n.content.scope.Counter("content_sent_bytes").Inc(int64(len(data)))
 }
 
-func (n *Node) serveHosts(w http.ResponseWriter, r *http.Request) {
-	hosts := n.gossiper.Hosts()
-	if !strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
-		n.writeJSON(w, hosts)
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("Content-Encoding", "gzip")
-	z := gzip.NewWriter(w)
-	if err := json.NewEncoder(z).Encode(hosts); err == nil {
-		_ = z.Close()
-	}
-}
-
 func (n *Node) writeJSON(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(v); err != nil {
--- a/edge/node.go
+++ b/edge/node.go
@@ -36,7 +36,9 @@
 
 // Registry lists the daemons of the deployment.
 type Registry interface {
-	Hosts(ctx context.Context) ([]gossip.Host, error)
+	// Hosts returns the registered daemons and the era of the store's answer. The list may
+	// be seconds old.
+	Hosts(ctx context.Context) ([]gossip.Host, catalog.Era, error)
 	Register(ctx context.Context, h gossip.Host) error
 }
 
@@ -83,6 +85,8 @@
 	puller   *puller
 	content  *contentServer
 	view     atomic.Pointer[catalog.View]
+	// registry is the newest list of the registry that is known; nil if there is none.
+	registry atomic.Pointer[registryList]
 	// viewComplete is closed once view has a configuration and a set of servers.
 	viewComplete chan struct{}
 	// draining is set from the start of a graceful shutdown.
--- a/edge/pull.go
+++ b/edge/pull.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"github.com/agateusher/agateusher/catalog"
-	"github.com/agateusher/agateusher/gossip"
 	"github.com/agateusher/agateusher/internal/stricthttp"
 	"github.com/agateusher/agateusher/kernel"
 	"github.com/agateusher/agateusher/telemetry"
@@ -225,12 +224,13 @@
 }
 
 // hosts fetches the list of hosts from a daemon.
-func (p *puller) hosts(ctx context.Context, address string, out *[]gossip.Host) error {
+func (p *puller) hosts(ctx context.Context, address string) (sentHosts, error) {
 	data, err := p.request(ctx, address, hostsPath)
 	if err != nil {
-		return err
+		return sentHosts{}, err
 	}
-	return json.Unmarshal(data, out)
+	out := sentHosts{receivedAt: time.Now()}
+	return out, json.Unmarshal(data, &out.list)
 }
 
 func (p *puller) request(ctx context.Context, address, path string) ([]byte, error) {
--- a/edge/quota.go
+++ b/edge/quota.go
@@ -151,6 +151,13 @@
 	q.limited.Store(&keys)
 }
 
+// setRegistered records whether this daemon is in the registry, as far as it knows.
+func (q *quotas) setRegistered(registered bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.host.SetVoting(registered)
+}
+
 // setFleet records the hosts in the registry, as read by this daemon.
 func (q *quotas) setFleet(hosts []gossip.Host) {
 	q.mu.Lock()
--- a/standin/consortium/copy.go
+++ b/standin/consortium/copy.go
@@ -52,3 +52,10 @@
 func (s *Store) setEra(w http.ResponseWriter) {
 	w.Header().Set(headerEra, strconv.FormatUint(s.era, 10))
 }
+
+// Count returns the number of objects of a kind.
+func (s *Store) Count(kind string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.objects[kind])
+}
