edge: check the registration as long as the daemon runs

Daemons whose entries in the registry of hosts were lost, because the store came back from an older copy, never wrote them again.

Cause: a registration that had succeeded once was not looked at again.

Change: each list of the registry that a daemon gets, from the relay as before, is checked for its own entry; a missing one is written again. Lists that may be older than the entry, or are of an earlier era, show nothing. After a change of era the daemons check at different times within 3 s, the relays first. The number of registered hosts does not fall for 30 s after it.

--- a/edge/node.go
+++ b/edge/node.go
@@ -87,6 +87,9 @@
 	view     atomic.Pointer[catalog.View]
 	// registry is the newest list of the registry that is known; nil if there is none.
 	registry atomic.Pointer[registryList]
+	// eraChanged has an element if the store came back from an older copy and this daemon's
+	// registration was not checked since.
+	eraChanged chan struct{}
 	// viewComplete is closed once view has a configuration and a set of servers.
 	viewComplete chan struct{}
 	// draining is set from the start of a graceful shutdown.
@@ -117,7 +120,7 @@
 func New(s Settings, w io.Writer, connect func(telemetry.Scope, telemetry.Logger) Platform) (*Node, error) {
 	n := &Node{
 		settings: s, started: time.Now(), logWriter: newAsyncWriter(w), metrics: telemetry.NewMetrics(metricsPrefix),
-		conns: map[*conn]struct{}{}, viewComplete: make(chan struct{}), sizeEstimator: sizeEstimator{meanResponseBytes: map[model.RouteName]float64{}},
+		conns: map[*conn]struct{}{}, viewComplete: make(chan struct{}), eraChanged: make(chan struct{}, 1), sizeEstimator: sizeEstimator{meanResponseBytes: map[model.RouteName]float64{}},
 	}
 	var err error
 	if n.logger, err = telemetry.NewLogger(n.logWriter, s.Log.Level); err != nil {
@@ -157,7 +160,13 @@
 	n.follower = catalog.NewFollower(n.cache, n.platform.Source, n.role, s.bootstrapDelay(), n.log)
 	n.follower.OnEvent(n.gossiper.AnnounceAll)
 	eraChanges := telemetry.NewCounterVec(n.metrics.Scope, "store_era_changes", "learned_from", "")
-	n.follower.OnEraChange(func(from string) { eraChanges.Inc(from, "") })
+	n.follower.OnEraChange(func(from string) {
+		eraChanges.Inc(from, "")
+		select {
+		case n.eraChanged <- struct{}{}:
+		default:
+		}
+	})
 	n.puller = newPuller(n)
 	n.content = newContentServer(s.Host.LinkMbps, n.metrics.Scope)
 	if n.callerListener, err = net.Listen("tcp4", s.Listeners.Caller); err != nil {
--- a/edge/quota.go
+++ b/edge/quota.go
@@ -72,8 +72,12 @@
 	localHosts   []model.HostID
 	withoutVotes map[model.HostID]bool
 	started      time.Time
-	// fleet is the number of hosts in the registry as this daemon last read it.
+	// fleet is the number of hosts in the registry as this daemon last read it in fleetEra.
+	// keptFleet is the number in an earlier era, which is used until keptUntil.
 	fleet     int
+	fleetEra  catalog.Era
+	keptFleet int
+	keptUntil time.Time
 	peerFleet peerFleet
 	// stampUntil is until when heartbeats carry a stamp, because another host named this
 	// one as its issuer.
@@ -151,6 +155,11 @@
 	q.limited.Store(&keys)
 }
 
+// keptFleetTime is how long the number of registered hosts does not fall after the store came
+// back from an older copy: hosts that have lost their entries go on, and register again
+// within that time.
+const keptFleetTime = 30 * time.Second
+
 // setRegistered records whether this daemon is in the registry, as far as it knows.
 func (q *quotas) setRegistered(registered bool) {
 	q.mu.Lock()
@@ -158,10 +167,26 @@
 	q.host.SetVoting(registered)
 }
 
-// setFleet records the hosts in the registry, as read by this daemon.
-func (q *quotas) setFleet(hosts []gossip.Host) {
+// registeredHosts returns the number of hosts in the registry. q.mu must be held.
+func (q *quotas) registeredHosts(now time.Time) int {
+	if now.Before(q.keptUntil) {
+		return max(q.fleet, q.keptFleet)
+	}
+	return q.fleet
+}
+
+// setFleet records the hosts in the registry, as read by this daemon in an era of the store.
+func (q *quotas) setFleet(hosts []gossip.Host, era catalog.Era) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	now := q.now()
+	if era < q.fleetEra {
+		return
+	}
+	if era > q.fleetEra && q.fleet > 0 {
+		q.keptFleet, q.keptUntil = q.registeredHosts(now), now.Add(keptFleetTime)
+	}
+	q.fleetEra = era
 	first, listed := q.fleet == 0, false
 	q.fleet, q.localHosts = len(hosts), nil
 	for _, h := range hosts {
@@ -176,7 +201,7 @@
 		// The fleet is new, and the registry may not have all hosts yet.
 		q.withoutVotes = nil
 	}
-	q.host.SetFleet(max(q.fleet, q.peerFleet.hosts()))
+	q.host.SetFleet(max(q.registeredHosts(now), q.peerFleet.hosts()))
 }
 
 // admit decides about a request of a workspace. It returns as soon as an issuer has
--- a/edge/quota_fleet_test.go
+++ b/edge/quota_fleet_test.go
@@ -16,7 +16,7 @@
 func TestNumberOfHostsFromOthersIsKept(t *testing.T) {
 	g := NewWithT(t)
 	q, advance := loneQuotas()
-	q.setFleet(nil)
+	q.setFleet(nil, 0)
 	hosts := func() float64 { return q.gauges()["quota_fleet_hosts"] }
 	for range 100 {
 		q.PeerQuotaState("b", &gen.QuotaState{Fleet: 40})
--- a/edge/quota_internal_test.go
+++ b/edge/quota_internal_test.go
@@ -36,7 +36,7 @@
 		return now
 	}
 	q.host = quota.NewHost(now, "h", "a", s.Regions, quota.Rule{Window: 5 * time.Second, Overage: 0.1, Slack: 20})
-	q.setFleet([]gossip.Host{{ID: "h", DataCentre: "a"}})
+	q.setFleet([]gossip.Host{{ID: "h", DataCentre: "a"}}, 0)
 	q.host.Prefer("h")
 	q.apply(&catalog.Config{Workspaces: []catalog.Workspace{{Name: "w", RatePerSecond: 10, Burst: 10}, {Name: "free"}}})
 	return q, func(d time.Duration) {
@@ -105,7 +105,7 @@
 	votes := func(registry []gossip.Host, mate *gen.QuotaState) bool {
 		q, advance := loneQuotas()
 		q.fleet, q.started = 0, q.now()
-		q.setFleet(registry)
+		q.setFleet(registry, 0)
 		q.host.Prefer("issuer")
 		advance(withoutVotesDelay)
 		q.PeerQuotaState("issuer", &gen.QuotaState{Stamp: 7, HoldsVotes: true})
--- a/edge/quota_messages.go
+++ b/edge/quota_messages.go
@@ -140,7 +140,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.now()
-	s := &gen.QuotaState{Fleet: uint32(q.fleet), HoldsVotes: q.host.HoldsVotes(now)}
+	s := &gen.QuotaState{Fleet: uint32(q.registeredHosts(now)), HoldsVotes: q.host.HoldsVotes(now)}
 	if v := q.host.Vote(now); v.Issuer != "" {
 		s.Issuer, s.Echo = hostHash(v.Issuer), uint64(v.Echo)
 	} else if preferred := q.host.Preferred(); preferred != "" {
@@ -166,7 +166,7 @@
 	if q.withoutVotes != nil && now.Sub(q.started) >= withoutVotesDelay {
 		q.withoutVotes[h] = !s.HoldsVotes
 	}
-	q.host.SetFleet(max(q.fleet, q.peerFleet.hosts()))
+	q.host.SetFleet(max(q.registeredHosts(now), q.peerFleet.hosts()))
 	if s.Stamp != 0 {
 		q.host.HearStamp(now, h, quota.Stamp(s.Stamp))
 	}
@@ -263,7 +263,7 @@
 	defer q.mu.Unlock()
 	s := q.host.Status(q.now())
 	return map[string]float64{
-		"quota_issuer_share": s.Share, "quota_fleet_hosts": float64(max(q.fleet, q.peerFleet.hosts())), "quota_granted_workspaces": float64(s.Granted),
+		"quota_issuer_share": s.Share, "quota_fleet_hosts": float64(max(q.registeredHosts(q.now()), q.peerFleet.hosts())), "quota_granted_workspaces": float64(s.Granted),
 		"quota_given_workspaces": float64(s.Given), "quota_lease_age_seconds": s.LeaseAge.Seconds(), "quota_waiting": float64(q.waiting),
 	}
 }
--- a/edge/quota_test.go
+++ b/edge/quota_test.go
@@ -29,9 +29,14 @@
 }
 
 // quotaDaemons starts daemons in two data centres of one region.
-func (s *site) quotaDaemons(n int) (list []*daemon) {
+func (s *site) quotaDaemons(n int) []*daemon {
 	s.server("i-1", service)
-	for i := range n {
+	return s.quotaDaemonsFrom(0, n)
+}
+
+// quotaDaemonsFrom starts those with the numbers from first up to last.
+func (s *site) quotaDaemonsFrom(first, last int) (list []*daemon) {
+	for i := first; i < last; i++ {
 		set := s.settings(fmt.Sprint("host-", i))
 		set.Regions = map[model.DataCentre]model.Region{zone: "region", "zone-b": "region"}
 		if i%2 == 1 {
--- a/edge/registration.go
+++ b/edge/registration.go
@@ -13,34 +13,43 @@
 // also bounds one read of the registry.
 const registryRetryInterval = time.Second
 
-// initialHostPolls are the intervals between the first reads of the registry. They are short
-// because hosts that start at the same time may miss each other in the first read.
+// initialHostPolls are the intervals between the first reads of the registry, after the
+// start and after the store came back from an older copy. They are short because hosts that
+// register at the same time may miss each other in the first read.
 var initialHostPolls = []time.Duration{time.Second, 3 * time.Second, 6 * time.Second}
 
 const (
 	// hostPollInterval is the interval between later reads. It may be long because a new
 	// host also announces itself by its heartbeats.
 	hostPollInterval = 15 * time.Second
+	// registrationSpread is the time over which the hosts of a fleet check and repeat their
+	// registrations after the store came back from an older copy: the store bounds the rate
+	// of writes. relayHeadStart is for the relay, which reads the registry for the others.
+	registrationSpread = 3 * time.Second
+	relayHeadStart     = 500 * time.Millisecond
 	// staleReadAge is how old a list of hosts may be that the store returns: an entry that
 	// is younger may be missing in it.
 	staleReadAge = 5 * time.Second
 )
 
-// registrar writes this daemon's entry in the registry and keeps the list of the other hosts
-// up to date. Only its goroutine uses it.
+// registrar keeps this daemon's entry in the registry, as long as it runs, and the list of
+// the other hosts up to date. Only its goroutine uses it.
 type registrar struct {
 	node *Node
 	// registered is set while this daemon has an entry, as far as it knows, and
-	// registeredAt is when it wrote the entry; zero if it did not.
+	// registeredAt is when it wrote the entry in the present era; zero if it did not.
 	registered   bool
 	registeredAt time.Time
+	// unverified is set from a change of era until a list of the new one was read.
+	unverified bool
 	// hostsKnown is set once the hosts are known from a seed or from the registry.
 	hostsKnown bool
 }
 
 // runRegistration registers this daemon, unless it is in the registry from an earlier
-// start, and keeps the list of the other hosts up to date. A daemon that was not registered
-// reads the registry a second time, because others may have registered at the same time.
+// start, and from then on checks that it is: the store may come back from a copy without
+// the entry. A daemon that was not registered reads the registry a second time, because
+// others may have registered at the same time.
 func (n *Node) runRegistration(ctx context.Context) error {
 	r := &registrar{node: n}
 	r.setRegistered(r.askSeeds(ctx))
@@ -53,8 +62,12 @@
 		if !r.registered {
 			r.register(ctx)
 		}
-		if !r.await(ctx, polls) {
+		eraChanged, ok := r.await(ctx, polls)
+		switch {
+		case !ok:
 			return nil
+		case eraChanged:
+			polls = 0
 		}
 		if r.check(ctx) {
 			polls++
@@ -63,17 +76,37 @@
 	return nil
 }
 
-// await waits for the next check. It returns false at the end of the daemon.
-func (r *registrar) await(ctx context.Context, polls int) bool {
+// await waits for the next check. It ends early, and returns true, if the store came back
+// from an older copy; ok is false at the end of the daemon.
+func (r *registrar) await(ctx context.Context, polls int) (eraChanged, ok bool) {
 	pause := hostPollInterval
 	if polls < len(initialHostPolls) {
 		pause = initialHostPolls[polls]
 	}
-	if !r.registered {
+	if !r.registered || r.unverified {
 		pause = registryRetryInterval
 	}
 	select {
 	case <-time.After(pause):
+		return false, true
+	case <-ctx.Done():
+		return false, false
+	case <-r.node.eraChanged:
+	}
+	r.registeredAt, r.unverified = time.Time{}, true
+	return true, r.spread(ctx)
+}
+
+// spread waits for this daemon's part of registrationSpread, which is the same each time.
+// The relay does not wait. It returns false at the end of the daemon.
+func (r *registrar) spread(ctx context.Context) bool {
+	if _, hasRelay := r.node.gossiper.LocalRelay(); !hasRelay {
+		return true
+	}
+	const slots = 1000
+	slot := ranking.Score("registration", r.node.settings.Host.ID) % slots
+	select {
+	case <-time.After(relayHeadStart + registrationSpread*time.Duration(slot)/slots):
 		return true
 	case <-ctx.Done():
 		return false
@@ -97,7 +130,8 @@
 	r.node.quotas.setRegistered(registered)
 }
 
-// check gets a list of the hosts. It returns false if there is none.
+// check gets a list of the hosts and checks that this daemon's entry is in it. It returns
+// false if there is no list, or none of the present era yet.
 func (r *registrar) check(ctx context.Context) bool {
 	var p entryState
 	ok := false
@@ -108,9 +142,18 @@
 		p, ok = r.readRegistry(ctx)
 		r.hostsKnown = r.hostsKnown || ok
 	}
+	if p == entryMissing && r.registered {
+		r.node.log.WithFields(telemetry.Fields{"event": "registration_lost", "era": r.node.cache.Era()}).
+			Warn("this daemon is not in the registry any more; registering again")
+		r.setRegistered(false)
+	}
 	if p == entryPresent && !r.registered {
 		r.setRegistered(true)
 	}
+	if r.unverified && p == entryUnknown {
+		return false
+	}
+	r.unverified = false
 	return ok
 }
 
@@ -181,7 +224,7 @@
 	n.follower.ObserveStoreEra()
 	if err == nil {
 		n.gossiper.AddHosts(hosts)
-		n.quotas.setFleet(hosts)
+		n.quotas.setFleet(hosts, era)
 		list := newRegistryList(hosts, era, began)
 		n.registry.Store(list)
 		return r.entryIn(list), true
