catalog: keep what had left when the store comes back from a copy

Cause: the revision of the new content was lower than before, so that each change was discarded; mends that. But then the copy is believed, which lists servers in service that have left since it was made, and lacks those that joined.

Other daemons are told in the list of leaving servers, so that one that starts and reads only the copy knows it too.

--- a/catalog/cache.go
+++ b/catalog/cache.go
@@ -21,6 +21,9 @@
 	Servers []Server
 	// Revision is the store's revision of Servers.
 	Revision Revision
+	// Departed lists the servers that left before the store came back from a copy, which
+	// may list them again. They are not to be used.
+	Departed []Departure
 }
 
 // Epoch returns the configuration's epoch; zero if there is no configuration.
@@ -103,7 +106,8 @@
 	retained map[string]*Server
 	outages  outage.Tracker
 	// era is the newest era of the store that is known.
-	era Era
+	era        Era
+	departures departures
 	// history and configHistory have the latest changes of the servers and of the
 	// routes, the oldest first; each one begins where the one before it ends.
 	history       []revisionChange
@@ -113,7 +117,7 @@
 // NewCache returns an empty Cache. onChange receives the new view after each
 // change; it may be nil.
 func NewCache(onChange func(*View)) *Cache {
-	return &Cache{onChange: onChange, servers: map[string]*Server{}, retained: map[string]*Server{}}
+	return &Cache{onChange: onChange, servers: map[string]*Server{}, retained: map[string]*Server{}, departures: newDepartures()}
 }
 
 // UnconfirmedAge is the age of content that the store has never confirmed.
@@ -217,7 +221,13 @@
 	c.serversConfirmed(confirmedAt)
 	if revision > c.revision {
 		c.recordChange(servers)
-		c.retainMissing(servers, confirmedAt)
+		if c.revision != 0 && revision.Era() > c.revision.Era() {
+			c.retainUnlisted(servers, confirmedAt)
+			c.departures.enterEra(confirmedAt, c.servers)
+		} else {
+			c.retainMissing(servers, confirmedAt)
+			c.departures.record(confirmedAt, revision.Era(), c.servers, servers, c.retained)
+		}
 		c.servers, c.revision, applied = servers, revision, true
 	}
 	c.serverCursor = max(c.serverCursor, cursor)
@@ -435,6 +445,7 @@
 	for _, s := range c.retained {
 		v.Servers = append(v.Servers, *s)
 	}
+	v.Departed = c.departures.excluded
 	return v
 }
 
--- a/catalog/era_test.go
+++ b/catalog/era_test.go
@@ -9,6 +9,8 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/agateusher/agateusher/core/fetch"
+	"github.com/agateusher/agateusher/core/model"
+	"github.com/agateusher/agateusher/core/outage"
 )
 
 // at returns a revision of an era.
@@ -65,3 +67,49 @@
 		g.Expect(errors.As(err, &out)).To(BeTrue())
 	}
 }
+
+// Guards against a server that runs and is never used again, because its entry was missing
+// for a moment before the store came back from a copy, and against servers that joined after
+// the copy was made and are never dropped.
+func TestDeparturesEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		set := func(names ...string) map[string]*Server {
+			servers := map[string]*Server{}
+			for _, name := range names {
+				servers[name] = &Server{ID: model.ServerID(name)}
+			}
+			return servers
+		}
+		cache := NewCache(nil)
+		put := func(r Revision, names ...string) { cache.putServers(set(names...), r, r, time.Now()) }
+		excluded := func() (ids []string) {
+			for _, d := range cache.View().Departed {
+				if d.Until.IsZero() || time.Now().Before(d.Until) {
+					ids = append(ids, string(d.ID))
+				}
+			}
+			return ids
+		}
+		put(at(1, 10), "i-1", "i-2", "i-3")
+		put(at(1, 11), "i-1")
+		put(at(1, 12), "i-1", "i-3", "i-4")
+		g.Expect(excluded()).To(BeEmpty(), "the store's word counts within an era")
+
+		cache.ObserveEra(2)
+		put(at(2, 10), "i-1", "i-2", "i-3")
+		g.Expect(excluded()).To(ConsistOf("i-2"), "i-3 had come back")
+		g.Expect(serverNames(cache)).To(ConsistOf("i-1", "i-2", "i-3", "i-4"))
+		time.Sleep(outage.Grace + time.Second)
+		g.Expect(cache.ExpireLapsed(time.Now())).To(ConsistOf(model.ServerID("i-4")))
+		g.Expect(serverNames(cache)).To(ConsistOf("i-1", "i-2", "i-3"))
+		time.Sleep(departureHold)
+		g.Expect(excluded()).To(BeEmpty(), "its entry is still there, so that it runs")
+		put(at(2, 11), "i-1", "i-2", "i-3", "i-5")
+		put(at(3, 10), "i-1", "i-2", "i-3")
+		g.Expect(excluded()).To(ConsistOf("i-4"))
+		time.Sleep(2 * departureMemory)
+		put(at(4, 10), "i-1", "i-2", "i-3")
+		g.Expect(excluded()).To(BeEmpty())
+	})
+}
--- a/catalog/retain.go
+++ b/catalog/retain.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/agateusher/agateusher/core/model"
+	"github.com/agateusher/agateusher/core/outage"
 )
 
 // PeerReport is what another daemon says about its content in a heartbeat.
@@ -29,8 +30,11 @@
 	c.mu.Lock()
 	c.outages.ObservePeer(now, r.Age, r.Served, local)
 	_, inGrace := c.outages.GraceEnd(now)
-	refuted := len(c.retained) > 0 && !inGrace
+	refuted := len(c.retained) > 0 && !inGrace && !c.departures.inGrace(now)
 	if refuted {
+		for _, s := range c.retained {
+			c.departures.add(s, departure{at: now, era: c.revision.Era()})
+		}
 		c.retained = map[string]*Server{}
 	}
 	c.mu.Unlock()
@@ -69,6 +73,25 @@
 	}
 }
 
+// retainUnlisted retains the servers that are missing in the older copy from which the
+// store came back: they may have registered after it was made. Those that still run write
+// their entries again as after an outage. c.mu must be held.
+func (c *Cache) retainUnlisted(next map[string]*Server, now time.Time) {
+	for name := range c.retained {
+		if _, ok := next[name]; ok {
+			delete(c.retained, name)
+		}
+	}
+	for name, s := range c.servers {
+		if _, ok := next[name]; ok || s.Draining {
+			continue
+		}
+		kept := *s
+		kept.GraceUntil = now.Add(outage.Grace)
+		c.retained[name] = &kept
+	}
+}
+
 // ExpireLapsed drops the servers whose entries did not come back within the grace
 // period, and returns their IDs.
 func (c *Cache) ExpireLapsed(now time.Time) (expired []model.ServerID) {
@@ -76,6 +99,7 @@
 	for name, s := range c.retained {
 		if now.After(s.GraceUntil) {
 			expired = append(expired, s.ID)
+			c.departures.add(s, departure{at: now, era: c.revision.Era()})
 			delete(c.retained, name)
 		}
 	}
--- a/core/balance/signals.go
+++ b/core/balance/signals.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -19,10 +20,22 @@
 	maxLeaving = 512
 )
 
+const (
+	// maxAbsence bounds how long a server is withheld because it had left before the
+	// platform's store came back with an older entry of it.
+	maxAbsence = time.Minute
+	// maxAbsentListed bounds how many of them other daemons are told of, so that the list
+	// with the leaving servers fits in one datagram.
+	maxAbsentListed = 128
+)
+
 // Leaving is a server that said that it is leaving, and for how long that has been known.
 type Leaving struct {
 	Server ServerKey
 	Age    time.Duration
+	// Left is how much longer a server is withheld that had left, but may have an entry
+	// again; zero for one that is leaving for good.
+	Left time.Duration
 }
 
 // signals is what servers said about themselves. It is kept by incarnation and apart
@@ -31,7 +44,10 @@
 type signals struct {
 	// leaving has since when it is known that a server is leaving.
 	leaving map[ServerKey]time.Time
-	// digest is that of the keys of leaving until digestUntil; zero time: not known.
+	// absentUntil has the ends of the times in which servers are withheld that had left
+	// before the store came back with older entries of them.
+	absentUntil map[ServerKey]time.Time
+	// digest is that of the keys of leaving and absentUntil until digestUntil; zero time: not known.
 	digest      uint32
 	digestUntil time.Time
 	// pausedUntil has the ends of the pauses that servers asked this daemon for.
@@ -58,7 +74,7 @@
 }
 
 func newSignals() signals {
-	return signals{leaving: map[ServerKey]time.Time{}, pausedUntil: map[ServerKey]time.Time{}, peerPauses: map[peerPause]time.Time{}}
+	return signals{leaving: map[ServerKey]time.Time{}, absentUntil: map[ServerKey]time.Time{}, pausedUntil: map[ServerKey]time.Time{}, peerPauses: map[peerPause]time.Time{}}
 }
 
 // withheld reports whether this daemon must send the server no request, and for how long;
@@ -67,7 +83,7 @@
 	if _, ok := s.leaving[k]; ok {
 		return true, -1
 	}
-	wait := s.pausedUntil[k].Sub(now)
+	wait := max(s.pausedUntil[k].Sub(now), s.absentUntil[k].Sub(now))
 	return wait > 0, max(0, wait)
 }
 
@@ -83,6 +99,9 @@
 // returns false if that is known already. A server that leaves never returns under the
 // same key: a new start has another one.
 func (t *Table) ObserveLeaving(now time.Time, l Leaving) bool {
+	if l.Left > 0 {
+		return t.observeAbsent(now, l)
+	}
 	since := now.Add(-max(0, l.Age))
 	known, ok := t.signals.leaving[l.Server]
 	if ok || l.Age > leavingLifetime {
@@ -97,6 +116,19 @@
 	return true
 }
 
+// observeAbsent is ObserveLeaving for a server that is withheld for a time.
+func (t *Table) observeAbsent(now time.Time, l Leaving) bool {
+	until := now.Add(min(l.Left, maxAbsence))
+	known, ok := t.signals.absentUntil[l.Server]
+	_, leaving := t.signals.leaving[l.Server]
+	if leaving || !until.After(known) || (!ok && len(t.signals.absentUntil) >= maxLeaving) {
+		return false
+	}
+	t.signals.absentUntil[l.Server], t.signals.digestUntil = until, time.Time{}
+	t.forgetSignals(now)
+	return !ok
+}
+
 // ObservePause records that a server asked this daemon for a pause. A shorter pause does
 // not end a longer one: each response binds by itself.
 func (t *Table) ObservePause(now time.Time, k ServerKey, pause time.Duration) {
@@ -123,6 +155,11 @@
 			delete(t.signals.peerPauses, p)
 		}
 	}
+	for k, until := range t.signals.absentUntil {
+		if !now.Before(until) {
+			delete(t.signals.absentUntil, k)
+		}
+	}
 	for k, since := range t.signals.leaving {
 		if _, listed := t.servers[k]; !listed && now.Sub(since) > leavingLifetime {
 			delete(t.signals.leaving, k)
@@ -150,6 +187,12 @@
 			list = append(list, Leaving{Server: k, Age: max(0, age)})
 		}
 	}
+	absent := slices.Sorted(maps.Keys(t.signals.absentUntil))
+	for _, k := range absent[:min(len(absent), maxAbsentListed)] {
+		if left := t.signals.absentUntil[k].Sub(now); left > 0 {
+			list = append(list, Leaving{Server: k, Left: left})
+		}
+	}
 	slices.SortFunc(list, func(a, b Leaving) int {
 		if a.Server < b.Server {
 			return -1
@@ -174,7 +217,11 @@
 		x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
 		x = (x ^ x>>27) * 0x94d049bb133111eb
 		s.digest ^= uint32(x ^ x>>31)
-		if until := now.Add(leavingLifetime - l.Age); until.Before(s.digestUntil) {
+		until := now.Add(leavingLifetime - l.Age)
+		if l.Left > 0 {
+			until = now.Add(l.Left)
+		}
+		if until.Before(s.digestUntil) {
 			s.digestUntil = until
 		}
 	}
--- a/core/balance/signals_test.go
+++ b/core/balance/signals_test.go
@@ -97,3 +97,27 @@
 	other.begin(2)
 	g.Expect(other.choose(nonIdempotentQuery()).Server.Key).To(Equal(balance.ServerKey(1)))
 }
+
+// Guards against a server that is withheld for a time and never used again, or that other
+// daemons are told of for longer than that.
+func TestAbsentServerReturns(t *testing.T) {
+	g := NewWithT(t)
+	b := newTableDriver(local(2)...)
+	table, now := b.table, b.now
+	g.Expect(table.LeavingDigest(now)).To(BeZero())
+	g.Expect(table.ObserveLeaving(now, balance.Leaving{Server: 1, Left: 8 * time.Second})).To(BeTrue())
+	g.Expect(table.ObserveLeaving(now.Add(time.Second), balance.Leaving{Server: 1, Left: 5 * time.Second})).To(BeFalse(), "what another daemon has left of it")
+	g.Expect(table.MayReceive(now, 1)).To(BeFalse())
+	g.Expect(table.LeavingDigest(now)).NotTo(BeZero())
+	g.Expect(table.LeavingServers(now.Add(time.Second))).To(ConsistOf(balance.Leaving{Server: 1, Left: 7 * time.Second}))
+	later := now.Add(8 * time.Second)
+	g.Expect(table.MayReceive(later, 1)).To(BeTrue())
+	g.Expect(table.LeavingServers(later)).To(BeEmpty())
+	g.Expect(table.LeavingDigest(later.Add(time.Millisecond))).To(BeZero())
+	table.ObserveLeaving(later, balance.Leaving{Server: 1, Left: time.Hour})
+	g.Expect(table.MayReceive(later.Add(time.Minute), 1)).To(BeTrue(), "a damaged message")
+	for i := range 2000 {
+		table.ObserveLeaving(later, balance.Leaving{Server: balance.ServerKey(100 + i), Left: time.Second})
+	}
+	g.Expect(len(table.LeavingServers(later))).To(BeNumerically("<=", 128), "the list fits in one datagram")
+}
--- a/edge/era_test.go
+++ b/edge/era_test.go
@@ -69,3 +69,56 @@
 		})
 	}
 }
+
+// Guards against servers of the store's older copy that had left before, and against changes
+// of the servers that are discarded because their revisions are lower than before. Daemons
+// that start in between know only the copy, and what the others tell them.
+func TestServersAfterOlderCopy(t *testing.T) {
+	for name, drills := range map[string]int{"once": 1, "twice": 2} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t)
+			s.configure(2*time.Second, "")
+			servers := map[string]*consortium.Server{}
+			for _, id := range []string{"i-stays", "i-drains", "i-left", "i-later"} {
+				servers[id] = s.server(id, service)
+			}
+			daemons := []*daemon{s.ready(s.daemon(s.settings("h-1")))}
+			s.g.Eventually(s.registered).WithTimeout(3 * time.Second).Should(Equal(1))
+			c := s.store.Copy()
+			s.fill(20)
+			s.register(servers["i-drains"], service, "draining")
+			s.store.Delete("servers", "i-left")
+			servers["i-joined"] = s.server("i-joined", service)
+			time.Sleep(time.Second)
+			for range drills {
+				s.drill(c, func() {})
+				daemons = append(daemons, s.ready(s.daemon(s.settings(fmt.Sprint("h-", len(daemons)+1)))))
+				time.Sleep(300 * time.Millisecond)
+			}
+			time.Sleep(700 * time.Millisecond)
+			// Requests that would run on a server that left, had they been sent to it.
+			play := func(d time.Duration) {
+				for i, end := 0, time.Now().Add(d); time.Now().Before(end); i++ {
+					s.read(daemons[i%len(daemons)], fmt.Sprint("r", time.Now().UnixNano()))
+					time.Sleep(2 * time.Millisecond)
+				}
+			}
+			count := func(id string) int { return len(servers[id].Requests()) }
+			drained, left, joined := count("i-drains"), count("i-left"), count("i-joined")
+			play(time.Second)
+			s.g.Expect(count("i-drains")).To(Equal(drained), "it had said that it is draining")
+			s.g.Expect(count("i-left")).To(Equal(left), "its entry was gone")
+			s.g.Expect(count("i-joined")).To(BeNumerically(">", joined), "it joined after the copy was made")
+			s.register(servers["i-joined"], service, "in_service")
+			s.register(servers["i-later"], service, "draining")
+			time.Sleep(2 * time.Second)
+			later := count("i-later")
+			joined = count("i-joined")
+			play(2 * time.Second)
+			s.g.Expect(count("i-later")).To(Equal(later), "it drains in the new era")
+			s.g.Expect(count("i-joined")).To(BeNumerically(">", joined))
+			s.g.Expect(count("i-drains")).To(Equal(drained))
+			s.g.Expect(count("i-left")).To(Equal(left))
+		})
+	}
+}
--- a/edge/signals.go
+++ b/edge/signals.go
@@ -46,7 +46,7 @@
 	s.update(func(now time.Time) { list = s.table.LeavingServers(now) })
 	out := make([]*gen.LeavingServer, 0, len(list))
 	for _, l := range list {
-		out = append(out, &gen.LeavingServer{Server: uint64(l.Server), AgeMs: uint32(l.Age.Milliseconds())})
+		out = append(out, &gen.LeavingServer{Server: uint64(l.Server), AgeMs: uint32(l.Age.Milliseconds()), LeftMs: uint32(l.Left.Milliseconds())})
 	}
 	return out
 }
@@ -58,7 +58,9 @@
 	s.update(func(now time.Time) {
 		for _, l := range list {
 			key := balance.ServerKey(l.Server)
-			if s.table.ObserveLeaving(now, balance.Leaving{Server: key, Age: time.Duration(l.AgeMs) * time.Millisecond}) {
+			if s.table.ObserveLeaving(now, balance.Leaving{
+				Server: key, Age: time.Duration(l.AgeMs) * time.Millisecond, Left: time.Duration(l.LeftMs) * time.Millisecond,
+			}) {
 				server, _ := s.table.Server(key)
 				added, ids = append(added, l), append(ids, server.ID)
 			}
--- a/edge/state.go
+++ b/edge/state.go
@@ -62,7 +62,17 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.table.SetServers(time.Now(), list, len(s.regions))
+	now := time.Now()
+	s.table.SetServers(now, list, len(s.regions))
+	for _, d := range v.Departed {
+		l := balance.Leaving{Server: balance.ServerKey(d.Key), Age: now.Sub(d.At)}
+		if !d.Until.IsZero() {
+			if l.Left = d.Until.Sub(now); l.Left <= 0 {
+				continue
+			}
+		}
+		s.table.ObserveLeaving(now, l)
+	}
 }
 
 // update changes the table under the lock, which it releases also after a panic.
