edge: judge each request by the limits in force when it arrives

Cause: the limits were read before the wait for the next request, which may last an idle timeout. Header, body and both timeouts were affected.

Change: the limits are read when the first byte has arrived. The idle timeout is read again when a connection wakes, and a change of it wakes those that wait.

--- a/edge/conn.go
+++ b/edge/conn.go
@@ -34,7 +34,8 @@
 	// for "100 Continue" has got it. Until then bodyReadTimeout does not run.
 	continueCheckInterval = time.Second
 	// stopReadTimeout is how long connections are still read at the end of a
-	// graceful shutdown. Requests that have arrived by then are served.
+	// graceful shutdown or of the idle timeout. Requests that have arrived by then are
+	// served.
 	stopReadTimeout = 5 * time.Millisecond
 	// After its write side was closed, a connection is read until nothing has arrived
 	// for lingerTimeout, and for maxLingerTime at most.
@@ -96,10 +97,11 @@
 func (c *conn) readRequests(ctx context.Context) {
 	defer close(c.responses)
 	for {
-		limits := c.node.limits()
-		if !c.awaitRequest(limits.IdleTimeout) || !c.waitUntil(ctx, c.pipeline.HasRoom) {
+		if !c.awaitRequest() || !c.waitUntil(ctx, c.pipeline.HasRoom) {
 			return
 		}
+		// Those in force now: the configuration may have changed since the last request.
+		limits := c.node.limits()
 		p, q, err := c.readHeader(limits)
 		if err != nil {
 			c.rejectMalformed(p, err)
@@ -155,18 +157,22 @@
 
 // awaitRequest waits for the first byte of a request. It returns false if the
 // connection is to be closed, and cancels the requests in progress if the caller
-// has disconnected.
-func (c *conn) awaitRequest(idleTimeout time.Duration) bool {
+// has disconnected. The idle timeout may change meanwhile.
+func (c *conn) awaitRequest() bool {
 	c.input.remaining = -1
+	c.setIdle(true)
+	defer c.setIdle(false)
 	lastActive := time.Now()
 	for {
-		wait, stopping := idleTimeout, c.isStopping()
+		idleTimeout, stopping := c.node.limits().IdleTimeout, c.isStopping()
+		// A request that has arrived by the end of the timeout is still read.
+		wait := max(stopReadTimeout, idleTimeout-time.Since(lastActive))
 		if stopping {
 			wait = stopReadTimeout
 		}
 		c.input.SetDeadline(time.Now().Add(wait))
-		if !stopping && c.isStopping() {
-			continue // stop may have set its read deadline before it was overwritten above
+		if (!stopping && c.isStopping()) || idleTimeout != c.node.limits().IdleTimeout {
+			continue // stop or wakeIdle may have set the deadline before it was overwritten above
 		}
 		_, err := c.reader.Peek(1)
 		if err == nil {
--- a/edge/node.go
+++ b/edge/node.go
@@ -213,6 +213,9 @@
 	n.quotas.apply(v.Config)
 	n.keys.replaceTable(n.view.Load(), v)
 	before := n.view.Swap(v)
+	if before != nil && before.Config != nil && before.Config.Limits.IdleTimeout != n.limits().IdleTimeout {
+		n.wakeIdleConns()
+	}
 	if n.gossiper.Role().Rank == 0 {
 		n.gossiper.Announce()
 	}
@@ -315,6 +318,15 @@
 	n.conns[c] = struct{}{}
 }
 
+// wakeIdleConns applies a changed idle timeout to the connections that wait for a request.
+func (n *Node) wakeIdleConns() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for c := range n.conns {
+		c.wakeIdle()
+	}
+}
+
 func (n *Node) removeConn(c *conn) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/edge/pipeline.go
+++ b/edge/pipeline.go
@@ -42,6 +42,8 @@
 	receiving *request
 	// stopping is set when the connection stops waiting for further requests.
 	stopping bool
+	// idle is set while the reading goroutine waits for the first byte of a request.
+	idle bool
 }
 
 // pendingResponse is the response to a request whose header has been read. It has not
@@ -201,6 +203,22 @@
 	c.mu.Unlock()
 }
 
+// wakeIdle makes the reading goroutine look at the idle timeout again, if it waits for a
+// request.
+func (c *conn) wakeIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idle {
+		c.input.SetDeadline(time.Now())
+	}
+}
+
+func (c *conn) setIdle(idle bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle = idle
+}
+
 // writeResponses writes the responses in the order of the requests.
 func (c *conn) writeResponses(w *callerconn.Writer) {
 	for p := range c.responses {
