edge, owner: send no request twice on a connection

A server that refused a request, ran it when it was sent again on the same connection and wrote the refusal once more made the client get a 503, which promises that the request has not run. With two such servers both had run it.

Cause: all attempts of a request have one ID, and a response was taken for that of the present attempt by its ID alone. Refusals without an ID were accepted too, on connections that were kept for other idempotent requests.

Change: usher-edge remembers the IDs that a connection has carried, up to 1,000, and does not send such a request there again. It keeps no connection after a response without an ID, so that the mark for idempotent requests only goes. usherd closes a connection after a refusal, as its transport does not choose connections by request.

--- a/core/reuse/reuse.go
+++ b/core/reuse/reuse.go
@@ -47,9 +47,8 @@
 
 // entry is an idle connection. until is when the server may close it.
 type entry[C comparable] struct {
-	conn           C
-	since, until   time.Time
-	onlyIdempotent bool
+	conn         C
+	since, until time.Time
 }
 
 // NewPool returns an empty pool.
@@ -71,13 +70,12 @@
 }
 
 // Put adds a connection that has become idle and may be so for the given time, which
-// KeepAlive returned. onlyIdempotent is set if a late response on it could be taken for one
-// to a later request. It returns the connections to close, which may include this one.
-func (p *Pool[K, C]) Put(now time.Time, k K, c C, keepAlive time.Duration, onlyIdempotent bool) (closing []C) {
+// KeepAlive returned. It returns the connections to close, which may include this one.
+func (p *Pool[K, C]) Put(now time.Time, k K, c C, keepAlive time.Duration) (closing []C) {
 	if p.total <= 0 || keepAlive <= 0 || now.Before(p.distrusted[k]) {
 		return []C{c}
 	}
-	p.idle[k] = append(p.idle[k], entry[C]{conn: c, since: now, until: now.Add(keepAlive), onlyIdempotent: onlyIdempotent})
+	p.idle[k] = append(p.idle[k], entry[C]{conn: c, since: now, until: now.Add(keepAlive)})
 	p.count++
 	if len(p.idle[k]) > p.perServer {
 		closing = append(closing, p.removeAt(k, 0))
@@ -111,7 +109,7 @@
 	if !now.Before(e.until) || idle >= limit {
 		return false
 	}
-	return idempotent || (!e.onlyIdempotent && idle >= otherSettle && idle < min(otherIdle, limit/2))
+	return idempotent || (idle >= otherSettle && idle < min(otherIdle, limit/2))
 }
 
 // MaxIdle returns the longest time since the last byte from the server after which a
--- a/edge/exchange.go
+++ b/edge/exchange.go
@@ -101,8 +101,9 @@
 		// A late response to an earlier request on the connection, whatever it says.
 		verdict = MismatchedResponse
 		x.conns.distrust(conn)
-	case verdict.madeByServer() && q.id != "" && (echoed == "" || echoed == q.id):
-		conn.onlyIdempotent = conn.onlyIdempotent || echoed == ""
+	case verdict.madeByServer() && q.id != "" && echoed == q.id:
+		// Only with the ID: a late duplicate of a response without one could not be told
+		// from the response to the next request.
 		body.keep, body.keepAlive = true, announcedKeepAlive(resp.Header)
 	}
 	limit, pause := x.serverLimit(resp, verdict), x.headers.ServerPause(resp)
@@ -136,7 +137,7 @@
 		if err != nil {
 			return ConnectFailed, nil, nil, err
 		}
-		conn, err := x.conns.get(ctx, server, crossRegion, r)
+		conn, err := x.conns.get(ctx, server, crossRegion, r, q.id)
 		if err != nil {
 			return ConnectFailed, nil, nil, err
 		}
--- a/edge/serverconns.go
+++ b/edge/serverconns.go
@@ -4,14 +4,17 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sys/unix"
 
 	"github.com/agateusher/agateusher/core/balance"
+	"github.com/agateusher/agateusher/core/model"
 	"github.com/agateusher/agateusher/core/reuse"
 	"github.com/agateusher/agateusher/internal/stricthttp"
 	"github.com/agateusher/agateusher/telemetry"
@@ -26,6 +29,9 @@
 	idleConnsPerMiB = 0.5
 	minIdleConns    = 16
 	maxIdleConns    = 256
+	// maxCarried is the number of requests after which a connection is closed. Their IDs
+	// take 8 KB.
+	maxCarried = 1000
 	// A reused connection whose data is not acknowledged within silentFactor times the
 	// limit of a dial is broken by the kernel: its path is silent.
 	silentFactor = 2
@@ -203,17 +209,18 @@
 	written, received int64
 	sentAt            time.Time
 	silentLimit       time.Duration
-	// onlyIdempotent is set after a response without an ID: a late duplicate of it could be
-	// taken for the response to a later request.
-	onlyIdempotent bool
+	// carried has the hashes of the IDs of the requests so far.
+	carried []uint64
 	// dirty is set if bytes that belong to no request were found.
 	dirty bool
 }
 
-// get returns a connection for one request: an idle one that it may be sent on, or a new
-// one.
-func (s *serverConns) get(ctx context.Context, server balance.Server, crossRegion bool, r connReuse) (*serverConn, error) {
-	c := s.takeIdle(server.Key, r)
+// get returns a connection for one request with an ID: an idle one that it may be sent on, or
+// a new one. An earlier attempt of the request was on another connection: there, a late
+// duplicate of the earlier response has the same ID as the one to this attempt.
+func (s *serverConns) get(ctx context.Context, server balance.Server, crossRegion bool, r connReuse, id model.RequestID) (*serverConn, error) {
+	hash := xxhash.Sum64String(string(id))
+	c := s.takeIdle(server.Key, r, hash)
 	if c == nil {
 		var err error
 		if c, err = s.open(ctx, server, crossRegion); err != nil {
@@ -221,6 +228,7 @@
 			return nil, err
 		}
 	}
+	c.carried = append(c.carried, hash)
 	c.written, c.received, c.sentAt = c.socket.written.Load(), c.socket.received.Load(), time.Now()
 	return c, nil
 }
@@ -239,15 +247,18 @@
 	return c, nil
 }
 
-// takeIdle returns an idle connection that is open and has nothing unread, or nil.
-func (s *serverConns) takeIdle(key balance.ServerKey, r connReuse) *serverConn {
+// takeIdle returns an idle connection that is open, has nothing unread and did not carry the
+// request whose ID has the hash; nil if there is none.
+func (s *serverConns) takeIdle(key balance.ServerKey, r connReuse, hash uint64) *serverConn {
 	if r == newConnection {
 		return nil
 	}
 	s.mu.Lock()
 	now := time.Now()
 	maxIdle := reuse.MaxIdle(r == idleConnection)
-	c, idle, ok, closing := s.pool.Take(now, key, r == idleConnection, func(c *serverConn) bool { return c.checkIdle(maxIdle) })
+	c, idle, ok, closing := s.pool.Take(now, key, r == idleConnection, func(c *serverConn) bool {
+		return !slices.Contains(c.carried, hash) && c.checkIdle(maxIdle)
+	})
 	for _, x := range closing {
 		if x.dirty {
 			closing = append(closing, s.pool.Distrust(now, key)...)
@@ -284,13 +295,13 @@
 // the request was sent whole, and neither side ends the connection; otherwise it closes
 // it. keepAlive is how long the server announces to keep it; negative: not announced.
 func (s *serverConns) release(c *serverConn, keepAlive time.Duration) {
-	if c.Available() == 0 {
+	if c.Available() == 0 || len(c.carried) >= maxCarried {
 		_ = c.Close()
 		return
 	}
 	c.received = c.socket.received.Load()
 	s.mu.Lock()
-	closing := s.pool.Put(time.Now(), c.server, c, reuse.KeepAlive(keepAlive), c.onlyIdempotent)
+	closing := s.pool.Put(time.Now(), c.server, c, reuse.KeepAlive(keepAlive))
 	s.mu.Unlock()
 	closeConns(closing)
 }
--- a/owner/backend_client.go
+++ b/owner/backend_client.go
@@ -98,8 +98,8 @@
 
 func (x *httpBackendClient) send(ctx context.Context, address string, b *backendConfig, q *fleet.Request, deadline time.Time) attemptOutcome {
 	ctx, watch := fleet.WatchSend(ctx)
-	var reused atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { reused.Store(i.Reused) }})
+	var got atomic.Pointer[httptrace.GotConnInfo]
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { got.Store(&i) }})
 	r, err := newServerRequest(ctx, address, q, deadline)
 	if err != nil {
 		return failedAttempt(pool.FailedBeforeSend)
@@ -116,11 +116,17 @@
 		x.echoing.Store(address, struct{}{})
 	} else {
 		x.echoing.Delete(address)
-		if reused.Load() { // it may be the answer to an earlier request
+		if conn := got.Load(); conn != nil && conn.Reused { // it may be the answer to an earlier request
 			return failedAttempt(pool.FailedAfterSend)
 		}
 	}
-	return x.receive(ctx, resp, b, q)
+	end := x.receive(ctx, resp, b, q)
+	if conn := got.Load(); end.result.Kind == pool.Shed && conn != nil {
+		// The request may be sent to this server again. On the same connection, a late
+		// duplicate of this refusal could not be told from the response to that attempt.
+		_ = conn.Conn.Close()
+	}
+	return end
 }
 
 // newServerRequest returns the request to send to the server. Its body can be read
--- a/owner/backend_client_test.go
+++ b/owner/backend_client_test.go
@@ -97,6 +97,59 @@
 	}
 }
 
+// Guards against a refusal that is written once more, when the same request is sent again on
+// the connection, and that is taken for "not run" although the server runs the request.
+func TestRepeatedRefusal(t *testing.T) {
+	g := NewWithT(t)
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = listener.Close() })
+	refusal := "HTTP/1.1 503 Unavailable\r\n" + defaultShedHeaderName + ": " + defaultShedHeaderValue + "\r\n" + fleet.HeaderRequestID + ": %s\r\nContent-Length: 0\r\n\r\n"
+	answer := "HTTP/1.1 200 OK\r\n" + fleet.HeaderRequestID + ": %s\r\nContent-Length: 0\r\n\r\n"
+	go func() {
+		refused := map[string]bool{}
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			r, onThis := bufio.NewReader(c), ""
+			for {
+				req, err := http.ReadRequest(r)
+				if err != nil {
+					break
+				}
+				id := req.Header.Get(fleet.HeaderRequestID)
+				switch {
+				case onThis == id:
+					_, _ = fmt.Fprintf(c, refusal, id)
+				case strings.HasPrefix(id, "again") && !refused[id]:
+					refused[id], onThis = true, id
+					_, _ = fmt.Fprintf(c, refusal, id)
+				default:
+					_, _ = fmt.Fprintf(c, answer, id)
+				}
+			}
+			_ = c.Close()
+		}
+	}()
+	x := &httpBackendClient{
+		transport: fleet.NewTransport(fleet.TransportOptions{DialTimeout: time.Second}), maxResponseBytes: 100,
+		tracing: &telemetry.Tracing{Propagator: propagation.TraceContext{}, Tracer: noop.NewTracerProvider().Tracer("test")},
+	}
+	send := func(id string) pool.ResultKind {
+		q := &fleet.Request{ID: model.RequestID(id), Method: http.MethodGet, Target: "/"}
+		b := &backendConfig{shedHeaderName: defaultShedHeaderName, shedHeaderValue: defaultShedHeaderValue}
+		return x.send(t.Context(), listener.Addr().String(), b, q, time.Now().Add(time.Second)).result.Kind
+	}
+	for i := range 5 {
+		g.Expect(send(fmt.Sprint("first", i))).To(Equal(pool.Answered))
+		id := fmt.Sprint("again", i)
+		g.Expect(send(id)).To(Equal(pool.Shed))
+		g.Expect(send(id)).To(Equal(pool.Answered))
+	}
+}
+
 // repeatAnswers serves connections. The answer to each request is the request's ID;
 // the answer to the previous request on the connection is sent once more before it.
 func repeatAnswers(listener net.Listener, named func(answer int) bool) {
--- a/standin/consortium/server.go
+++ b/standin/consortium/server.go
@@ -99,6 +99,11 @@
 	AnswerTwiceLate
 	// AnswerAndClose is like Answer, with "Connection: close".
 	AnswerAndClose
+	// ShedNamed is like Shed, with the identifier of the request.
+	ShedNamed
+	// RepeatRefusal runs the request and, on a connection on which Shed or ShedNamed refused
+	// one, writes that refusal once more; otherwise it is like Answer.
+	RepeatRefusal
 )
 
 // lateAnswer is the time between the answers of AnswerTwiceLate.
@@ -137,6 +142,7 @@
 	accepted    int
 	requests    []*ReceivedRequest
 	conns       map[net.Conn]struct{}
+	refusals    map[net.Conn]string
 	cancelled   int
 	// endlessBytes counts the bytes that the endless behaviours have sent.
 	endlessBytes int
@@ -148,7 +154,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{ID: id, StartedAtMs: startedAtMs, listener: l, behaviour: func(*ReceivedRequest) Behaviour { return Answer }, conns: map[net.Conn]struct{}{}}
+	s := &Server{ID: id, StartedAtMs: startedAtMs, listener: l, behaviour: func(*ReceivedRequest) Behaviour { return Answer }, conns: map[net.Conn]struct{}{}, refusals: map[net.Conn]string{}}
 	go s.accept()
 	return s, nil
 }
@@ -291,6 +297,7 @@
 		_ = c.Close()
 		s.mu.Lock()
 		delete(s.conns, c)
+		delete(s.refusals, c)
 		s.mu.Unlock()
 	}()
 	r := bufio.NewReader(c)
@@ -338,8 +345,14 @@
 		s.update(func() { received.Body = body })
 	}
 	switch b {
-	case Shed:
-		return write(c, "HTTP/1.1 503 Service Unavailable\r\nAgateusher-Not-Executed: 1\r\n"+s.refusalHeaders()+"Content-Length: 8\r\n\r\nrefused\n")
+	case Shed, ShedNamed:
+		named := ""
+		if b == ShedNamed {
+			named = "Agateusher-Request-Id: " + received.ID + "\r\n"
+		}
+		refusal := "HTTP/1.1 503 Service Unavailable\r\nAgateusher-Not-Executed: 1\r\n" + named + s.refusalHeaders() + "Content-Length: 8\r\n\r\nrefused\n"
+		s.update(func() { s.refusals[c] = refusal })
+		return write(c, refusal)
 	case Misdirect:
 		return write(c, "HTTP/1.1 421 Misdirected Request\r\nAgateusher-Instance-Id: "+s.ID+"\r\nContent-Length: 0\r\n\r\n")
 	}
@@ -453,6 +466,12 @@
 		var text string
 		s.update(func() { text = s.custom })
 		return write(c, strings.ReplaceAll(text, "ID", received.ID)) && (b == Custom || s.repeat(c, strings.Repeat("x", 1000), 0))
+	case RepeatRefusal:
+		var refusal string
+		s.update(func() { refusal = s.refusals[c] })
+		if refusal != "" {
+			return write(c, refusal)
+		}
 	case AnswerEarly:
 		return write(c, "HTTP/1.1 413 Content Too Large\r\n"+idHeader+signatureHeader+"Content-Length: 0\r\n\r\n")
 	}
