stricthttp, edge, owner: tests of responses that end at any byte

Another operator reported responses with status 200 and an empty or short body, framed as whole, after a server had stopped in the middle of a head and closed the connection.

That is not so here: net/http refuses each such head, and all clients of both programs read responses through it and stricthttp. The tests cut heads at each byte in usher-edge (also for HEAD and refusals) and in usherd, and whole responses, chunked and interim ones included, in stricthttp.

--- a/edge/broken_test.go
+++ b/edge/broken_test.go
@@ -78,6 +78,41 @@
 	}
 }
 
+// Guards against a server that stops in the middle of the head of its response and closes the
+// connection, and whose response reaches the caller with an empty or a short body.
+func TestHeadsThatEnd(t *testing.T) {
+	for name, head := range map[string]string{
+		"length":  "HTTP/1.1 200 OK\r\nAgateusher-Request-Id: ID\r\nAgateusher-Response-Signature: x\r\nContent-Length: 14\r\n\r\n",
+		"chunks":  "HTTP/1.1 200 OK\r\nAgateusher-Request-Id: ID\r\nAgateusher-Response-Signature: x\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"close":   "HTTP/1.1 200 OK\nConnection: close\nAgateusher-Request-Id: ID\nAgateusher-Response-Signature: x\n\n",
+		"refusal": "HTTP/1.1 503 Busy\r\nAgateusher-Not-Executed: 1\r\nAgateusher-Request-Id: ID\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t)
+			s.configure(2*time.Second, "")
+			server := s.server("i-1", service)
+			d := s.ready(s.daemon(s.settings("h1")))
+			for end := range len(head) {
+				server.SetCustom(head[:end])
+				server.SetBehaviour(always(consortium.CustomEnd))
+				id := fmt.Sprint("w-", end)
+				status := s.write(d, id).status
+				if ran := runCount(id, server); ran != 0 {
+					s.g.Expect(status).To(Equal(http.StatusBadGateway), "%q", head[:end])
+				} else {
+					s.g.Expect(status).To(Equal(http.StatusServiceUnavailable), "%q", head[:end])
+				}
+				c := s.dial(d)
+				c.send(request("HEAD", "/read/x", fmt.Sprint("h-", end), "", ""))
+				line, err := c.reader.ReadString('\n')
+				s.g.Expect(err).NotTo(HaveOccurred())
+				s.g.Expect(line).NotTo(ContainSubstring(" 200 "), "%q", head[:end])
+			}
+		})
+	}
+}
+
 // Guards against a request with a field name that is none: it is forwarded without its body,
 // which then runs as another request, or its failure counts as that of a server.
 func TestInvalidFieldNamesOfRequests(t *testing.T) {
--- a/internal/stricthttp/head_test.go
+++ b/internal/stricthttp/head_test.go
@@ -136,6 +136,45 @@
 	}
 }
 
+// Guards against a response that ends at any byte, because its server closes the connection,
+// and that a client takes for a whole one. All clients read responses in this way.
+func TestResponsesThatEnd(t *testing.T) {
+	for _, response := range []string{
+		"HTTP/1.1 200 OK\r\nX: y\r\nContent-Length: 4\r\n\r\nbody",
+		"HTTP/1.1 204 No Content\r\nX: y\r\n\r\n",
+		"HTTP/1.1 200 OK\nX: y\nContent-Length: 0\n\n",
+		"HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\nHTTP/1.1 200 OK\r\nX: y\r\nContent-Length: 4\r\n\r\nbody",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: Z\r\n\r\n4;x=y\r\nbody\r\n0\r\nZ: z\r\n\r\n",
+	} {
+		for end := range len(response) + 1 {
+			g := NewWithT(t)
+			l, err := net.Listen("tcp4", "127.0.0.1:0")
+			g.Expect(err).NotTo(HaveOccurred())
+			go func() {
+				for {
+					c, err := l.Accept()
+					if err != nil {
+						return
+					}
+					if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+						_, _ = io.WriteString(c, response[:end])
+					}
+					_ = c.Close()
+				}
+			}()
+			transport := stricthttp.NewTransport(&http.Transport{})
+			_, err = get(t, transport, l.Addr().String())
+			if end < len(response) {
+				g.Expect(err).To(HaveOccurred(), "%q", response[:end])
+			} else {
+				g.Expect(err).NotTo(HaveOccurred(), "%q", response)
+			}
+			transport.CloseIdleConnections()
+			_ = l.Close()
+		}
+	}
+}
+
 // Guards against a sound response that is refused: after an interim one, on a connection in
 // use again, with blanks in values and lines of the body that begin with one.
 func TestSoundHeads(t *testing.T) {
--- a/owner/backend_client_test.go
+++ b/owner/backend_client_test.go
@@ -260,6 +260,19 @@
 	}
 }
 
+// Guards against a head that ends at any byte, because its server closes the connection, and
+// that is taken for a whole one.
+func TestHeadsThatEnd(t *testing.T) {
+	for _, head := range []string{
+		"HTTP/1.1 200 OK\r\n" + fleet.HeaderRequestID + ": mine\r\nContent-Length: 14\r\n\r\n",
+		"HTTP/1.1 503 Unavailable\r\n" + fleet.HeaderRequestID + ": mine\r\n" + defaultShedHeaderName + ": " + defaultShedHeaderValue + "\r\nContent-Length: 0\r\n\r\n",
+	} {
+		for end := range len(head) {
+			checkBroken(t, head[:end])
+		}
+	}
+}
+
 // Guards against a field name with a blank or a control byte that is passed on, or whose
 // response is taken for a refusal.
 func TestInvalidFieldNames(t *testing.T) {
--- a/standin/consortium/server.go
+++ b/standin/consortium/server.go
@@ -104,6 +104,8 @@
 	// RepeatRefusal runs the request and, on a connection on which Shed or ShedNamed refused
 	// one, writes that refusal once more; otherwise it is like Answer.
 	RepeatRefusal
+	// CustomEnd is like Custom, and closes the connection.
+	CustomEnd
 )
 
 // lateAnswer is the time between the answers of AnswerTwiceLate.
@@ -462,10 +464,10 @@
 			_ = tcp.SetLinger(0)
 		}
 		return false
-	case Custom, CustomEndless:
+	case Custom, CustomEndless, CustomEnd:
 		var text string
 		s.update(func() { text = s.custom })
-		return write(c, strings.ReplaceAll(text, "ID", received.ID)) && (b == Custom || s.repeat(c, strings.Repeat("x", 1000), 0))
+		return write(c, strings.ReplaceAll(text, "ID", received.ID)) && b != CustomEnd && (b == Custom || s.repeat(c, strings.Repeat("x", 1000), 0))
 	case RepeatRefusal:
 		var refusal string
 		s.update(func() { refusal = s.refusals[c] })
