--- a/catalog/follower.go
+++ b/catalog/follower.go
@@ -222,7 +222,7 @@
 	err := l.sync(ctx, l)
 	now := time.Now()
 	if ctx.Err() == nil {
-		l.follower.recordCall(err != nil && !errors.Is(err, ErrHistoryGone) && !errors.Is(err, ErrEraChanged) && !errors.Is(err, errWatchLost))
+		l.follower.recordCall(err != nil && !l.recovers(err))
 	}
 	switch {
 	case err == nil:
@@ -238,8 +238,9 @@
 	case errors.Is(err, errWatchLost):
 		l.follower.log.WithFields(telemetry.Fields{"event": "watch_lost", "kind": l.kind}).WithError(err).Info("watching again on another connection")
 		return 0
-	case errors.Is(err, ErrEraChanged):
+	case errors.Is(err, ErrEraChanged), errors.Is(err, errOldEra) && l.recovers(err):
 		// The cursor is of an earlier era now, so that the next call reads the whole content.
+		l.fullRead = true
 		return 0
 	case errors.Is(err, ErrHistoryGone):
 		l.follower.log.WithFields(telemetry.Fields{"event": "history_gone", "kind": l.kind}).Warn("the store no longer keeps this revision; reading the whole content")
@@ -257,6 +258,12 @@
 	return l.backoff()
 }
 
+// recovers reports whether another call at once is expected to succeed after an error, so
+// that the store does not count as failing.
+func (l *syncLoop) recovers(err error) bool {
+	return errors.Is(err, ErrHistoryGone) || errors.Is(err, ErrEraChanged) || errors.Is(err, errWatchLost) || (errors.Is(err, errOldEra) && !l.fullRead)
+}
+
 // backoff returns the pause after a failed call.
 func (l *syncLoop) backoff() time.Duration {
 	role := l.follower.role()
