edge: a test of the store's calls after it came back from a copy

A daemon whose relay sends no list of the present era five times, as one of an older version, reads the registry by itself rather than asking each second.

--- a/edge/era_test.go
+++ b/edge/era_test.go
@@ -8,6 +8,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/agateusher/agateusher/core/model"
 	"github.com/agateusher/agateusher/standin/consortium"
 )
 
@@ -122,3 +123,39 @@
 		})
 	}
 }
+
+// Guards against all daemons reading the store when it comes back from an older copy: in a
+// region the relay does so for the others, and in a data centre one daemon reads the registry.
+func TestCallsAfterOlderCopy(t *testing.T) {
+	for _, n := range []int{6, 24} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			s := newSite(t)
+			s.configure(2*time.Second, "")
+			s.server("i-1", service)
+			for i := range n {
+				set := s.settings(fmt.Sprint("h-", i))
+				set.Regions = map[model.DataCentre]model.Region{zone: "region", "zone-b": "region"}
+				if i%2 == 1 {
+					set.Host.DataCentre = "zone-b"
+				}
+				s.ready(s.daemon(set))
+			}
+			s.g.Eventually(s.registered).WithTimeout(3 * time.Second).Should(Equal(n))
+			time.Sleep(11 * time.Second) // the first reads of the registry
+			c := s.store.Copy()
+			s.fill(5)
+			time.Sleep(100 * time.Millisecond)
+			config, servers, hosts, writes := s.store.Reads("config"), s.store.Reads("servers"), s.store.StaleReads("usher-hosts"), s.store.Changes("usher-hosts")
+			s.drill(c, func() {})
+			time.Sleep(5 * time.Second)
+			t.Logf("%d daemons: %d, %d and %d reads of configuration, servers and registry, %d writes", n,
+				s.store.Reads("config")-config, s.store.Reads("servers")-servers, s.store.StaleReads("usher-hosts")-hosts, s.store.Changes("usher-hosts")-writes)
+			// 5 s of watches that wait 1.2 s, the reads of the new era, and calls that the
+			// absence cut.
+			s.g.Expect(s.store.Reads("config") - config).To(BeNumerically("<=", 12))
+			s.g.Expect(s.store.Reads("servers") - servers).To(BeNumerically("<=", 12))
+			s.g.Expect(s.store.StaleReads("usher-hosts")-hosts).To(BeNumerically("<=", 8), "two relays, three times each")
+			s.g.Expect(s.store.Changes("usher-hosts")-writes).To(BeZero(), "nothing was lost")
+		})
+	}
+}
--- a/edge/registration.go
+++ b/edge/registration.go
@@ -30,6 +30,9 @@
 	// staleReadAge is how old a list of hosts may be that the store returns: an entry that
 	// is younger may be missing in it.
 	staleReadAge = 5 * time.Second
+	// maxUnverified is how often the relay is asked for a list of the present era before
+	// this daemon reads the registry by itself. A relay of an older version sends none.
+	maxUnverified = 5
 )
 
 // registrar keeps this daemon's entry in the registry, as long as it runs, and the list of
@@ -40,8 +43,10 @@
 	// registeredAt is when it wrote the entry in the present era; zero if it did not.
 	registered   bool
 	registeredAt time.Time
-	// unverified is set from a change of era until a list of the new one was read.
+	// unverified is set from a change of era until a list of the new one was read, and
+	// unanswered counts the lists of the relay that were of an earlier era.
 	unverified bool
+	unanswered int
 	// hostsKnown is set once the hosts are known from a seed or from the registry.
 	hostsKnown bool
 }
@@ -135,7 +140,7 @@
 func (r *registrar) check(ctx context.Context) bool {
 	var p entryState
 	ok := false
-	if r.hostsKnown {
+	if r.hostsKnown && r.unanswered < maxUnverified {
 		p, ok = r.askRelay(ctx)
 	}
 	if !ok {
@@ -151,9 +156,10 @@
 		r.setRegistered(true)
 	}
 	if r.unverified && p == entryUnknown {
+		r.unanswered++
 		return false
 	}
-	r.unverified = false
+	r.unverified, r.unanswered = false, 0
 	return ok
 }
 
