catalog: differences between daemons confirm the configuration in an era

With eras, the confirmation in a difference without a configuration was dropped, because only the revision of the servers names the era. Heartbeats still confirmed it, so that no caller saw this. A list that is read while the era changes is read again after a pause if that happens twice.

Measured: TestDifferenceConfirmsTheConfiguration fails without the change (age 1 min, 0 expected).

--- a/catalog/cache.go
+++ b/catalog/cache.go
@@ -158,9 +158,14 @@
 // has no effect on content of another version, and none if the other daemon does not know
 // yet that the store came back from a copy.
 func (c *Cache) Confirm(v Versions, confirmedAt time.Time) {
+	c.confirm(v, v.Revision.Era(), confirmedAt)
+}
+
+// confirm is Confirm with the newest era that the other daemon has content of.
+func (c *Cache) confirm(v Versions, era Era, confirmedAt time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if v.Revision.Era() < c.era {
+	if era < c.era {
 		return
 	}
 	if c.config != nil && c.config.Epoch == v.Epoch && confirmedAt.After(c.configConfirmedAt) {
@@ -393,7 +398,7 @@
 		}
 		c.putConfigChange(config, change, e.ConfigCursor, now.Add(-e.ConfigAge))
 	case e.Epoch != 0:
-		c.Confirm(Versions{Epoch: e.Epoch}, now.Add(-e.ConfigAge))
+		c.confirm(Versions{Epoch: e.Epoch}, e.Revision.Era(), now.Add(-e.ConfigAge))
 	}
 	if e.Revision == 0 {
 		return true
--- a/catalog/era_test.go
+++ b/catalog/era_test.go
@@ -55,6 +55,29 @@
 	})
 }
 
+// Guards against a difference from another daemon that does not confirm the configuration, as
+// it names the era with the servers only.
+func TestDifferenceConfirmsTheConfiguration(t *testing.T) {
+	g, now := NewWithT(t), time.Now()
+	peer, cache := NewCache(nil), NewCache(nil)
+	for _, c := range []*Cache{peer, cache} {
+		c.ObserveEra(3)
+		c.putConfig(&Config{Epoch: 2}, at(3, 5), now.Add(-time.Minute))
+		c.putServers(map[string]*Server{"i-1": {ID: "i-1"}}, at(3, 6), at(3, 6), now.Add(-time.Minute))
+	}
+	peer.putConfig(nil, at(3, 7), now)
+	peer.putServers(map[string]*Server{}, at(3, 7), at(3, 7), now)
+	g.Expect(cache.Merge(now, peer.Snapshot(now, cache.Versions()))).To(BeTrue())
+	config, servers := cache.Ages(now)
+	g.Expect(config).To(BeZero())
+	g.Expect(servers).To(BeZero())
+	cache.ObserveEra(4)
+	peer.putConfig(nil, at(3, 8), now.Add(time.Second))
+	cache.Merge(now.Add(time.Second), peer.Snapshot(now.Add(time.Second), cache.Versions()))
+	config, _ = cache.Ages(now.Add(time.Second))
+	g.Expect(config).To(Equal(time.Second), "the other daemon does not know of the new era")
+}
+
 // Guards against a range of revisions that runs into that of the next era.
 func TestRevisionRange(t *testing.T) {
 	g := NewWithT(t)
--- a/catalog/follower.go
+++ b/catalog/follower.go
@@ -239,7 +239,9 @@
 		l.follower.log.WithFields(telemetry.Fields{"event": "watch_lost", "kind": l.kind}).WithError(err).Info("watching again on another connection")
 		return 0
 	case errors.Is(err, ErrEraChanged), errors.Is(err, errOldEra) && l.recovers(err):
-		// The cursor is of an earlier era now, so that the next call reads the whole content.
+		if l.fullRead {
+			return retryDelay
+		}
 		l.fullRead = true
 		return 0
 	case errors.Is(err, ErrHistoryGone):
