edge: the first configuration changes the idle timeout as well

A connection that was opened before the first configuration, and on which nothing was sent, kept the idle timeout that holds without one.

Measured: TestIdleTimeoutOfTheFirstConfiguration fails on (open after 2 s, timeout 0.5 s) and passes now.

--- a/core/balance/signals.go
+++ b/core/balance/signals.go
@@ -47,7 +47,8 @@
 	// absentUntil has the ends of the times in which servers are withheld that had left
 	// before the store came back with older entries of them.
 	absentUntil map[ServerKey]time.Time
-	// digest is that of the keys of leaving and absentUntil until digestUntil; zero time: not known.
+	// digest is that of the keys of leaving and absentUntil until digestUntil; zero time: not
+	// known.
 	digest      uint32
 	digestUntil time.Time
 	// pausedUntil has the ends of the pauses that servers asked this daemon for.
--- a/edge/limits_test.go
+++ b/edge/limits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -18,6 +19,29 @@
 		2000, s.version, header, body, headerTimeout.Milliseconds(), idle.Milliseconds()), "")
 }
 
+// Guards against a connection that was opened before the first configuration and keeps the
+// idle timeout that holds without one.
+func TestIdleTimeoutOfTheFirstConfiguration(t *testing.T) {
+	s := newSite(t)
+	s.server("i-1", service)
+	d := s.daemon(s.settings("h-1"))
+	var c *caller
+	s.g.Eventually(func() error {
+		socket, err := net.Dial("tcp4", d.settings.Listeners.Caller)
+		if err == nil {
+			c = &caller{Conn: socket}
+		}
+		return err
+	}).Should(Succeed())
+	defer func() { _ = c.Close() }()
+	time.Sleep(100 * time.Millisecond)
+	s.limited(8192, 4096, 300*time.Millisecond, 500*time.Millisecond)
+	s.ready(d)
+	_ = c.SetReadDeadline(time.Now().Add(2 * time.Second))
+	_, err := c.Read(make([]byte, 1))
+	s.g.Expect(err).To(MatchError(io.EOF))
+}
+
 // Guards against kept connections whose next request is judged by the limits of an earlier
 // configuration: those that were in force when the connection became idle.
 func TestLimitsOnKeptConnections(t *testing.T) {
--- a/edge/node.go
+++ b/edge/node.go
@@ -212,8 +212,9 @@
 	n.serverState.setServers(v)
 	n.quotas.apply(v.Config)
 	n.keys.replaceTable(n.view.Load(), v)
+	idleTimeout := n.limits().IdleTimeout
 	before := n.view.Swap(v)
-	if before != nil && before.Config != nil && before.Config.Limits.IdleTimeout != n.limits().IdleTimeout {
+	if n.limits().IdleTimeout != idleTimeout {
 		n.wakeIdleConns()
 	}
 	if n.gossiper.Role().Rank == 0 {
