--- a/edge/broken_test.go
+++ b/edge/broken_test.go
@@ -81,6 +81,7 @@
 // Guards against a server that stops in the middle of the head of its response and closes the
 // connection, and whose response reaches the caller with an empty or a short body.
 func TestHeadsThatEnd(t *testing.T) {
+	t.Parallel()
 	for name, head := range map[string]string{
 		"length":  "HTTP/1.1 200 OK\r\nAgateusher-Request-Id: ID\r\nAgateusher-Response-Signature: x\r\nContent-Length: 14\r\n\r\n",
 		"chunks":  "HTTP/1.1 200 OK\r\nAgateusher-Request-Id: ID\r\nAgateusher-Response-Signature: x\r\nTransfer-Encoding: chunked\r\n\r\n",
--- a/edge/era_test.go
+++ b/edge/era_test.go
@@ -36,8 +36,10 @@
 // from an older copy, a watch goes on from a revision of the earlier era, which the store
 // has given out again meanwhile. A daemon that starts between two returns knows one of them.
 func TestConfigurationAfterOlderCopy(t *testing.T) {
+	t.Parallel()
 	for name, drills := range map[string]int{"once": 1, "twice": 2} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			s := newSite(t)
 			s.server("i-1", service)
 			s.configure(2*time.Second, "")
@@ -75,8 +77,10 @@
 // of the servers that are discarded because their revisions are lower than before. Daemons
 // that start in between know only the copy, and what the others tell them.
 func TestServersAfterOlderCopy(t *testing.T) {
+	t.Parallel()
 	for name, drills := range map[string]int{"once": 1, "twice": 2} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			s := newSite(t)
 			s.configure(2*time.Second, "")
 			servers := map[string]*consortium.Server{}
@@ -127,8 +131,10 @@
 // Guards against all daemons reading the store when it comes back from an older copy: in a
 // region the relay does so for the others, and in a data centre one daemon reads the registry.
 func TestCallsAfterOlderCopy(t *testing.T) {
+	t.Parallel()
 	for _, n := range []int{6, 24} {
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			t.Parallel()
 			s := newSite(t)
 			s.configure(2*time.Second, "")
 			s.server("i-1", service)
--- a/edge/limits_test.go
+++ b/edge/limits_test.go
@@ -22,6 +22,7 @@
 // Guards against a connection that was opened before the first configuration and keeps the
 // idle timeout that holds without one.
 func TestIdleTimeoutOfTheFirstConfiguration(t *testing.T) {
+	t.Parallel()
 	s := newSite(t)
 	s.server("i-1", service)
 	d := s.daemon(s.settings("h-1"))
@@ -45,6 +46,7 @@
 // Guards against kept connections whose next request is judged by the limits of an earlier
 // configuration: those that were in force when the connection became idle.
 func TestLimitsOnKeptConnections(t *testing.T) {
+	t.Parallel()
 	s := newSite(t)
 	s.limited(8192, 4096, 300*time.Millisecond, 1500*time.Millisecond)
 	s.server("i-1", service)
--- a/edge/registration_test.go
+++ b/edge/registration_test.go
@@ -16,6 +16,7 @@
 // from a copy without their entries: the issuers of each data centre divide the limits of
 // workspaces by the hosts that are listed, while all vote.
 func TestRegistrationIsLostWithTheCopy(t *testing.T) {
+	t.Parallel()
 	s := newSite(t)
 	s.limits(map[string]float64{"w": 100})
 	daemons := s.quotaDaemons(2)
@@ -41,6 +42,7 @@
 // after its heartbeats: it was started while the store was away, and restarted before the
 // store was back.
 func TestRegistrationAfterRestartWithoutStore(t *testing.T) {
+	t.Parallel()
 	s := newSite(t)
 	s.configure(2*time.Second, "")
 	s.server("i-1", service)
--- a/edge/reuse_test.go
+++ b/edge/reuse_test.go
@@ -51,8 +51,10 @@
 // ran: of another request, if the refusal has no ID, or of the same one. The client is told
 // that the request has not run.
 func TestRepeatedRefusal(t *testing.T) {
+	t.Parallel()
 	for name, refuse := range map[string]consortium.Behaviour{"with an ID": consortium.ShedNamed, "without": consortium.Shed} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			s := newSite(t)
 			s.configure(2*time.Second, "")
 			servers := []*consortium.Server{s.server("i-1", service), s.server("i-2", service)}
@@ -90,8 +92,10 @@
 // must not be sent again on the connection of its refusal, and no other one if the refusal
 // has no ID.
 func TestConnectionAfterRefusal(t *testing.T) {
+	t.Parallel()
 	for name, refuse := range map[string]consortium.Behaviour{"with an ID": consortium.ShedNamed, "without": consortium.Shed} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			s, server, d := reuseSite(t)
 			server.SetBehaviour(firstThen(refuse, consortium.Answer))
 			s.g.Expect(s.read(d, "refused first").status).To(Equal(http.StatusOK))
